--- /dev/null
+++ b/bench/src/main/java/org/cornelcove/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements. */
+package org.cornelcove.bench;
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line cornelcove. */
+package org.cornelcove.cli;
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/package-info.java
@@ -0,0 +1,2 @@
+/** The deterministic state machine over the log and the leader's loops. */
+package org.cornelcove.control;
--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon cornelcoved. */
+package org.cornelcove.daemon;
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' HTTP, queues and dispatch to targets. */
+package org.cornelcove.entry;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/ClaimOnce.java
@@ -0,0 +1,13 @@
+package org.cornelcove.model.command;
+
+import org.cornelcove.model.id.EntryId;
+
+/**
+ * Claims an idempotency key before the first byte of the request goes to a target.
+ *
+ * @param key tenant, service and idempotency key
+ * @param digest hex SHA-256 of method, path and body
+ * @param entry who may dispatch it
+ * @param incarnation the start of that entry
+ */
+public record ClaimOnce(String key, String digest, EntryId entry, long incarnation) implements Command {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/ClaimUnknown.java
@@ -0,0 +1,8 @@
+package org.cornelcove.model.command;
+
+/**
+ * The request may or may not have run; it is never run again.
+ *
+ * @param index the log index at which that was recorded
+ */
+public record ClaimUnknown(long index) implements Outcome {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/RecordOutcome.java
@@ -0,0 +1,17 @@
+package org.cornelcove.model.command;
+
+import java.util.Optional;
+
+import org.cornelcove.model.id.EntryId;
+import org.cornelcove.model.request.RecordedAnswer;
+
+/**
+ * Records the whole answer under a claim, or that the outcome is unknown.
+ *
+ * @param key the key
+ * @param entry the claim's holder
+ * @param incarnation the start of that entry
+ * @param answer the answer, empty when unknown
+ */
+public record RecordOutcome(String key, EntryId entry, long incarnation, Optional<RecordedAnswer> answer)
+        implements Command {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/Refused.java
@@ -0,0 +1,10 @@
+package org.cornelcove.model.command;
+
+import org.cornelcove.model.error.Failure;
+
+/**
+ * The command changed nothing.
+ *
+ * @param failure why, and the remedy
+ */
+public record Refused(Failure failure) implements Outcome {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/ReleaseClaim.java
@@ -0,0 +1,12 @@
+package org.cornelcove.model.command;
+
+import org.cornelcove.model.id.EntryId;
+
+/**
+ * Gives a claim back whose request was proved not run.
+ *
+ * @param key the key
+ * @param entry the claim's holder
+ * @param incarnation the start of that entry
+ */
+public record ReleaseClaim(String key, EntryId entry, long incarnation) implements Command {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/command/package-info.java
@@ -0,0 +1,2 @@
+/** Changes of the durable state and their outcomes. */
+package org.cornelcove.model.command;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error kinds and failures. */
+package org.cornelcove.model.error;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/id/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers. */
+package org.cornelcove.model.id;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs and attempts. */
+package org.cornelcove.model.job;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/message/TargetGrant.java
@@ -0,0 +1,11 @@
+package org.cornelcove.model.message;
+
+/**
+ * The ownership of a target: only its owner dispatches requests to it.
+ *
+ * @param target the target as last announced
+ * @param epoch rises with each change of owner; sent along with each dispatch
+ * @param silentMs the time since the target was last heard of
+ * @param previousHoldMs until this has passed the previous owner's requests may still hold slots
+ */
+public record TargetGrant(TargetAnnouncement target, long epoch, long silentMs, long previousHoldMs) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/message/package-info.java
@@ -0,0 +1,2 @@
+/** Heartbeats and their answers. */
+package org.cornelcove.model.message;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, resources, rules, commands and error kinds. */
+package org.cornelcove.model;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests and their answers. */
+package org.cornelcove.model.request;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Amounts of resources. */
+package org.cornelcove.model.resource;
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/rule/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' rules after merging. */
+package org.cornelcove.model.rule;
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Pure scheduling decisions. */
+package org.cornelcove.policy;
--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated log. */
+package org.cornelcove.replication;
--- /dev/null
+++ b/testkit/src/main/java/org/cornelcove/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for targets, workers and callers. */
+package org.cornelcove.testkit;
--- /dev/null
+++ b/wire/src/main/java/org/cornelcove/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Framed MessagePack calls between processes. */
+package org.cornelcove.wire;
