--- /dev/null
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -0,0 +1,39 @@
+package org.cornelcove.bench;
+
+import java.util.List;
+
+/** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
+public final class Bench {
+    private static final List<Benchmark> BENCHMARKS = List.of();
+
+    private Bench() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args names of benchmarks; none to list them
+     * @throws Exception when a benchmark could not be run
+     */
+    public static void main(String[] args) throws Exception {
+        if (args.length == 0) {
+            BENCHMARKS.forEach(b -> System.out.printf("%-14s %s%n", b.name(), b.target()));
+            return;
+        }
+        boolean met = true;
+        for (String name : args) {
+            met &= find(name).run(System.out);
+        }
+        System.exit(met ? 0 : 1);
+    }
+
+    private static Benchmark find(String name) {
+        return BENCHMARKS.stream()
+                .filter(b -> b.name().equals(name))
+                .findFirst()
+                .orElseGet(() -> {
+                    System.err.println("no benchmark '" + name + "'; start without a name to list them");
+                    System.exit(2);
+                    return null;
+                });
+    }
+}
