Calls between processes over Grizzly

Cause: the daemons need calls with timeouts whose failure tells whether the request can have arrived. A failed connect is CALL_NOT_SENT; anything after the write began is PEER_UNREACHABLE or CALL_TIMEOUT.

--- /dev/null
+++ b/wire/src/main/java/org/cornelcove/wire/Addresses.java
@@ -0,0 +1,49 @@
+package org.cornelcove.wire;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/** Reads addresses of the form {@code ip:port}. */
+public final class Addresses {
+    private static final int MAX_PORT = 65535;
+
+    private Addresses() {}
+
+    /**
+     * Reads an address.
+     *
+     * @param text {@code ip:port}, IPv6 numbers in brackets
+     * @return the address, empty when malformed
+     */
+    public static Optional<InetSocketAddress> read(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            String host = text.substring(0, colon).replace("[", "").replace("]", "");
+            if (port < 0 || port > MAX_PORT || !isNumeric(host)) {
+                return Optional.empty();
+            }
+            return Optional.of(new InetSocketAddress(host, port));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Reads an address that was checked before.
+     *
+     * @param text {@code ip:port}
+     * @return the address
+     * @throws IllegalArgumentException when malformed
+     */
+    public static InetSocketAddress parse(String text) {
+        return read(text).orElseThrow(() -> new IllegalArgumentException("not ip:port: " + text));
+    }
+
+    private static boolean isNumeric(String host) {
+        return host.matches("[0-9.]+|[0-9a-fA-F:]+");
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cornelcove/wire/CallServer.java
@@ -0,0 +1,115 @@
+package org.cornelcove.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Answers calls of other processes. */
+public final class CallServer implements AutoCloseable {
+    private final TCPNIOTransport transport;
+    private final InetSocketAddress address;
+
+    private CallServer(TCPNIOTransport transport, InetSocketAddress address) {
+        this.transport = transport;
+        this.address = address;
+    }
+
+    /**
+     * Listens and serves.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param handlers what to do on each call
+     * @return the running server
+     * @throws FailureException of kind {@code PORT_UNAVAILABLE}
+     */
+    public static CallServer open(InetSocketAddress address, CallHandlers handlers) {
+        TCPNIOTransport transport = Transports.create("rpc-server");
+        transport.setProcessor(FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new FrameFilter())
+                .add(new AnswerFilter(handlers))
+                .build());
+        try {
+            TCPNIOServerConnection listener = transport.bind(address);
+            transport.start();
+            SocketAddress bound = listener.getLocalAddress();
+            return new CallServer(transport, (InetSocketAddress) bound);
+        } catch (IOException e) {
+            Transports.close(transport);
+            throw Failure.of(ErrorKind.PORT_UNAVAILABLE, address, e.getMessage())
+                    .asException();
+        }
+    }
+
+    /**
+     * Returns where the server listens.
+     *
+     * @return the address with the actual port
+     */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    @Override
+    public void close() {
+        Transports.close(transport);
+    }
+
+    /** Hands each request to its handler and writes the answer back on the same connection. */
+    private static final class AnswerFilter extends BaseFilter {
+        private final CallHandlers handlers;
+
+        AnswerFilter(CallHandlers handlers) {
+            this.handlers = handlers;
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            Envelope envelope = context.getMessage();
+            Connection<?> connection = context.getConnection();
+            CompletableFuture<byte[]> answer = run(envelope);
+            if (envelope.kind() == Envelope.Kind.REQUEST) {
+                answer.whenComplete((body, thrown) -> connection.write(reply(envelope.callId(), body, thrown)));
+            }
+            return context.getStopAction();
+        }
+
+        private CompletableFuture<byte[]> run(Envelope envelope) {
+            try {
+                Function<byte[], CompletableFuture<byte[]>> handler = handlers.find(envelope.name())
+                        .orElseThrow(() -> Failure.of(ErrorKind.METHOD_UNKNOWN, envelope.name())
+                                .asException());
+                return handler.apply(envelope.body());
+            } catch (RuntimeException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
+        private static Envelope reply(long callId, byte[] body, Throwable thrown) {
+            return thrown == null ? Envelope.answer(callId, body) : Envelope.failure(callId, failureOf(thrown));
+        }
+
+        private static Failure failureOf(Throwable thrown) {
+            Throwable cause =
+                    thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
+            return cause instanceof FailureException known
+                    ? known.failure()
+                    : Failure.of(ErrorKind.INTERNAL, cause.toString());
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cornelcove/wire/Peer.java
@@ -0,0 +1,186 @@
+package org.cornelcove.wire;
+
+import java.net.SocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * The connection to one other process, opened when needed. While it is being opened calls wait for it; when that
+ * fails they fail as not sent. After a failure the next attempt waits a moment, so that a dead process is not asked
+ * again at every call.
+ */
+final class Peer implements AutoCloseable {
+    private static final long RECONNECT_PAUSE_NS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long CONNECT_TIMEOUT_MS = 1000;
+    private static final Attribute<Open> OPEN = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("cornelcove.peer");
+
+    private final String address;
+    private final TCPNIOTransport transport;
+    private final ScheduledExecutorService timer;
+    /** The connection or the attempt to open it; guarded by this. */
+    private CompletableFuture<Open> current;
+
+    private long lastAttemptNs;
+
+    Peer(String address, TCPNIOTransport transport, ScheduledExecutorService timer) {
+        this.address = address;
+        this.transport = transport;
+        this.timer = timer;
+    }
+
+    static Optional<Open> of(Connection<?> connection) {
+        return Optional.ofNullable(OPEN.get(connection));
+    }
+
+    CompletableFuture<byte[]> call(String name, byte[] body, long timeoutMs) {
+        CompletableFuture<byte[]> answer = new CompletableFuture<>();
+        connection().whenComplete((open, thrown) -> {
+            if (thrown == null) {
+                open.request(name, body, timeoutMs, answer);
+            } else {
+                answer.completeExceptionally(notSent(thrown));
+            }
+        });
+        return answer;
+    }
+
+    void send(String name, byte[] body) {
+        connection().thenAccept(open -> open.connection.write(Envelope.notice(name, body)));
+    }
+
+    private RuntimeException notSent(Throwable cause) {
+        return Failure.of(ErrorKind.CALL_NOT_SENT, address, reason(cause)).asException();
+    }
+
+    private static String reason(Throwable cause) {
+        return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+    }
+
+    private synchronized CompletableFuture<Open> connection() {
+        if (current != null && !isOver(current)) {
+            return current;
+        }
+        long nowNs = System.nanoTime();
+        if (current != null && current.isCompletedExceptionally() && nowNs - lastAttemptNs < RECONNECT_PAUSE_NS) {
+            return current;
+        }
+        lastAttemptNs = nowNs;
+        current = connect();
+        return current;
+    }
+
+    private static boolean isOver(CompletableFuture<Open> attempt) {
+        return attempt.isCompletedExceptionally()
+                || attempt.isDone() && !attempt.join().connection.isOpen();
+    }
+
+    private CompletableFuture<Open> connect() {
+        CompletableFuture<Open> opened = new CompletableFuture<>();
+        transport.connect(Addresses.parse(address), new EmptyCompletionHandler<>() {
+            @Override
+            @SuppressWarnings("rawtypes")
+            public void completed(Connection connection) {
+                @SuppressWarnings("unchecked")
+                Open open = new Open((Connection<SocketAddress>) connection);
+                open.watch();
+                if (!opened.complete(open)) {
+                    connection.closeSilently();
+                }
+            }
+
+            @Override
+            public void failed(Throwable thrown) {
+                opened.completeExceptionally(thrown);
+            }
+        });
+        return opened.orTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public synchronized void close() {
+        if (current != null) {
+            current.thenAccept(Open::lost);
+        }
+    }
+
+    /** An open connection with its calls under way. */
+    final class Open {
+        private final Connection<SocketAddress> connection;
+        private final AtomicLong lastCallId = new AtomicLong();
+        private final Map<Long, CompletableFuture<byte[]>> waiting = new ConcurrentHashMap<>();
+
+        Open(Connection<SocketAddress> connection) {
+            this.connection = connection;
+        }
+
+        void watch() {
+            OPEN.set(connection, this);
+            connection.addCloseListener((closeable, type) -> lost());
+        }
+
+        void request(String name, byte[] body, long timeoutMs, CompletableFuture<byte[]> answer) {
+            long callId = lastCallId.incrementAndGet();
+            waiting.put(callId, answer);
+            timer.schedule(() -> timedOut(callId, timeoutMs), timeoutMs, TimeUnit.MILLISECONDS);
+            if (!connection.isOpen()) {
+                lost();
+                return;
+            }
+            connection.write(
+                    Envelope.request(callId, name, body),
+                    new EmptyCompletionHandler<WriteResult<Envelope, SocketAddress>>() {
+                        @Override
+                        public void failed(Throwable thrown) {
+                            writeFailed(callId, thrown);
+                        }
+                    });
+        }
+
+        private void writeFailed(long callId, Throwable thrown) {
+            CompletableFuture<byte[]> answer = waiting.remove(callId);
+            if (answer != null) {
+                answer.completeExceptionally(Failure.of(ErrorKind.PEER_UNREACHABLE, address, reason(thrown))
+                        .asException());
+            }
+        }
+
+        void answered(Envelope envelope) {
+            CompletableFuture<byte[]> answer = waiting.remove(envelope.callId());
+            if (answer == null) {
+                return;
+            }
+            if (envelope.kind() == Envelope.Kind.ANSWER) {
+                answer.complete(envelope.body());
+            } else {
+                answer.completeExceptionally(
+                        Codec.decode(envelope.body(), Failure.class).asException());
+            }
+        }
+
+        private void timedOut(long callId, long timeoutMs) {
+            CompletableFuture<byte[]> answer = waiting.remove(callId);
+            if (answer != null) {
+                answer.completeExceptionally(
+                        Failure.of(ErrorKind.CALL_TIMEOUT, address, timeoutMs).asException());
+            }
+        }
+
+        void lost() {
+            waiting.keySet().forEach(callId -> writeFailed(callId, new IllegalStateException("connection lost")));
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cornelcove/wire/Transports.java
@@ -0,0 +1,43 @@
+package org.cornelcove.wire;
+
+import java.io.IOException;
+
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** Creates and closes Grizzly's TCP transports with the settings common to servers and clients. */
+final class Transports {
+    private static final int SELECTOR_THREADS = 2;
+    private static final int WRITE_QUEUE_BYTES = 64 << 20;
+
+    private Transports() {}
+
+    static TCPNIOTransport create(String name) {
+        TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
+                .setName(name)
+                .setReuseAddress(true)
+                .setTcpNoDelay(true)
+                .setKeepAlive(true)
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorRunnersCount(SELECTOR_THREADS)
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName(name)
+                        .setCorePoolSize(SELECTOR_THREADS)
+                        .setMaxPoolSize(SELECTOR_THREADS)
+                        .setDaemon(true))
+                .build();
+        transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(WRITE_QUEUE_BYTES);
+        return transport;
+    }
+
+    static void close(TCPNIOTransport transport) {
+        try {
+            transport.shutdownNow();
+        } catch (IOException e) {
+            System.getLogger(Transports.class.getName())
+                    .log(System.Logger.Level.DEBUG, "closing the transport failed", e);
+        }
+    }
+}
