Stand-ins: a target, a worker and a caller

Cause: the whole path needs something at both ends. Change: small programs that announce themselves, keep leases by their own clock and write what they did as histories for the checkers.

--- /dev/null
+++ b/testkit/src/main/java/org/cornelcove/testkit/Standin.java
@@ -0,0 +1,23 @@
+package org.cornelcove.testkit;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The program of the stand-ins: {@code target}, {@code worker} and {@code caller}. */
+@Command(
+        name = "standin",
+        description = "Stand-ins for targets, workers and callers.",
+        mixinStandardHelpOptions = true,
+        subcommands = {TargetCommand.class, WorkerCommand.class, CallerCommand.class})
+public final class Standin {
+    private Standin() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Standin()).execute(args));
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
@@ -0,0 +1,185 @@
+package org.cornelcove.testkit;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.cornelcove.model.id.TargetId;
+import org.cornelcove.model.message.TargetAnnouncement;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.http.util.HttpStatus;
+
+/**
+ * A target: runs up to its slots of requests at once, each as long as the query parameter {@code runMs} says, and
+ * answers with the request's body behind its own name. It refuses before running what comes too late, from an older
+ * epoch, or beyond its slots. It announces itself every second.
+ */
+public final class TargetServer implements AutoCloseable {
+    private static final long ANNOUNCE_MS = 1000;
+    private static final int CONNECTIONS = 60;
+    private static final String RUN_HEADER = "Cornelcove-Run";
+
+    private final TargetId target;
+    private final String service;
+    private final String availabilityZone;
+    private final int slots;
+    private final ApiClient api;
+    private final History history;
+    private final HttpServer server = new HttpServer();
+    private final AtomicInteger busy = new AtomicInteger();
+    private final AtomicInteger ran = new AtomicInteger();
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private final java.util.concurrent.atomic.AtomicLong highestEpoch = new java.util.concurrent.atomic.AtomicLong();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private String address;
+
+    TargetServer(TargetOptions options, History history) {
+        this.target = TargetId.of(options.name());
+        this.service = options.service();
+        this.availabilityZone = options.availabilityZone();
+        this.slots = options.slots();
+        this.api = new ApiClient(options.api());
+        this.history = history;
+    }
+
+    /**
+     * Starts a target on a free loopback port.
+     *
+     * @param options what it is and where it announces itself
+     * @param history where it writes what it did
+     * @return the running target
+     * @throws IOException when no port can be had
+     */
+    static TargetServer start(TargetOptions options, History history) throws IOException {
+        TargetServer started = new TargetServer(options, history);
+        started.listen();
+        return started;
+    }
+
+    private void listen() throws IOException {
+        NetworkListener listener = new NetworkListener("target", "127.0.0.1", 0);
+        listener.getTransport().setReuseAddress(true);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new RunHandler(), "/");
+        server.start();
+        address = "127.0.0.1:" + listener.getPort();
+        timer.scheduleWithFixedDelay(this::announce, 0, ANNOUNCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns how many requests it ran to the end.
+     *
+     * @return the count
+     */
+    public int ran() {
+        return ran.get();
+    }
+
+    /** Asks for no new work and waits until what runs has ended. */
+    public void leave() {
+        leaving.set(true);
+        announce();
+        CountDownLatch idle = new CountDownLatch(1);
+        timer.scheduleWithFixedDelay(() -> releaseWhenIdle(idle), ANNOUNCE_MS, 50, TimeUnit.MILLISECONDS);
+        try {
+            idle.await(30, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void releaseWhenIdle(CountDownLatch idle) {
+        if (busy.get() == 0) {
+            idle.countDown();
+        }
+    }
+
+    private void announce() {
+        api.post(
+                "/v1/targets/announce",
+                new TargetAnnouncement(
+                        target, service, address, availabilityZone, slots, CONNECTIONS, busy.get(), leaving.get()));
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        server.shutdownNow();
+        history.close();
+    }
+
+    /** Runs one request. */
+    private final class RunHandler extends HttpHandler {
+        @Override
+        public void service(Request request, Response response) throws Exception {
+            String id = String.valueOf(request.getHeader("Cornelcove-Request-Id"));
+            String key = request.getHeader("Cornelcove-Key") == null ? "" : request.getHeader("Cornelcove-Key");
+            byte[] body = request.getInputStream().readAllBytes();
+            if (!mayStart(request)) {
+                record(id, key, "refused");
+                refuse(response);
+                return;
+            }
+            record(id, key, "started");
+            response.suspend();
+            timer.schedule(() -> end(response, id, key, body), runMs(request), TimeUnit.MILLISECONDS);
+        }
+
+        private boolean mayStart(Request request) {
+            long notAfterMs = number(request.getHeader("Cornelcove-Not-After"), Long.MAX_VALUE);
+            long epoch = number(request.getHeader("Cornelcove-Epoch"), Long.MAX_VALUE);
+            if (System.currentTimeMillis() > notAfterMs || epoch < highestEpoch.get()) {
+                return false;
+            }
+            if (epoch != Long.MAX_VALUE) {
+                highestEpoch.accumulateAndGet(epoch, Math::max);
+            }
+            if (busy.incrementAndGet() > slots) {
+                busy.decrementAndGet();
+                return false;
+            }
+            return true;
+        }
+
+        private void end(Response response, String id, String key, byte[] body) {
+            busy.decrementAndGet();
+            ran.incrementAndGet();
+            record(id, key, "ended");
+            byte[] prefix = (target + " ").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            try {
+                response.setContentType("application/octet-stream");
+                response.setContentLength(prefix.length + body.length);
+                response.getOutputStream().write(prefix);
+                response.getOutputStream().write(body);
+                response.resume();
+            } catch (IOException e) {
+                response.resume();
+            }
+        }
+
+        private void refuse(Response response) {
+            response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+            response.setHeader(RUN_HEADER, "not-run");
+        }
+
+        private void record(String id, String key, String what) {
+            history.write(new TargetEvent(target.value(), id, key, what, System.currentTimeMillis()));
+        }
+
+        private long runMs(Request request) {
+            return number(request.getParameter("runMs"), 0);
+        }
+
+        private long number(String text, long otherwise) {
+            return text == null ? otherwise : Long.parseLong(text);
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
@@ -0,0 +1,187 @@
+package org.cornelcove.testkit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.message.AttemptOrder;
+import org.cornelcove.model.message.AttemptReport;
+import org.cornelcove.model.message.WorkerHeartbeat;
+import org.cornelcove.model.message.WorkerOrders;
+import org.cornelcove.wire.Json;
+
+/**
+ * A worker: runs attempts as timers under its lease. A task runs as long as its payload says ({@code runMs=1200}), and
+ * its checkpoint is the number of milliseconds done. When the lease is over, counted from the instant at which the
+ * last answered heartbeat was sent, every attempt stops at once.
+ */
+public final class WorkerAgent implements AutoCloseable {
+    private static final long FIRST_HEARTBEAT_MS = 500;
+    private static final long LEASE_CHECK_MS = 50;
+
+    private final WorkerOptions options;
+    private final long incarnation = System.currentTimeMillis();
+    private final ApiClient api;
+    private final History history;
+    private final Map<AttemptId, Run> runs = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    /** When every attempt has to stop; guarded by this. */
+    private long leaseEndNs = System.nanoTime();
+
+    private WorkerAgent(WorkerOptions options, History history) {
+        this.options = options;
+        this.api = new ApiClient(options.api());
+        this.history = history;
+    }
+
+    /**
+     * Starts a worker.
+     *
+     * @param options what it is and where it reports
+     * @param history where it writes what it did
+     * @return the running worker
+     */
+    static WorkerAgent start(WorkerOptions options, History history) {
+        WorkerAgent agent = new WorkerAgent(options, history);
+        agent.timer.execute(agent::beat);
+        agent.timer.scheduleAtFixedRate(agent::stopWhenLeaseOver, 0, LEASE_CHECK_MS, TimeUnit.MILLISECONDS);
+        return agent;
+    }
+
+    private void beat() {
+        long sentNs = System.nanoTime();
+        long nextMs = FIRST_HEARTBEAT_MS;
+        try {
+            Optional<WorkerOrders> orders = api.post("/v1/workers/heartbeat", heartbeat())
+                    .flatMap(body -> Json.decode(body, WorkerOrders.class).toJavaOptional());
+            if (orders.isPresent()) {
+                nextMs = orders.get().nextHeartbeatMs();
+                renewed(sentNs, orders.get());
+            }
+        } finally {
+            timer.schedule(this::beat, nextMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private synchronized void renewed(long sentNs, WorkerOrders orders) {
+        leaseEndNs = sentNs + TimeUnit.MILLISECONDS.toNanos(orders.leaseMs());
+        stopWhenLeaseOver();
+        orders.orders().forEach(this::follow);
+    }
+
+    private synchronized WorkerHeartbeat heartbeat() {
+        List<AttemptReport> reports = new ArrayList<>();
+        runs.values().forEach(run -> reports.add(run.report()));
+        return new WorkerHeartbeat(
+                options.host(),
+                incarnation,
+                options.availabilityZone(),
+                options.rack(),
+                options.capacity(),
+                false,
+                reports);
+    }
+
+    private void follow(AttemptOrder order) {
+        switch (order.action()) {
+            case RUN, THROTTLE -> order.spec().ifPresent(spec -> startOnce(order, spec));
+            case EVICT -> Optional.ofNullable(runs.get(order.attempt())).ifPresent(run -> run.end(AttemptEnd.EVICTED));
+            case STOP, FORGET -> Optional.ofNullable(runs.remove(order.attempt()))
+                    .ifPresent(Run::stop);
+            default -> throw new IllegalStateException("unknown action " + order.action());
+        }
+    }
+
+    private void startOnce(AttemptOrder order, JobSpec spec) {
+        runs.computeIfAbsent(order.attempt(), attempt -> new Run(attempt, spec, order.checkpoint()));
+    }
+
+    private synchronized void stopWhenLeaseOver() {
+        if (System.nanoTime() - leaseEndNs > 0) {
+            runs.values().forEach(Run::stop);
+            runs.clear();
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        history.close();
+    }
+
+    /** One attempt under way or ended. */
+    private final class Run {
+        private final AttemptId attempt;
+        private final JobSpec spec;
+        private final long doneBeforeMs;
+        private final long startedNs = System.nanoTime();
+        private Optional<AttemptEnd> end = Optional.empty();
+
+        Run(AttemptId attempt, JobSpec spec, Optional<String> checkpoint) {
+            this.attempt = attempt;
+            this.spec = spec;
+            this.doneBeforeMs = checkpoint.map(Long::parseLong).orElse(0L);
+            record("started");
+            long leftMs = Math.max(0, Payload.runMs(spec.payload()) - doneBeforeMs);
+            timer.schedule(this::finish, leftMs, TimeUnit.MILLISECONDS);
+        }
+
+        private void finish() {
+            synchronized (WorkerAgent.this) {
+                stopWhenLeaseOver();
+                if (runs.get(attempt) == this) {
+                    end(options.failing() ? AttemptEnd.FAILED : AttemptEnd.FINISHED);
+                }
+            }
+        }
+
+        void end(AttemptEnd how) {
+            if (end.isEmpty()) {
+                end = Optional.of(how);
+                record(how.name().toLowerCase(java.util.Locale.ROOT));
+            }
+        }
+
+        void stop() {
+            if (end.isEmpty()) {
+                end = Optional.of(AttemptEnd.FAILED);
+                record("stopped");
+            }
+        }
+
+        AttemptReport report() {
+            return new AttemptReport(
+                    attempt,
+                    spec.resources().cpuMillicores(),
+                    spec.resources().memoryBytes(),
+                    0,
+                    Optional.of(Long.toString(doneMs())),
+                    end,
+                    end.filter(AttemptEnd.FAILED::equals)
+                            .map(e -> "the task failed")
+                            .orElse(""));
+        }
+
+        private long doneMs() {
+            return doneBeforeMs + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
+        }
+
+        private void record(String what) {
+            history.write(new AttemptEvent(
+                    options.host().value(),
+                    attempt.job().value(),
+                    attempt.number(),
+                    what,
+                    Long.toString(doneMs()),
+                    System.currentTimeMillis()));
+        }
+    }
+}
