View records of the operators' HTTP interface

The protocol page names bodies that were not records yet; the daemon and the command line need the same ones.

--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/ConfigurationProposal.java
@@ -0,0 +1,13 @@
+package org.cornelcove.model.view;
+
+import org.cornelcove.model.rule.RuleSet;
+
+/**
+ * Proposes a whole set of rules. A resend with the same number and digest gets the first one's answer.
+ *
+ * @param changeNumber chosen by the operator, above that of the version it builds on
+ * @param operator who proposes
+ * @param digest hex SHA-256 of the canonical rules
+ * @param rules the rules
+ */
+public record ConfigurationProposal(long changeNumber, String operator, String digest, RuleSet rules) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/ErrorView.java
@@ -0,0 +1,11 @@
+package org.cornelcove.model.view;
+
+/**
+ * The body of an answer that is an error.
+ *
+ * @param number the error's documented number
+ * @param kind the name of its kind
+ * @param severity how grave it is
+ * @param message what happened and the remedy
+ */
+public record ErrorView(int number, String kind, String severity, String message) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/MemberState.java
@@ -0,0 +1,13 @@
+package org.cornelcove.model.view;
+
+/** What a control member does now. */
+public enum MemberState {
+    /** Leads the group. */
+    LEADER,
+    /** Votes and follows the leader. */
+    FOLLOWER,
+    /** Receives the log and does not vote yet. */
+    LEARNER,
+    /** Has not been heard of lately. */
+    SILENT
+}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/TargetState.java
@@ -0,0 +1,11 @@
+package org.cornelcove.model.view;
+
+/** Whether a target is given work. */
+public enum TargetState {
+    /** Takes requests. */
+    LIVE,
+    /** Asked for no new requests. */
+    LEAVING,
+    /** Has not announced itself lately; gets no new requests. */
+    SILENT
+}
