--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Route.java
@@ -0,0 +1,42 @@
+package org.cornelcove.daemon.api;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * One path of the api listener.
+ *
+ * @param method the HTTP method
+ * @param segments the path's segments; a star takes any one
+ * @param handler gives the answer, without blocking
+ */
+record Route(String method, List<String> segments, Function<ApiRequest, CompletableFuture<ApiAnswer>> handler) {
+    private static final String ANY = "*";
+
+    static Route of(String method, String path, Function<ApiRequest, CompletableFuture<ApiAnswer>> handler) {
+        return new Route(method, split(path), handler);
+    }
+
+    static List<String> split(String path) {
+        return List.of(path.substring(1).split("/"));
+    }
+
+    /** Returns what stands for the stars; empty when the path is another one. */
+    Optional<List<String>> match(List<String> path) {
+        if (path.size() != segments.size()) {
+            return Optional.empty();
+        }
+        List<String> arguments = new ArrayList<>();
+        for (int i = 0; i < path.size(); i++) {
+            if (ANY.equals(segments.get(i))) {
+                arguments.add(path.get(i));
+            } else if (!segments.get(i).equals(path.get(i))) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(arguments);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for operators, targets and workers. */
+package org.cornelcove.daemon.api;
--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/package-info.java
@@ -0,0 +1,2 @@
+/** The calls between daemons and their messages. */
+package org.cornelcove.daemon.call;
