--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/queue/FairLane.java
@@ -0,0 +1,208 @@
+package org.cornelcove.policy.queue;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.ToIntFunction;
+
+/**
+ * Waiting requests of either the short or the long kind, shared fairly between tenants.
+ *
+ * <p>Start-time fair queueing: each tenant has a virtual time that advances by the expected run time of what it starts,
+ * divided by its weight; the tenant whose virtual time is lowest goes next. A tenant that was idle takes up at the
+ * lane's virtual time, so that it gains nothing by having been away. Within a tenant the request goes first whose latest
+ * useful start is nearest. When a run ends the tenant is charged for the time that it really took.
+ *
+ * @param <T> what the caller attached to each request
+ */
+final class FairLane<T> {
+    private static final int MAX_IDLE = 4096;
+
+    private final ToIntFunction<String> weights;
+    private final Map<String, Tenant<T>> waiting = new HashMap<>();
+    /** Virtual times of tenants that have nothing queued, kept while they are ahead of the lane's. */
+    private final Map<String, Double> idle = new HashMap<>();
+
+    private double virtualUs;
+    private long queuedUs;
+    private int size;
+    private int totalWeight;
+
+    FairLane(ToIntFunction<String> weights) {
+        this.weights = weights;
+    }
+
+    int size() {
+        return size;
+    }
+
+    int sizeOf(String tenant) {
+        Tenant<T> found = waiting.get(tenant);
+        return found == null ? 0 : found.queue.size();
+    }
+
+    long queuedUs() {
+        return queuedUs;
+    }
+
+    /** Returns the expected run time of the tenant's requests that must start before the given instant. */
+    long aheadUs(String tenant, long latestStartUs) {
+        Tenant<T> found = waiting.get(tenant);
+        if (found == null) {
+            return 0;
+        }
+        if (found.queue.last().latestStartUs() <= latestStartUs) {
+            return found.queuedUs;
+        }
+        long sumUs = 0;
+        for (Waiting<T> request : found.queue) {
+            if (request.latestStartUs() > latestStartUs) {
+                break;
+            }
+            sumUs += request.expectedUs();
+        }
+        return sumUs;
+    }
+
+    /** Returns the tenant's share among those that wait, itself included. */
+    double shareOf(String tenant) {
+        int weight = weights.applyAsInt(tenant);
+        int total = waiting.containsKey(tenant) ? totalWeight : totalWeight + weight;
+        return (double) weight / total;
+    }
+
+    void add(Waiting<T> request) {
+        Tenant<T> tenant = waiting.computeIfAbsent(request.tenant(), this::enter);
+        tenant.queue.add(request);
+        tenant.queuedUs += request.expectedUs();
+        queuedUs += request.expectedUs();
+        size++;
+    }
+
+    /** Returns the request that goes next, without taking it. */
+    Optional<Waiting<T>> peek() {
+        return lowest().map(tenant -> tenant.queue.first());
+    }
+
+    /** Takes the request that goes next and charges its tenant. */
+    Optional<Waiting<T>> poll() {
+        Optional<Tenant<T>> next = lowest();
+        if (next.isEmpty()) {
+            return Optional.empty();
+        }
+        Tenant<T> tenant = next.get();
+        virtualUs = Math.max(virtualUs, tenant.virtualUs);
+        Waiting<T> request = tenant.queue.first();
+        tenant.virtualUs += (double) request.expectedUs() / tenant.weight;
+        remove(tenant, request);
+        return Optional.of(request);
+    }
+
+    /** Takes a request whose latest useful start has passed, if there is one. */
+    Optional<Waiting<T>> pollExpired(long nowUs) {
+        for (Tenant<T> tenant : waiting.values()) {
+            Waiting<T> first = tenant.queue.first();
+            if (first.latestStartUs() < nowUs) {
+                remove(tenant, first);
+                return Optional.of(first);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Takes the last request of the tenant that holds most of the queue for its weight, if that is above the given. */
+    Optional<Waiting<T>> displace(double perWeight) {
+        Optional<Tenant<T>> most = waiting.values().stream()
+                .max(Comparator.comparingDouble((Tenant<T> t) -> t.perWeight()).thenComparing(t -> t.name));
+        if (most.isEmpty() || most.get().perWeight() <= perWeight) {
+            return Optional.empty();
+        }
+        Waiting<T> last = most.get().queue.last();
+        remove(most.get(), last);
+        return Optional.of(last);
+    }
+
+    boolean remove(Waiting<T> request) {
+        Tenant<T> tenant = waiting.get(request.tenant());
+        if (tenant == null || !tenant.queue.contains(request)) {
+            return false;
+        }
+        remove(tenant, request);
+        return true;
+    }
+
+    /** Corrects the charge of a run by what it really took. */
+    void settle(String tenant, long differenceUs) {
+        Tenant<T> found = waiting.get(tenant);
+        if (found != null) {
+            found.virtualUs += (double) differenceUs / found.weight;
+            return;
+        }
+        idle.computeIfPresent(tenant, (t, v) -> v + (double) differenceUs / weights.applyAsInt(t));
+    }
+
+    private Tenant<T> enter(String name) {
+        Double last = idle.remove(name);
+        int weight = weights.applyAsInt(name);
+        totalWeight += weight;
+        return new Tenant<>(name, weight, last == null ? virtualUs : Math.max(virtualUs, last));
+    }
+
+    private void remove(Tenant<T> tenant, Waiting<T> request) {
+        tenant.queue.remove(request);
+        tenant.queuedUs -= request.expectedUs();
+        queuedUs -= request.expectedUs();
+        size--;
+        if (tenant.queue.isEmpty()) {
+            waiting.remove(tenant.name);
+            totalWeight -= tenant.weight;
+            remember(tenant);
+        }
+    }
+
+    /** Keeps the virtual time of a tenant that has nothing queued; an empty lane starts anew for all tenants. */
+    private void remember(Tenant<T> tenant) {
+        if (size == 0 || idle.size() >= MAX_IDLE) {
+            virtualUs = Math.max(virtualUs, tenant.virtualUs);
+            idle.clear();
+            return;
+        }
+        idle.put(tenant.name, tenant.virtualUs);
+    }
+
+    private Optional<Tenant<T>> lowest() {
+        Tenant<T> best = null;
+        for (Tenant<T> tenant : waiting.values()) {
+            if (best == null || tenant.isBefore(best)) {
+                best = tenant;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static final class Tenant<T> {
+        private final String name;
+        private final int weight;
+        private final TreeSet<Waiting<T>> queue = new TreeSet<>(
+                Comparator.comparingLong((Waiting<T> w) -> w.latestStartUs()).thenComparingLong(w -> w.sequence()));
+        private double virtualUs;
+        private long queuedUs;
+
+        Tenant(String name, int weight, double virtualUs) {
+            this.name = name;
+            this.weight = weight;
+            this.virtualUs = virtualUs;
+        }
+
+        boolean isBefore(Tenant<T> other) {
+            int order = Double.compare(virtualUs, other.virtualUs);
+            return order < 0 || order == 0 && name.compareTo(other.name) < 0;
+        }
+
+        double perWeight() {
+            return (double) queue.size() / weight;
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/queue/Waiting.java
@@ -0,0 +1,92 @@
+package org.cornelcove.policy.queue;
+
+/**
+ * A request in the queue, or one that was taken from it and runs.
+ *
+ * @param <T> what the caller attached to it
+ */
+public final class Waiting<T> {
+    private final String tenant;
+    private final String kind;
+    private final long deadlineUs;
+    private final long expectedUs;
+    private final long latestStartUs;
+    private final long sequence;
+    private final T payload;
+    /** The lane in which it waited. */
+    private final boolean queuedLong;
+    /** Whether it counts as long work; a short one that runs on becomes long. */
+    private boolean isLong;
+
+    private long startedUs;
+    private boolean running;
+
+    Waiting(Arrival<T> arrival, long expectedUs, boolean isLong, long sequence) {
+        this.tenant = arrival.tenant();
+        this.kind = arrival.kind();
+        this.deadlineUs = arrival.deadlineUs();
+        this.payload = arrival.payload();
+        this.expectedUs = expectedUs;
+        this.latestStartUs = deadlineUs - expectedUs;
+        this.queuedLong = isLong;
+        this.isLong = isLong;
+        this.sequence = sequence;
+    }
+
+    public T payload() {
+        return payload;
+    }
+
+    public String tenant() {
+        return tenant;
+    }
+
+    public String kind() {
+        return kind;
+    }
+
+    public long deadlineUs() {
+        return deadlineUs;
+    }
+
+    public boolean isLong() {
+        return isLong;
+    }
+
+    boolean wasQueuedLong() {
+        return queuedLong;
+    }
+
+    long expectedUs() {
+        return expectedUs;
+    }
+
+    long latestStartUs() {
+        return latestStartUs;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    long startedUs() {
+        return startedUs;
+    }
+
+    boolean isRunning() {
+        return running;
+    }
+
+    void start(long nowUs) {
+        startedUs = nowUs;
+        running = true;
+    }
+
+    void end() {
+        running = false;
+    }
+
+    void becomeLong() {
+        isLong = true;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Which waiting request starts next. */
+package org.cornelcove.policy.queue;
