Replicated log: protocol core, storage and a running member

Cause: everything durable needs a log that a quorum keeps.

Shown: ReplicaNodeTest, one and three members on real files, restarts of all, loss of the leader, replacement of a member.

Not shown yet: behaviour under faults.

--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -0,0 +1,457 @@
+package org.cornelcove.replication;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.core.CoreEvent;
+import org.cornelcove.replication.core.Envelope;
+import org.cornelcove.replication.core.MemberRecord;
+import org.cornelcove.replication.core.Membership;
+import org.cornelcove.replication.core.MessageCodec;
+import org.cornelcove.replication.core.Outgoing;
+import org.cornelcove.replication.core.Ready;
+import org.cornelcove.replication.core.ReplicaCore;
+import org.cornelcove.replication.core.SnapshotMeta;
+import org.cornelcove.replication.storage.DataFolder;
+import org.cornelcove.replication.storage.MemberStorage;
+
+/**
+ * A member of the group: the threads around a {@link ReplicaCore}.
+ *
+ * <p>One thread owns the core and handles what lies in its inbox; it never waits for the disk, the network or the state
+ * machine. The {@link DiskWorker} carries out writes, the {@link Applier} calls the state machine. Both report back
+ * through the inbox.
+ *
+ * <p>A member whose disk fails stops at once: it answers nothing more, and {@link #stopped()} tells why. Futures are
+ * completed on the applier's or the core's thread; what depends on them must not block.
+ */
+public final class ReplicaNode implements Replica {
+    private static final System.Logger LOG = System.getLogger(ReplicaNode.class.getName());
+    private static final int MAX_BATCH = 4096;
+    private static final long HAND_OVER_MS = 1000;
+
+    private final ReplicaSettings settings;
+    private final DataFolder folder;
+    private final MemberStorage storage;
+    private final PeerTransport transport;
+    private final LeadershipListener listener;
+    private final LongSupplier nowMs;
+    private final ReplicaCore core;
+    private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+    private final Map<Long, CompletableFuture<byte[]>> proposals = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Long>> requests = new ConcurrentHashMap<>();
+    private final AtomicLong lastToken = new AtomicLong();
+    private final AtomicLong malformedCount = new AtomicLong();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final CompletableFuture<Optional<Failure>> stopped = new CompletableFuture<>();
+    private final DiskWorker disk;
+    private final Applier applier;
+    private final Thread thread;
+    private volatile ReplicaStatus status;
+    /** The term of which the listener was told, 0 while it was told of none. */
+    private volatile long announcedTerm;
+
+    private ReplicaNode(
+            ReplicaSettings settings,
+            DataFolder folder,
+            MemberStorage storage,
+            PeerTransport transport,
+            StateMachine machine,
+            LeadershipListener listener,
+            LongSupplier nowMs) {
+        this.settings = settings;
+        this.folder = folder;
+        this.storage = storage;
+        this.transport = transport;
+        this.listener = listener;
+        this.nowMs = nowMs;
+        this.core =
+                ReplicaCore.start(settings.coreOptions(), storage.stored(), membershipOf(settings), nowMs.getAsLong());
+        String name = "replica-" + settings.selfId();
+        this.disk = new DiskWorker(storage, new DiskReports(), name + "-disk");
+        this.applier = new Applier(machine, new ApplierReports(), name + "-apply");
+        this.thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+        this.status = currentStatus();
+    }
+
+    /**
+     * Starts a member.
+     *
+     * @param settings its settings
+     * @param folder its data folder, closed with the member
+     * @param transport carries its messages; what arrives is handed to {@link #receive}
+     * @param machine what the log is applied to, empty
+     * @param listener hears of its leadership
+     * @return the member; fails with kind {@code LOG_DAMAGED}, {@code SNAPSHOT_DAMAGED}, {@code SETTING_INVALID} or
+     *     {@code STORAGE_FAILED}
+     */
+    public static ReplicaNode open(
+            ReplicaSettings settings,
+            DataFolder folder,
+            PeerTransport transport,
+            StateMachine machine,
+            LeadershipListener listener) {
+        return open(
+                settings, folder, transport, machine, listener, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    /**
+     * Starts a member on a given clock.
+     *
+     * @param settings its settings
+     * @param folder its data folder, closed with the member
+     * @param transport carries its messages; what arrives is handed to {@link #receive}
+     * @param machine what the log is applied to, empty
+     * @param listener hears of its leadership
+     * @param nowMs a monotonic clock
+     * @return the member; fails as the other one
+     */
+    public static ReplicaNode open(
+            ReplicaSettings settings,
+            DataFolder folder,
+            PeerTransport transport,
+            StateMachine machine,
+            LeadershipListener listener,
+            LongSupplier nowMs) {
+        try {
+            MemberStorage storage = MemberStorage.open(
+                    folder, settings.selfId(), settings.segmentBytes(), new SecureRandom()::nextLong);
+            ReplicaNode node = new ReplicaNode(settings, folder, storage, transport, machine, listener, nowMs);
+            node.start();
+            return node;
+        } catch (IOException e) {
+            throw Failure.of(ErrorKind.STORAGE_FAILED, e.getMessage()).asException();
+        }
+    }
+
+    @Override
+    public CompletableFuture<byte[]> propose(byte[] command) {
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        long token = lastToken.incrementAndGet();
+        proposals.put(token, result);
+        submit(() -> core.propose(nowMs.getAsLong(), token, command));
+        return result;
+    }
+
+    @Override
+    public CompletableFuture<Long> readBarrier() {
+        return request(token -> core.readBarrier(nowMs.getAsLong(), token));
+    }
+
+    @Override
+    public CompletableFuture<Void> addMember(long id, String address) {
+        return request(token -> core.addMember(nowMs.getAsLong(), token, id, address))
+                .thenApply(index -> null);
+    }
+
+    @Override
+    public CompletableFuture<Void> removeMember(long id) {
+        return request(token -> core.removeMember(nowMs.getAsLong(), token, id)).thenApply(index -> null);
+    }
+
+    /**
+     * Hands leadership to the member that is furthest.
+     *
+     * @return done once this member leads no longer; fails with kind {@code NO_QUORUM} when nobody took over in time
+     */
+    public CompletableFuture<Void> transferLeadership() {
+        return request(token -> core.transferLeadership(nowMs.getAsLong(), token))
+                .thenApply(index -> null);
+    }
+
+    /**
+     * Takes a message from another member. Malformed ones are counted and dropped.
+     *
+     * @param message the message as {@link PeerTransport#send} got it
+     */
+    public void receive(byte[] message) {
+        Envelope envelope;
+        try {
+            envelope = MessageCodec.decode(message);
+        } catch (FailureException e) {
+            malformedCount.incrementAndGet();
+            return;
+        }
+        submit(() -> core.receive(nowMs.getAsLong(), envelope));
+    }
+
+    @Override
+    public ReplicaStatus status() {
+        return status;
+    }
+
+    /**
+     * Returns how many messages could not be read.
+     *
+     * @return the count since the start
+     */
+    public long malformedCount() {
+        return malformedCount.get();
+    }
+
+    /**
+     * Tells when and why this member stopped.
+     *
+     * @return completes at the stop; the failure is empty for a planned one, else {@code STORAGE_FAILED},
+     *     {@code MEMBER_RETIRED} or {@code INTERNAL}
+     */
+    public CompletableFuture<Optional<Failure>> stopped() {
+        return stopped.copy();
+    }
+
+    /** Hands leadership over if this member leads, then stops. */
+    @Override
+    public void close() {
+        if (status.leading() && status.members().size() > 1 && !stopping.get()) {
+            handOver();
+        }
+        kill();
+    }
+
+    /** Stops at once, as a crash would, but ends the threads and releases the folder. */
+    public void kill() {
+        stop(Optional.empty());
+        stopped.join();
+    }
+
+    private void handOver() {
+        try {
+            transferLeadership().get(HAND_OVER_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(System.Logger.Level.INFO, "member {0} stops without a successor", settings.selfId());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // The core's thread
+
+    private void start() {
+        disk.start();
+        applier.start();
+        thread.start();
+    }
+
+    private void run() {
+        List<Runnable> batch = new ArrayList<>();
+        long tickDueMs = nowMs.getAsLong();
+        try {
+            while (!stopping.get()) {
+                long waitMs = Math.max(0, tickDueMs - nowMs.getAsLong());
+                Runnable first = inbox.poll(waitMs, TimeUnit.MILLISECONDS);
+                if (first != null) {
+                    batch.add(first);
+                    inbox.drainTo(batch, MAX_BATCH);
+                    batch.forEach(Runnable::run);
+                    batch.clear();
+                }
+                long now = nowMs.getAsLong();
+                if (now >= tickDueMs) {
+                    core.tick(now);
+                    tickDueMs = now + settings.tickMs();
+                }
+                carryOut(core.drain(now));
+                status = currentStatus();
+            }
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "member " + settings.selfId() + " failed", e);
+            stop(Optional.of(Failure.of(ErrorKind.INTERNAL, e.toString())));
+        } catch (InterruptedException e) {
+            stop(Optional.of(Failure.of(ErrorKind.INTERNAL, "interrupted")));
+        }
+    }
+
+    private void carryOut(Ready ready) {
+        ready.messages().forEach(this::send);
+        ready.chunkReads().forEach(disk::read);
+        ready.write().ifPresent(disk::write);
+        ready.restore().ifPresent(meta -> applier.restore(meta.index(), disk.readState()));
+        if (!ready.applies().isEmpty()) {
+            applier.apply(ready.applies());
+        }
+        if (ready.takeSnapshot()) {
+            applier.takeSnapshot();
+        }
+        ready.events().forEach(this::report);
+    }
+
+    private void send(Outgoing message) {
+        transport.send(message.address(), MessageCodec.encode(message.envelope()));
+    }
+
+    private void report(CoreEvent event) {
+        if (event instanceof CoreEvent.RequestDone done) {
+            Optional.ofNullable(requests.remove(done.token())).ifPresent(f -> f.complete(done.index()));
+        } else if (event instanceof CoreEvent.RequestFailed failed) {
+            FailureException cause = failed.failure().asException();
+            Optional.ofNullable(proposals.remove(failed.token())).ifPresent(f -> f.completeExceptionally(cause));
+            Optional.ofNullable(requests.remove(failed.token())).ifPresent(f -> f.completeExceptionally(cause));
+        } else if (event instanceof CoreEvent.LeadershipGained gained) {
+            LOG.log(System.Logger.Level.INFO, "member {0} leads term {1}", settings.selfId(), gained.term());
+            announcedTerm = gained.term();
+            listener.leadershipGained(gained.term());
+        } else if (event instanceof CoreEvent.LeadershipLost lost) {
+            LOG.log(System.Logger.Level.INFO, "member {0} leads no longer", settings.selfId());
+            announcedTerm = 0;
+            listener.leadershipLost(lost.term());
+        } else {
+            stop(Optional.of(Failure.of(ErrorKind.MEMBER_RETIRED, settings.selfId())));
+        }
+    }
+
+    private ReplicaStatus currentStatus() {
+        return new ReplicaStatus(
+                settings.selfId(),
+                core.leaderId() == 0 ? Optional.empty() : Optional.of(core.leaderId()),
+                core.role() == ReplicaCore.Role.LEADER,
+                core.term(),
+                core.commitIndex(),
+                core.appliedIndex(),
+                core.snapshot().index(),
+                core.membership().members().stream()
+                        .map(m -> new Member(m.id(), m.address(), m.voting()))
+                        .toList());
+    }
+
+    // Requests
+
+    private CompletableFuture<Long> request(LongConsumer ask) {
+        CompletableFuture<Long> result = new CompletableFuture<>();
+        long token = lastToken.incrementAndGet();
+        requests.put(token, result);
+        submit(() -> ask.accept(token));
+        return result;
+    }
+
+    private void submit(Runnable task) {
+        inbox.add(task);
+        if (stopped.isDone()) {
+            failRequests();
+        }
+    }
+
+    private void failRequests() {
+        FailureException unknown =
+                Failure.of(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN).asException();
+        FailureException gone =
+                Failure.of(ErrorKind.NOT_LEADER, "the other control hosts").asException();
+        proposals.forEach((token, f) -> f.completeExceptionally(unknown));
+        requests.forEach((token, f) -> f.completeExceptionally(gone));
+        proposals.clear();
+        requests.clear();
+    }
+
+    // The end
+
+    private void stop(Optional<Failure> why) {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        why.ifPresent(f -> LOG.log(System.Logger.Level.ERROR, "member {0} stops: {1}", settings.selfId(), f));
+        Thread ender = new Thread(() -> end(why), "replica-" + settings.selfId() + "-stop");
+        ender.setDaemon(true);
+        ender.start();
+    }
+
+    private void end(Optional<Failure> why) {
+        try {
+            inbox.add(() -> {});
+            thread.join();
+            disk.stop();
+            applier.stop();
+            if (announcedTerm != 0) {
+                listener.leadershipLost(announcedTerm);
+            }
+            status = new ReplicaStatus(
+                    status.self(),
+                    Optional.empty(),
+                    false,
+                    status.term(),
+                    status.commitIndex(),
+                    status.appliedIndex(),
+                    status.snapshotIndex(),
+                    status.members());
+            storage.close();
+            folder.close();
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "the data folder did not close: {0}", e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            stopped.complete(why);
+            failRequests();
+        }
+    }
+
+    private static Membership membershipOf(ReplicaSettings settings) {
+        List<MemberRecord> members = settings.initialMembers().stream()
+                .sorted((a, b) -> Long.compare(a.id(), b.id()))
+                .map(m -> new MemberRecord(m.id(), m.address(), m.voting(), MemberRecord.UNBOUND))
+                .toList();
+        return new Membership(members, new TreeSet<>());
+    }
+
+    private final class DiskReports implements DiskWorker.Listener {
+        @Override
+        public void written(long id) {
+            submit(() -> core.written(nowMs.getAsLong(), id));
+        }
+
+        @Override
+        public void installed(Optional<SnapshotMeta> meta) {
+            submit(() -> core.snapshotInstalled(nowMs.getAsLong(), meta));
+        }
+
+        @Override
+        public void send(Outgoing message) {
+            ReplicaNode.this.send(message);
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            stop(Optional.of(Failure.of(ErrorKind.STORAGE_FAILED, cause)));
+        }
+    }
+
+    private final class ApplierReports implements Applier.Listener {
+        @Override
+        public void result(long token, byte[] result) {
+            Optional.ofNullable(proposals.remove(token)).ifPresent(f -> f.complete(result));
+        }
+
+        @Override
+        public void applied(long index) {
+            submit(() -> core.applied(nowMs.getAsLong(), index));
+        }
+
+        @Override
+        public void snapshotTaken(long index, byte[] state) {
+            submit(() -> core.snapshotTaken(nowMs.getAsLong(), index, state));
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            stop(Optional.of(Failure.of(ErrorKind.INTERNAL, cause)));
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/core/LogTail.java
@@ -0,0 +1,104 @@
+package org.cornelcove.replication.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The entries of the log that are kept in memory: those after a base, which a snapshot covers. Bounded by the interval
+ * between snapshots. Indices of entries are mapped to places of an array, so that a lookup costs nothing and a slice
+ * copies references only.
+ */
+final class LogTail {
+    private long baseIndex;
+    private long baseTerm;
+    private ArrayList<LogEntry> entries = new ArrayList<>();
+    private long bytes;
+
+    LogTail(long baseIndex, long baseTerm) {
+        this.baseIndex = baseIndex;
+        this.baseTerm = baseTerm;
+    }
+
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    /** Returns the entry's term, or -1 when it is not known here. */
+    long term(long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        return index < baseIndex || index > lastIndex() ? -1 : get(index).term();
+    }
+
+    LogEntry get(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " after " + lastIndex());
+        }
+        entries.add(entry);
+        bytes += entry.payload().length;
+    }
+
+    void truncateFrom(long index) {
+        while (lastIndex() >= index) {
+            bytes -= entries.remove(entries.size() - 1).payload().length;
+        }
+    }
+
+    /** Returns entries from the given one on, at least one, up to the size. */
+    List<LogEntry> slice(long from, int maxBytes) {
+        long sum = 0;
+        long to = from;
+        while (to <= lastIndex() && (to == from || sum + get(to).payload().length <= maxBytes)) {
+            sum += get(to).payload().length;
+            to++;
+        }
+        return List.copyOf(entries.subList((int) (from - baseIndex - 1), (int) (to - baseIndex - 1)));
+    }
+
+    /** Forgets entries up to the given one. */
+    void compactThrough(long index) {
+        long term = term(index);
+        if (index <= baseIndex || term < 0) {
+            return;
+        }
+        for (long i = baseIndex + 1; i <= index; i++) {
+            bytes -= get(i).payload().length;
+        }
+        entries = new ArrayList<>(entries.subList((int) (index - baseIndex), entries.size()));
+        baseIndex = index;
+        baseTerm = term;
+    }
+
+    void reset(long index, long term) {
+        entries = new ArrayList<>();
+        bytes = 0;
+        baseIndex = index;
+        baseTerm = term;
+    }
+
+    /** Returns the last entry at or before the index whose term is not above the given one. */
+    long lastCandidate(long index, long term) {
+        long i = Math.min(index, lastIndex());
+        while (i > baseIndex && term(i) > term) {
+            i--;
+        }
+        return Math.max(i, baseIndex);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/core/Outgoing.java
@@ -0,0 +1,9 @@
+package org.cornelcove.replication.core;
+
+/**
+ * A message to send.
+ *
+ * @param address where to
+ * @param envelope what
+ */
+public record Outgoing(String address, Envelope envelope) {}
--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/storage/SegmentedLog.java
@@ -0,0 +1,274 @@
+package org.cornelcove.replication.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.replication.core.LogEntry;
+
+/**
+ * The entries of the log in files of bounded size, named by the first index that each may hold.
+ *
+ * <p>Entries are appended to the newest segment; {@link #sync()} makes all of them durable by one fsync. A segment is
+ * complete before the next one is made, so only the newest can hold entries that were never synced.
+ *
+ * <p>A crash may leave the unsynced end of the newest segment torn, in any of its pages. Each record tells up to which
+ * index the log was durable when the record was written. So a bad record is the torn end if no later record vouches for
+ * it, and is cut off; else an entry that was acknowledged is lost, and the log is refused as damaged. What can't be told
+ * apart is damage to the very last batch after it was synced: no later record vouches for it.
+ *
+ * <p>Example: records 1-3 synced, then 4-6 written and the power lost; 5 is unreadable. 6 says "durable up to 3": 4
+ * stays, 5 and 6 are cut off. Had 3 been unreadable, 4 would have vouched for it.
+ */
+final class SegmentedLog implements AutoCloseable {
+    private static final String SUFFIX = ".segment";
+
+    private static final class Segment {
+        final long firstIndex;
+        final String name;
+        final DataFile file;
+        final List<Long> offsets = new ArrayList<>();
+        long sizeBytes;
+
+        Segment(long firstIndex, DataFile file) {
+            this.firstIndex = firstIndex;
+            this.name = nameOf(firstIndex);
+            this.file = file;
+        }
+
+        long lastIndex() {
+            return firstIndex + offsets.size() - 1;
+        }
+    }
+
+    private final DataFolder folder;
+    private final long segmentBytes;
+    private final List<Segment> segments = new ArrayList<>();
+    private long durableIndex;
+    private boolean dirty;
+
+    private SegmentedLog(DataFolder folder, long segmentBytes) {
+        this.folder = folder;
+        this.segmentBytes = segmentBytes;
+    }
+
+    /** Makes an empty log whose first entry will have the index. */
+    static SegmentedLog create(DataFolder folder, long segmentBytes, long firstIndex) throws IOException {
+        SegmentedLog log = new SegmentedLog(folder, segmentBytes);
+        log.addSegment(firstIndex);
+        log.durableIndex = firstIndex - 1;
+        return log;
+    }
+
+    /**
+     * Opens a log and reads its entries.
+     *
+     * @param snapshotIndex what the snapshot covers; where segments that end before it are followed by one that begins
+     *     right after it, a crash came between the two steps of {@link #reset}
+     */
+    static SegmentedLog open(DataFolder folder, long segmentBytes, long snapshotIndex, List<LogEntry> entries)
+            throws IOException {
+        SegmentedLog log = new SegmentedLog(folder, segmentBytes);
+        List<Long> firsts = segmentsIn(folder);
+        if (firsts.isEmpty()) {
+            throw damaged(nameOf(snapshotIndex + 1), 0, "there is no segment");
+        }
+        for (int i = 0; i < firsts.size(); i++) {
+            log.openSegment(firsts.get(i), i == firsts.size() - 1, snapshotIndex, entries);
+        }
+        log.durableIndex = log.lastIndex();
+        return log;
+    }
+
+    static List<Long> segmentsIn(DataFolder folder) throws IOException {
+        return folder.list().stream()
+                .filter(name -> name.endsWith(SUFFIX))
+                .map(name -> Long.parseLong(name.substring(0, name.length() - SUFFIX.length())))
+                .sorted()
+                .toList();
+    }
+
+    long lastIndex() {
+        return newest().lastIndex();
+    }
+
+    long firstIndex() {
+        return segments.get(0).firstIndex;
+    }
+
+    void append(List<LogEntry> entries) throws IOException {
+        int from = 0;
+        while (from < entries.size()) {
+            if (newest().sizeBytes >= segmentBytes) {
+                sync();
+                addSegment(lastIndex() + 1);
+            }
+            from = appendToNewest(entries, from);
+        }
+    }
+
+    void sync() throws IOException {
+        if (dirty) {
+            newest().file.sync();
+            dirty = false;
+        }
+        durableIndex = lastIndex();
+    }
+
+    /** Cuts off the entries from the index on. */
+    void truncateFrom(long index) throws IOException {
+        while (segments.size() > 1 && newest().firstIndex >= index) {
+            deleteSegment(segments.remove(segments.size() - 1));
+            folder.sync();
+            dirty = false;
+        }
+        Segment segment = newest();
+        if (index <= segment.lastIndex()) {
+            int place = (int) (index - segment.firstIndex);
+            segment.sizeBytes = segment.offsets.get(place);
+            segment.offsets.subList(place, segment.offsets.size()).clear();
+            segment.file.truncate(segment.sizeBytes);
+            segment.file.sync();
+        }
+        durableIndex = Math.min(durableIndex, lastIndex());
+    }
+
+    /** Deletes segments that hold only entries up to the index. */
+    void compactThrough(long index) throws IOException {
+        while (segments.size() > 1 && segments.get(0).lastIndex() <= index) {
+            deleteSegment(segments.remove(0));
+            folder.sync();
+        }
+    }
+
+    /** Drops everything; the next entry will have the index. */
+    void reset(long firstIndex) throws IOException {
+        List<Segment> old = new ArrayList<>(segments);
+        boolean reuse = old.stream().anyMatch(s -> s.firstIndex == firstIndex);
+        if (reuse) {
+            truncateFrom(firstIndex);
+            old.removeIf(s -> s.firstIndex >= firstIndex);
+        } else {
+            addSegment(firstIndex);
+        }
+        segments.removeAll(old);
+        for (Segment segment : old) {
+            deleteSegment(segment);
+            folder.sync();
+        }
+        dirty = false;
+        durableIndex = firstIndex - 1;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Segment segment : segments) {
+            segment.file.close();
+        }
+    }
+
+    private Segment newest() {
+        return segments.get(segments.size() - 1);
+    }
+
+    private void addSegment(long firstIndex) throws IOException {
+        Segment segment = new Segment(firstIndex, folder.open(nameOf(firstIndex)));
+        segment.file.truncate(0);
+        ByteBuffer header = LogRecord.header(firstIndex);
+        segment.sizeBytes = header.remaining();
+        segment.file.write(header, 0);
+        segment.file.sync();
+        folder.sync();
+        segments.add(segment);
+    }
+
+    private void deleteSegment(Segment segment) throws IOException {
+        segment.file.close();
+        folder.delete(segment.name);
+    }
+
+    private int appendToNewest(List<LogEntry> entries, int from) throws IOException {
+        Segment segment = newest();
+        int to = from;
+        long bytes = 0;
+        while (to < entries.size() && (to == from || segment.sizeBytes + bytes < segmentBytes)) {
+            bytes += LogRecord.sizeBytes(entries.get(to));
+            to++;
+        }
+        ByteBuffer buffer = ByteBuffer.allocate(Math.toIntExact(bytes));
+        long offset = segment.sizeBytes;
+        for (LogEntry entry : entries.subList(from, to)) {
+            if (entry.index() != segment.lastIndex() + 1) {
+                throw new IllegalStateException("entry " + entry.index() + " after " + segment.lastIndex());
+            }
+            segment.offsets.add(offset + buffer.position());
+            LogRecord.put(buffer, entry, durableIndex);
+        }
+        dirty = true;
+        segment.file.write(buffer.flip(), offset);
+        segment.sizeBytes = offset + bytes;
+        return to;
+    }
+
+    private void openSegment(long firstIndex, boolean newest, long snapshotIndex, List<LogEntry> entries)
+            throws IOException {
+        Segment segment = new Segment(firstIndex, folder.open(nameOf(firstIndex)));
+        ByteBuffer content = ByteBuffer.allocate(Math.toIntExact(segment.file.size()));
+        segment.file.read(content, 0);
+        content.flip();
+        boolean gap = !segments.isEmpty() && firstIndex != lastIndex() + 1;
+        if (gap) {
+            if (firstIndex != snapshotIndex + 1) {
+                throw damaged(segment.name, 0, "entries before " + firstIndex + " are missing");
+            }
+            dropAll(entries);
+        }
+        segments.add(segment);
+        if (!LogRecord.headerFits(content, firstIndex)) {
+            rewriteTornHeader(segment, newest);
+            return;
+        }
+        LogScan scan = LogScan.of(content, firstIndex);
+        if (scan.bad() && (!newest || scan.damaged())) {
+            throw damaged(segment.name, scan.endBytes(), "an entry that was durable is unreadable");
+        }
+        entries.addAll(scan.entries());
+        segment.offsets.addAll(scan.offsets());
+        segment.sizeBytes = scan.endBytes();
+        if (scan.endBytes() < content.limit()) {
+            segment.file.truncate(scan.endBytes());
+            segment.file.sync();
+        }
+    }
+
+    private void dropAll(List<LogEntry> entries) throws IOException {
+        for (Segment segment : segments) {
+            deleteSegment(segment);
+        }
+        folder.sync();
+        segments.clear();
+        entries.clear();
+    }
+
+    /** A segment is used only after its header was synced, so one without a header holds nothing. */
+    private void rewriteTornHeader(Segment segment, boolean newest) throws IOException {
+        if (!newest || segment.file.size() > LogRecord.HEADER_BYTES) {
+            throw damaged(segment.name, 0, "the header is unreadable");
+        }
+        segment.file.truncate(0);
+        segment.file.write(LogRecord.header(segment.firstIndex), 0);
+        segment.file.sync();
+        segment.sizeBytes = LogRecord.HEADER_BYTES;
+    }
+
+    private static String nameOf(long firstIndex) {
+        return String.format("%020d%s", firstIndex, SUFFIX);
+    }
+
+    private static RuntimeException damaged(String name, long offset, String why) {
+        return Failure.of(ErrorKind.LOG_DAMAGED, name, offset, why).asException();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/cornelcove/replication/storage/SnapshotFile.java
@@ -0,0 +1,119 @@
+package org.cornelcove.replication.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.replication.core.Membership;
+import org.cornelcove.replication.core.MessageCodec;
+import org.cornelcove.replication.core.SnapshotMeta;
+
+/**
+ * The newest snapshot: a magic number, a checksum of all that follows, index, term, the membership and the state. The
+ * whole file is what travels to another member. A received file is gathered under another name and takes the place of
+ * the old one only when its checksum is right.
+ */
+final class SnapshotFile {
+    private static final String NAME = "snapshot";
+    private static final String PART_NAME = "snapshot.part";
+    private static final long MAGIC = 0x636f726e656c3032L;
+    private static final int PREFIX_BYTES = Long.BYTES + Integer.BYTES;
+    private static final int FIXED_BYTES = PREFIX_BYTES + 2 * Long.BYTES + Integer.BYTES;
+
+    private record Content(SnapshotMeta meta, byte[] state) {}
+
+    private final DataFolder folder;
+
+    SnapshotFile(DataFolder folder) {
+        this.folder = folder;
+    }
+
+    boolean exists() throws IOException {
+        return folder.list().contains(NAME);
+    }
+
+    SnapshotMeta meta() throws IOException {
+        return exists() ? load().meta() : SnapshotMeta.NONE;
+    }
+
+    byte[] state() throws IOException {
+        return load().state();
+    }
+
+    void save(SnapshotMeta meta, byte[] state) throws IOException {
+        byte[] membership = MessageCodec.encodeMembership(meta.membership());
+        ByteBuffer content = ByteBuffer.allocate(FIXED_BYTES + membership.length + state.length);
+        content.putLong(MAGIC).putInt(0).putLong(meta.index()).putLong(meta.term());
+        content.putInt(membership.length).put(membership).put(state);
+        content.putInt(Long.BYTES, StorageFiles.checksum(content.slice(PREFIX_BYTES, content.limit() - PREFIX_BYTES)));
+        StorageFiles.replace(folder, NAME, content.flip());
+    }
+
+    /** Reads a piece of the file. */
+    byte[] read(long offset, int lengthBytes) throws IOException {
+        try (DataFile file = folder.open(NAME)) {
+            int length = (int) Math.max(0, Math.min(lengthBytes, file.size() - offset));
+            ByteBuffer piece = ByteBuffer.allocate(length);
+            file.read(piece, offset);
+            return piece.array();
+        }
+    }
+
+    long sizeBytes() throws IOException {
+        try (DataFile file = folder.open(NAME)) {
+            return file.size();
+        }
+    }
+
+    void receive(long offset, byte[] data) throws IOException {
+        try (DataFile part = folder.open(PART_NAME)) {
+            part.truncate(offset);
+            part.write(ByteBuffer.wrap(data), offset);
+        }
+    }
+
+    /** Puts the received file in place if it is whole; else throws it away. */
+    Optional<SnapshotMeta> install() throws IOException {
+        Optional<Content> content = parse(StorageFiles.readAll(folder, PART_NAME));
+        if (content.isEmpty()) {
+            folder.delete(PART_NAME);
+            return Optional.empty();
+        }
+        try (DataFile part = folder.open(PART_NAME)) {
+            part.sync();
+        }
+        folder.rename(PART_NAME, NAME);
+        folder.sync();
+        return Optional.of(content.get().meta());
+    }
+
+    void dropPart() throws IOException {
+        folder.delete(PART_NAME);
+    }
+
+    private Content load() throws IOException {
+        return parse(StorageFiles.readAll(folder, NAME))
+                .orElseThrow(() -> Failure.of(ErrorKind.SNAPSHOT_DAMAGED, NAME, "wrong checksum")
+                        .asException());
+    }
+
+    private static Optional<Content> parse(ByteBuffer content) {
+        if (content.remaining() < FIXED_BYTES || content.getLong(0) != MAGIC) {
+            return Optional.empty();
+        }
+        ByteBuffer checked = content.slice(PREFIX_BYTES, content.remaining() - PREFIX_BYTES);
+        if (content.getInt(Long.BYTES) != StorageFiles.checksum(checked)) {
+            return Optional.empty();
+        }
+        long index = checked.getLong();
+        long term = checked.getLong();
+        byte[] encoded = new byte[checked.getInt()];
+        checked.get(encoded);
+        Membership membership = MessageCodec.decodeMembership(encoded);
+        byte[] state = new byte[checked.remaining()];
+        checked.get(state);
+        return Optional.of(new Content(new SnapshotMeta(index, term, membership), state));
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
@@ -0,0 +1,134 @@
+package org.cornelcove.replication;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+
+import org.awaitility.Awaitility;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.storage.DiskFolder;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Members in one process, on real disks and threads, that hand messages to each other directly. */
+final class LocalGroup implements AutoCloseable {
+    /** Joins all commands into one text. */
+    static final class TextMachine implements StateMachine {
+        final List<String> commands = new CopyOnWriteArrayList<>();
+
+        @Override
+        public byte[] apply(long index, byte[] command) {
+            commands.add(new String(command, StandardCharsets.UTF_8));
+            return command;
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return String.join("\n", commands).getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+            commands.clear();
+            commands.addAll(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
+        }
+    }
+
+    final Map<Long, ReplicaNode> nodes = new ConcurrentHashMap<>();
+    final Map<Long, TextMachine> machines = new ConcurrentHashMap<>();
+    private final Path root;
+    private final long snapshotEveryEntries;
+
+    LocalGroup(Path root, long snapshotEveryEntries) {
+        this.root = root;
+        this.snapshotEveryEntries = snapshotEveryEntries;
+    }
+
+    static List<Member> members(int count) {
+        List<Member> members = new ArrayList<>();
+        for (long id = 1; id <= count; id++) {
+            members.add(new Member(id, addressOf(id), true));
+        }
+        return members;
+    }
+
+    static String addressOf(long id) {
+        return "127.0.0.1:" + id;
+    }
+
+    ReplicaNode start(long id, List<Member> initialMembers) throws IOException {
+        TextMachine machine = new TextMachine();
+        ReplicaNode node = ReplicaNode.open(
+                ReplicaSettings.of(id, addressOf(id), initialMembers).withSnapshotEveryEntries(snapshotEveryEntries),
+                DiskFolder.open(root.resolve("member" + id)),
+                this::deliver,
+                machine,
+                new LeadershipListener() {
+                    @Override
+                    public void leadershipGained(long term) {}
+
+                    @Override
+                    public void leadershipLost(long term) {}
+                });
+        machines.put(id, machine);
+        nodes.put(id, node);
+        return node;
+    }
+
+    void kill(long id) {
+        nodes.remove(id).kill();
+    }
+
+    /** Proposes until some leader takes the command. */
+    void propose(String command) {
+        Awaitility.await()
+                .pollDelay(Duration.ZERO)
+                .pollInterval(Duration.ofMillis(10))
+                .until(() -> nodes.values().stream().anyMatch(node -> accepted(node, command)));
+    }
+
+    ReplicaNode leader() {
+        return Awaitility.await()
+                .until(
+                        () -> nodes.values().stream()
+                                .filter(n -> n.status().leading())
+                                .findFirst()
+                                .orElse(null),
+                        node -> node != null);
+    }
+
+    private boolean accepted(ReplicaNode node, String command) {
+        try {
+            node.propose(command.getBytes(StandardCharsets.UTF_8)).get();
+            return true;
+        } catch (ExecutionException e) {
+            FailureException cause = (FailureException) e.getCause();
+            assertThat(cause.failure().kind(), is(ErrorKind.NOT_LEADER));
+            return false;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void deliver(String address, byte[] message) {
+        long id = Long.parseLong(address.substring(address.indexOf(':') + 1));
+        ReplicaNode node = nodes.get(id);
+        if (node != null) {
+            node.receive(message);
+        }
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(nodes.keySet()).forEach(this::kill);
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -0,0 +1,72 @@
+package org.cornelcove.replication;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+class ReplicaNodeTest {
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest(name = "{0} members, snapshot every {1} entries")
+    @CsvSource({"1, 1000", "1, 7", "3, 1000", "3, 7"})
+    void commandsSurviveARestartOfAll(int size, long snapshotEveryEntries) throws Exception {
+        List<String> commands = new ArrayList<>();
+        for (int restart = 0; restart < 3; restart++) {
+            try (LocalGroup group = new LocalGroup(folder, snapshotEveryEntries)) {
+                for (long id = 1; id <= size; id++) {
+                    group.start(id, LocalGroup.members(size));
+                }
+                for (int i = 0; i < 20; i++) {
+                    commands.add(restart + "-" + i);
+                    group.propose(restart + "-" + i);
+                }
+                group.machines.values().forEach(m -> Awaitility.await().until(() -> m.commands.equals(commands)));
+            }
+        }
+    }
+
+    @Test
+    void anotherMemberLeadsWhenTheLeaderDies() throws Exception {
+        try (LocalGroup group = new LocalGroup(folder, 1000)) {
+            for (long id = 1; id <= 3; id++) {
+                group.start(id, LocalGroup.members(3));
+            }
+            group.propose("a");
+            group.kill(group.leader().status().self());
+            group.propose("b");
+            group.leader().readBarrier().get();
+            assertThat(group.machines.get(group.leader().status().self()).commands, is(equalTo(List.of("a", "b"))));
+        }
+    }
+
+    @Test
+    void aLearnerIsPromotedAndTheOldMemberRemoved() throws Exception {
+        try (LocalGroup group = new LocalGroup(folder, 7)) {
+            for (long id = 1; id <= 3; id++) {
+                group.start(id, LocalGroup.members(3));
+            }
+            for (int i = 0; i < 30; i++) {
+                group.propose("c" + i);
+            }
+            long lost = group.leader().status().self() == 1 ? 2 : 1;
+            group.kill(lost);
+            group.leader().removeMember(lost).get();
+            group.start(4, List.of());
+            group.leader().addMember(4, LocalGroup.addressOf(4)).get();
+            group.kill(group.leader().status().self());
+            group.propose("last");
+            Awaitility.await().until(() -> group.machines.get(4L).commands.size() == 31);
+        }
+    }
+}
