Rules reader: folder of YAML files merged by name, canonical digest, diff

The operators' rules come as a folder of small files. Reading uses the YAML node tree, so that each fault has its file and line, and goes on after a fault, so that all are reported together. A later file replaces a whole rule; merging key by key was ruled out, since then no single file shows the rule in force. Anchors are refused, and size and nesting bounded, so a file costs no more than its length.

--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -18,6 +18,19 @@
     RULES_BAD_VALUE(105, Severity.ERROR, "%s:%s: '%s' is not usable for %s; give %s"),
     RULES_FILE_UNREADABLE(106, Severity.ERROR, "can't read %s: %s; check the file and its permissions"),
     RULES_TOO_LARGE(107, Severity.ERROR, "%s is over %s bytes; split it into smaller files"),
+    RULES_NOTHING_TO_WITHDRAW(
+            108,
+            Severity.ERROR,
+            "%s:%s: no earlier file gives '%s'; remove the withdrawal, or name this file so that it sorts after the rule's"),
+    RULES_PREFIX_OVERLAP(
+            109,
+            Severity.ERROR,
+            "%s:%s: service '%s' claims the path prefix %s, which service '%s' of %s:%s claims too; change one of them"),
+    RULES_KEY_MISSING(110, Severity.ERROR, "%s:%s: %s lacks the key '%s'; add it"),
+    RULES_ANCHOR(111, Severity.ERROR, "%s:%s: anchors and aliases are not taken; write the value out"),
+    RULES_FILE_NAME(112, Severity.ERROR, "%s would not be read; rename it to end in .yaml"),
+    RULES_FOLDER_TOO_LARGE(
+            113, Severity.ERROR, "%s holds more than %s of rules; remove files that are no longer needed"),
     // Settings
     SETTING_MISSING(201, Severity.FATAL, "--%s is not set; give it, or set %s"),
     SETTING_INVALID(202, Severity.FATAL, "--%s: '%s' is not usable: %s; give %s"),
--- /dev/null
+++ b/rules/src/main/java/org/cornelcove/rules/Fields.java
@@ -0,0 +1,194 @@
+package org.cornelcove.rules;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+
+/**
+ * One mapping of a file, read key by key. A fault is noted and the key's default returned, so that reading goes on and
+ * every fault of the file is found in one pass.
+ */
+final class Fields {
+    private static final long DAY_MS = 86_400_000L;
+    private static final long MAX_SIZE_BYTES = 1L << 50;
+    private static final long MAX_CPU_MILLICORES = 1_000_000_000L;
+
+    private final String owner;
+    private final int line;
+    private final Faults faults;
+    private final Map<String, Node> values = new LinkedHashMap<>();
+    private final Map<String, Integer> lines = new LinkedHashMap<>();
+    /** Whether the node was a mapping; if not, no key is called missing. */
+    private boolean usable = true;
+
+    private Fields(String owner, int line, Faults faults) {
+        this.owner = owner;
+        this.line = line;
+        this.faults = faults;
+    }
+
+    /**
+     * Opens a mapping.
+     *
+     * @param node the mapping; an empty value counts as an empty mapping
+     * @param owner what it describes, for messages
+     * @param faults takes what is wrong
+     * @return its keys, none where the node is no mapping
+     */
+    static Fields of(Node node, String owner, Faults faults) {
+        Fields fields = new Fields(owner, Faults.lineOf(node), faults);
+        if (refusesAnchor(node, faults)) {
+            fields.usable = false;
+        } else if (node instanceof MappingNode) {
+            ((MappingNode) node).getValue().forEach(fields::put);
+        } else if (!isEmpty(node)) {
+            fields.usable = false;
+            faults.addAt(fields.line, ErrorKind.RULES_BAD_VALUE, textOf(node), owner, "a mapping of keys to values");
+        }
+        return fields;
+    }
+
+    private void put(NodeTuple tuple) {
+        Node key = tuple.getKeyNode();
+        int keyLine = Faults.lineOf(key);
+        if (refusesAnchor(key, faults)) {
+            return;
+        }
+        if (!(key instanceof ScalarNode)) {
+            faults.addAt(keyLine, ErrorKind.RULES_BAD_VALUE, textOf(key), "a key of " + owner, "plain text");
+            return;
+        }
+        String name = ((ScalarNode) key).getValue();
+        if (values.containsKey(name)) {
+            faults.addAt(keyLine, ErrorKind.RULES_DUPLICATE_NAME, name);
+            return;
+        }
+        values.put(name, tuple.getValueNode());
+        lines.put(name, keyLine);
+    }
+
+    private static boolean refusesAnchor(Node node, Faults faults) {
+        if (node.getAnchor() == null) {
+            return false;
+        }
+        faults.addAt(Faults.lineOf(node), ErrorKind.RULES_ANCHOR);
+        return true;
+    }
+
+    private static boolean isEmpty(Node node) {
+        return node instanceof ScalarNode && ((ScalarNode) node).getValue().isEmpty();
+    }
+
+    private static String textOf(Node node) {
+        return node instanceof ScalarNode ? ((ScalarNode) node).getValue() : "a " + node.getNodeId();
+    }
+
+    /** Notes every key that is not among the known ones. */
+    void knowOnly(List<String> known) {
+        values.keySet().stream()
+                .filter(key -> !known.contains(key))
+                .forEach(key ->
+                        faults.addAt(lines.get(key), ErrorKind.RULES_UNKNOWN_KEY, key, String.join(", ", known)));
+    }
+
+    Map<String, Node> values() {
+        return values;
+    }
+
+    int lineOf(String key) {
+        return lines.getOrDefault(key, line);
+    }
+
+    boolean has(String key) {
+        return values.containsKey(key);
+    }
+
+    /** Notes that the value can't be used and what to give instead. */
+    void refuse(String key, String remedy) {
+        faults.addAt(lineOf(key), ErrorKind.RULES_BAD_VALUE, textOf(values.get(key)), owner + " " + key, remedy);
+    }
+
+    /** Notes a key that is needed and not there. */
+    boolean require(String key) {
+        if (usable && !has(key)) {
+            faults.addAt(line, ErrorKind.RULES_KEY_MISSING, owner, key);
+        }
+        return has(key);
+    }
+
+    /** Opens the mapping under the key, which messages call by the label; empty where the key is not there. */
+    Optional<Fields> fields(String key, String label) {
+        return Optional.ofNullable(values.get(key)).map(node -> of(node, label, faults));
+    }
+
+    Optional<String> text(String key) {
+        Node node = values.get(key);
+        if (node == null || refusesAnchor(node, faults)) {
+            return Optional.empty();
+        }
+        if (!(node instanceof ScalarNode)) {
+            refuse(key, "plain text");
+            return Optional.empty();
+        }
+        return Optional.of(((ScalarNode) node).getValue());
+    }
+
+    long durationMs(String key, long defaultMs) {
+        return amount(key, defaultMs, 1, 365 * DAY_MS, Units::parseDurationMs, "a duration as 800ms, 10s, 5m or 2h");
+    }
+
+    long sizeBytes(String key, long defaultBytes) {
+        return amount(
+                key, defaultBytes, 1, MAX_SIZE_BYTES, Units::parseSizeBytes, "a size as 512B, 64KiB, 8MiB or 256GiB");
+    }
+
+    long cpuMillicores(String key) {
+        return amount(
+                key, 0, 0, MAX_CPU_MILLICORES, Units::parseCpuMillicores, "cores as 64 or 0.5, or thousandths as 500m");
+    }
+
+    int integer(String key, int defaultValue, int lowest, int highest) {
+        String remedy = "a whole number from " + lowest + " to " + highest;
+        return (int) amount(key, defaultValue, lowest, highest, Fields::parseInteger, remedy);
+    }
+
+    boolean flag(String key) {
+        Optional<String> text = text(key);
+        if (text.isPresent() && !text.get().equals("true") && !text.get().equals("false")) {
+            refuse(key, "true or false");
+        }
+        return text.filter("true"::equals).isPresent();
+    }
+
+    private long amount(
+            String key,
+            long defaultValue,
+            long lowest,
+            long highest,
+            Function<String, OptionalLong> parser,
+            String remedy) {
+        Optional<String> text = text(key);
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
+        OptionalLong value = parser.apply(text.get());
+        if (value.isEmpty() || value.getAsLong() < lowest || value.getAsLong() > highest) {
+            refuse(key, remedy);
+            return defaultValue;
+        }
+        return value.getAsLong();
+    }
+
+    private static OptionalLong parseInteger(String text) {
+        return text.matches("\\d{1,9}") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+    }
+}
--- /dev/null
+++ b/rules/src/test/java/org/cornelcove/rules/CanonicalRulesTest.java
@@ -0,0 +1,73 @@
+package org.cornelcove.rules;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.cornelcove.model.rule.RuleSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+class CanonicalRulesTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void digestDoesNotDependOnFilesOrderOrUnits() throws IOException {
+        RuleSet one =
+                rules("one", "tenants: {north: {weight: 2}, south: {}}\nservices: {b: {pathPrefix: /b, deadline: 1s}}");
+        RuleSet split = rules(
+                "split",
+                "services: {b: {deadline: 1000ms, pathPrefix: /b}}",
+                "tenants: {south: }",
+                "tenants: {north: {weight: 2}}");
+        assertThat(CanonicalRules.digest(split), is(CanonicalRules.digest(one)));
+    }
+
+    @Test
+    void digestChangesWithTheRules() throws IOException {
+        RuleSet one = rules("one", "tenants: {north: {weight: 2}}");
+        RuleSet other = rules("other", "tenants: {north: {weight: 3}}");
+        assertThat(CanonicalRules.digest(other), is(not(CanonicalRules.digest(one))));
+    }
+
+    /** The digest goes between versions of the program, so it must never change for the same rules. */
+    @Test
+    void digestOfNoRulesIsFixed() {
+        assertThat(
+                CanonicalRules.json(RuleSet.empty()),
+                is("{\"batch\":{\"evictionsPerMinute\":30,\"maxAttempts\":4,\"quarantinePercent\":10,"
+                        + "\"serviceReservePercent\":10},\"services\":{},\"teams\":{},\"tenants\":{}}"));
+    }
+
+    @Test
+    void diffTellsAddedRemovedAndChanged() throws IOException {
+        RuleSet before = rules("before", "tenants: {north: {weight: 2}, south: {}}\nbatch: {maxAttempts: 3}");
+        RuleSet after = rules("after", "tenants: {north: {weight: 5}, west: {}}");
+        List<String> lines = RuleDiff.between(before, after).stream()
+                .map(RuleChange::toString)
+                .toList();
+        assertThat(
+                lines,
+                contains(
+                        "~ batch: maxAttempts 3 -> 4",
+                        "~ tenant north: weight 2 -> 5",
+                        "- tenant south: weight 1, maxQueued 128",
+                        "+ tenant west: weight 1, maxQueued 128"));
+        assertThat(RuleDiff.between(after, after), is(List.of()));
+    }
+
+    private RuleSet rules(String name, String... files) throws IOException {
+        Path rules = Files.createDirectory(folder.resolve(name));
+        for (int file = 0; file < files.length; file++) {
+            Files.writeString(rules.resolve(file + ".yaml"), files[file]);
+        }
+        return RulesFolder.read(rules).get();
+    }
+}
