Command line: rules, members, entries, jobs, explain and histograms

One class for each command, over one client of the operators' HTTP interface. The client passes over endpoints that can't carry a call out, sends an idempotent call again, the very same, when its answer is lost, and reports a lost answer as an unknown outcome, never as not done. Failures end in one line each and a documented exit code.

--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/Cornelcove.java
@@ -0,0 +1,89 @@
+package org.cornelcove.cli;
+
+import java.io.PrintWriter;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cornelcove.cli.client.Timing;
+import org.cornelcove.cli.command.RootCommand;
+import org.cornelcove.cli.output.Errors;
+import org.cornelcove.cli.output.ExitCode;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import picocli.CommandLine;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.UnmatchedArgumentException;
+
+/** Starts the command line. Whatever goes wrong ends in one line for each failure and a documented exit code. */
+public final class Cornelcove {
+    private Cornelcove() {}
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    private static int run(String[] arguments) {
+        try {
+            return commandLine(Timing.system()).execute(arguments);
+        } catch (Throwable e) { // also what is no exception, as too little memory: never a stack trace
+            System.err.println(unexpected(e));
+            return ExitCode.INTERNAL.code();
+        }
+    }
+
+    /**
+     * Returns the program, ready to execute.
+     *
+     * @param timing the clock it waits on
+     * @return picocli's command line
+     */
+    public static CommandLine commandLine(Timing timing) {
+        CommandLine line = new CommandLine(RootCommand.of(timing))
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setUsageHelpWidth(110)
+                .setParameterExceptionHandler(Cornelcove::reportUsage)
+                .setExecutionExceptionHandler((thrown, command, parsed) -> reportUnexpected(thrown, command));
+        describeExitCodes(line, exitCodes());
+        return line;
+    }
+
+    private static Map<String, String> exitCodes() {
+        Map<String, String> codes = new LinkedHashMap<>();
+        Arrays.stream(ExitCode.values()).forEach(code -> codes.put(String.valueOf(code.code()), code.meaning()));
+        return codes;
+    }
+
+    private static void describeExitCodes(CommandLine line, Map<String, String> codes) {
+        line.getCommandSpec()
+                .usageMessage()
+                .exitCodeListHeading("Exit codes:%n")
+                .exitCodeList(codes);
+        line.getSubcommands().values().forEach(subcommand -> describeExitCodes(subcommand, codes));
+    }
+
+    private static int reportUsage(ParameterException thrown, String[] arguments) {
+        PrintWriter err = thrown.getCommandLine().getErr();
+        String message = String.valueOf(thrown.getMessage());
+        Errors.print(List.of(Failure.of(ErrorKind.USAGE, message)), false, err);
+        UnmatchedArgumentException.printSuggestions(thrown, err);
+        err.flush();
+        return ExitCode.USAGE.code();
+    }
+
+    private static int reportUnexpected(Exception thrown, CommandLine command) {
+        command.getErr().println(unexpected(thrown));
+        command.getErr().flush();
+        return ExitCode.INTERNAL.code();
+    }
+
+    private static Failure unexpected(Throwable thrown) {
+        return Failure.of(ErrorKind.INTERNAL, thrown.getClass().getSimpleName() + ": " + thrown.getMessage());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/client/ApiClient.java
@@ -0,0 +1,169 @@
+package org.cornelcove.cli.client;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ProtocolException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.channels.UnresolvedAddressException;
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import org.cornelcove.cli.output.Json;
+import org.cornelcove.cli.output.Text;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+
+/**
+ * Sends calls to the first endpoint that can carry them out.
+ *
+ * <p>An endpoint that can't be reached, has no quorum or is no cornelcoved is passed over for the next. A lost answer
+ * (the connection broke, or the time ran out) means that the call may have been carried out: an idempotent call is then
+ * sent again, the very same, to each endpoint and for a few rounds; any other is reported with its outcome unknown.
+ * Each refusal by the cluster ends the search at once.
+ */
+final class ApiClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+    private static final int ROUNDS = 3;
+    private static final long PAUSE_MS = 300;
+
+    private final Endpoints endpoints;
+    private final long timeoutMs;
+    private final Timing timing;
+    private final HttpClient http;
+
+    private ApiClient(Endpoints endpoints, long timeoutMs, Timing timing) {
+        this.endpoints = endpoints;
+        this.timeoutMs = timeoutMs;
+        this.timing = timing;
+        this.http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .followRedirects(HttpClient.Redirect.NEVER)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .build();
+    }
+
+    static ApiClient of(Endpoints endpoints, long timeoutMs, Timing timing) {
+        return new ApiClient(endpoints, timeoutMs, timing);
+    }
+
+    /** Carries out a call; where none of the endpoints can, one failure is returned for each kind and endpoint. */
+    Either<List<Failure>, Object> send(Call call) {
+        Set<Failure> failures = new LinkedHashSet<>();
+        Either<List<Failure>, Object> result = round(call, failures);
+        for (int round = 1; round < ROUNDS && call.idempotent() && isLost(result); round++) {
+            timing.pauseMs().accept(PAUSE_MS);
+            result = round(call, failures);
+        }
+        return result;
+    }
+
+    private static boolean isLost(Either<List<Failure>, Object> result) {
+        return result.isLeft() && result.getLeft().stream().anyMatch(failure -> isLost(failure.kind()));
+    }
+
+    private static boolean isLost(ErrorKind kind) {
+        return kind == ErrorKind.ANSWER_LOST
+                || kind == ErrorKind.CALL_TIMEOUT
+                || kind == ErrorKind.PROPOSAL_OUTCOME_UNKNOWN;
+    }
+
+    /** Asks each endpoint once. Failures of earlier rounds stay: what was lost then may have been carried out. */
+    private Either<List<Failure>, Object> round(Call call, Set<Failure> failures) {
+        for (URI base : endpoints.bases()) {
+            Either<Failure, Object> answer = sendTo(base, call);
+            if (answer.isRight()) {
+                return Either.right(answer.get());
+            }
+            if (!mayAskNext(call, answer.getLeft().kind())) {
+                return Either.left(List.of(answer.getLeft()));
+            }
+            failures.add(answer.getLeft());
+        }
+        return Either.left(List.copyOf(failures));
+    }
+
+    private static boolean mayAskNext(Call call, ErrorKind kind) {
+        return switch (kind) {
+            case ENDPOINT_UNREACHABLE,
+                    UNEXPECTED_ANSWER,
+                    NO_QUORUM,
+                    NOT_LEADER,
+                    PEER_UNREACHABLE,
+                    CALL_NOT_SENT -> true;
+            default -> isLost(kind) && call.idempotent();
+        };
+    }
+
+    private Either<Failure, Object> sendTo(URI base, Call call) {
+        CompletableFuture<HttpResponse<byte[]>> response =
+                http.sendAsync(request(base, call), info -> new BoundedBody(MAX_ANSWER_BYTES));
+        try {
+            return Answers.read(call, base.getAuthority(), response.get(timeoutMs, TimeUnit.MILLISECONDS));
+        } catch (TimeoutException e) {
+            response.cancel(true);
+            return Either.left(lost(base, "none within " + timeoutMs + " ms"));
+        } catch (ExecutionException e) {
+            return Either.left(failureOf(base, call, e.getCause()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(lost(base, "interrupted"));
+        }
+    }
+
+    private static HttpRequest request(URI base, Call call) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(base.resolve(call.path()))
+                .header("Accept", "application/json")
+                .method(call.method(), HttpRequest.BodyPublishers.noBody());
+        if (call.body() != null) {
+            request.header("Content-Type", "application/json")
+                    .method(call.method(), HttpRequest.BodyPublishers.ofByteArray(bytesOf(call.body())));
+        }
+        return request.build();
+    }
+
+    private static byte[] bytesOf(Object body) {
+        try {
+            return Json.MAPPER.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("not writable as JSON: " + body.getClass(), e);
+        }
+    }
+
+    private static Failure failureOf(URI base, Call call, Throwable thrown) {
+        if (thrown instanceof HttpConnectTimeoutException) {
+            return unreachable(base, "no connection within " + CONNECT_TIMEOUT.toMillis() + " ms");
+        }
+        if (thrown instanceof ConnectException) {
+            boolean unresolved = thrown.getCause() instanceof UnresolvedAddressException
+                    || String.valueOf(thrown.getCause()).contains("UnresolvedAddress");
+            return unreachable(base, unresolved ? "no such host" : "connection refused");
+        }
+        if (thrown instanceof ProtocolException || thrown instanceof BoundedBody.AnswerTooLargeException) {
+            return Answers.unexpected(base.getAuthority(), Text.printable(String.valueOf(thrown.getMessage())));
+        }
+        String reason = "the connection was closed before an answer";
+        boolean read = call.method().equals("GET") && thrown instanceof IOException;
+        return read ? Answers.unexpected(base.getAuthority(), reason) : lost(base, reason);
+    }
+
+    private static Failure unreachable(URI base, String reason) {
+        return Failure.of(ErrorKind.ENDPOINT_UNREACHABLE, base.getAuthority(), reason);
+    }
+
+    private static Failure lost(URI base, String reason) {
+        return Failure.of(ErrorKind.ANSWER_LOST, base.getAuthority(), reason);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/client/Call.java
@@ -0,0 +1,41 @@
+package org.cornelcove.cli.client;
+
+import com.fasterxml.jackson.databind.JavaType;
+import org.cornelcove.cli.output.Json;
+
+/**
+ * One call of the operators' HTTP interface.
+ *
+ * @param method the HTTP method
+ * @param path the path, from the root
+ * @param body written as JSON, or null
+ * @param answer what a good answer holds, or null where it has no body
+ * @param idempotent whether the call may be sent again after its answer was lost
+ */
+record Call(String method, String path, Object body, JavaType answer, boolean idempotent) {
+    static Call get(String path, Class<?> answer) {
+        return new Call("GET", path, null, type(answer), true);
+    }
+
+    static Call list(String path, Class<?> element) {
+        JavaType answer = Json.MAPPER.getTypeFactory().constructCollectionType(java.util.List.class, element);
+        return new Call("GET", path, null, answer, true);
+    }
+
+    static Call post(String path, Object body, Class<?> answer) {
+        return new Call("POST", path, body, answer == null ? null : type(answer), true);
+    }
+
+    static Call delete(String path, Class<?> answer) {
+        return new Call("DELETE", path, null, answer == null ? null : type(answer), true);
+    }
+
+    /** Returns the same call, sent at most once. */
+    Call once() {
+        return new Call(method, path, body, answer, false);
+    }
+
+    private static JavaType type(Class<?> answer) {
+        return Json.MAPPER.constructType(answer);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/client/package-info.java
@@ -0,0 +1,2 @@
+/** The client side of the operators' HTTP interface. */
+package org.cornelcove.cli.client;
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/command/DrainCommand.java
@@ -0,0 +1,36 @@
+package org.cornelcove.cli.command;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.cornelcove.cli.client.Cluster;
+import org.cornelcove.cli.output.Report;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.Names;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Takes an entry out of service. */
+@Command(
+        name = "drain",
+        description = "Takes an entry out of service: unready, no new requests, those in flight are finished.",
+        footer = {"", "Examples:", "  cornelcove drain entry-surat-2"})
+final class DrainCommand extends ClusterCommand {
+    @Parameters(paramLabel = "ENTRY", description = "The entry's name, as 'status' shows it.")
+    private String entry;
+
+    /**
+     * What is drained.
+     *
+     * @param entry the entry
+     */
+    record Drained(String entry) {}
+
+    @Override
+    Either<List<Failure>, Report> execute(Cluster cluster) {
+        if (!Names.isName(entry)) {
+            return usage("'" + entry + "' is not an entry's name");
+        }
+        return cluster.drain(entry).map(done -> Report.line(new Drained(entry), entry + " drains"));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/command/MembersCommand.java
@@ -0,0 +1,96 @@
+package org.cornelcove.cli.command;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.cornelcove.cli.client.Cluster;
+import org.cornelcove.cli.output.Report;
+import org.cornelcove.cli.output.Table;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.view.MemberAddition;
+import org.cornelcove.model.view.MemberView;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Shows and changes the control members. */
+@Command(
+        name = "members",
+        description = "Shows the control members; 'add' and 'remove' change them, one at a time.",
+        footer = {
+            "",
+            "Examples:",
+            "  cornelcove members",
+            "  cornelcove members add 4 10.0.0.4:7402",
+            "  cornelcove members remove 1"
+        },
+        subcommands = {MembersCommand.Add.class, MembersCommand.Remove.class})
+final class MembersCommand extends ClusterCommand {
+    @Override
+    Either<List<Failure>, Report> execute(Cluster cluster) {
+        return cluster.members().map(members -> Report.of(members, table(members)));
+    }
+
+    static String table(List<MemberView> members) {
+        Table table = Table.of("ID", "ADDRESS", "VOTING", "STATE");
+        members.forEach(member ->
+                table.row(member.id(), member.address(), member.voting() ? "yes" : "no", Words.of(member.state())));
+        return table.render();
+    }
+
+    /** Adds a member. */
+    @Command(
+            name = "add",
+            description = "Adds a control member and waits until it votes and holds everything.",
+            footer = {"", "Examples:", "  cornelcove members add 4 10.0.0.4:7402"})
+    static final class Add extends ClusterCommand {
+        private static final long LEAST_TIMEOUT_MS = 120_000;
+
+        @Parameters(
+                index = "0",
+                paramLabel = "ID",
+                converter = Amounts.Positive.class,
+                description = "A number that no member has ever had.")
+        private long id;
+
+        @Parameters(index = "1", paramLabel = "IP:PORT", description = "The new member's --rpc-address.")
+        private String address;
+
+        @Override
+        long leastTimeoutMs() {
+            return LEAST_TIMEOUT_MS;
+        }
+
+        @Override
+        Either<List<Failure>, Report> execute(Cluster cluster) {
+            if (!address.matches("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):\\d{1,5}")) {
+                return usage("'" + address + "' is not ip:port, as 10.0.0.4:7402");
+            }
+            MemberAddition member = new MemberAddition(id, address);
+            return cluster.addMember(member)
+                    .map(done ->
+                            Report.line(member, "member " + id + " at " + address + " votes and holds everything"));
+        }
+    }
+
+    /** Removes a member. */
+    @Command(
+            name = "remove",
+            description = "Removes a control member; its id is never used again.",
+            footer = {"", "Examples:", "  cornelcove members remove 1"})
+    static final class Remove extends ClusterCommand {
+        @Parameters(paramLabel = "ID", converter = Amounts.Positive.class, description = "The member.")
+        private long id;
+
+        /**
+         * What was removed.
+         *
+         * @param id the member
+         */
+        record Removed(long id) {}
+
+        @Override
+        Either<List<Failure>, Report> execute(Cluster cluster) {
+            return cluster.removeMember(id).map(done -> Report.line(new Removed(id), "member " + id + " is removed"));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each command. */
+package org.cornelcove.cli.command;
--- /dev/null
+++ b/cli/src/main/java/org/cornelcove/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, JSON, errors and exit codes. */
+package org.cornelcove.cli.output;
--- a/cli/src/main/java/org/cornelcove/cli/package-info.java
+++ b/cli/src/main/java/org/cornelcove/cli/package-info.java
@@ -1,2 +1,7 @@
-/** The command line cornelcove. */
+/**
+ * The command line cornelcove.
+ *
+ * <p>{@code client} speaks the operators' HTTP interface, {@code command} holds one class for each command, and
+ * {@code output} writes tables, JSON and errors.
+ */
 package org.cornelcove.cli;
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -114,7 +114,15 @@
     // Command line
     ENDPOINT_UNREACHABLE(701, Severity.ERROR, "can't reach %s: %s; check --endpoint and that the daemon runs"),
     UNEXPECTED_ANSWER(702, Severity.ERROR, "%s does not answer like cornelcoved: %s; check the port"),
-    USAGE(703, Severity.ERROR, "%s; see --help");
+    USAGE(703, Severity.ERROR, "%s; see --help"),
+    ANSWER_LOST(
+            704,
+            Severity.ERROR,
+            "the answer of %s was lost: %s; the outcome is unknown, run the same command again or look with 'status'"),
+    CONFIGURATION_NOT_IN_FORCE(
+            705,
+            Severity.WARNING,
+            "version %s is accepted but after %s not yet in force at %s; see 'status' and 'apply --wait' again");
 
     private final int number;
     private final Severity severity;
