--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
@@ -0,0 +1,122 @@
+package org.cornelcove.policy.learn;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Which kinds of batch work slow which kinds of service down, learned by load band.
+ *
+ * <p>Additive: the slowdown of a service on a host is 1 plus the shares that the kinds of batch work beside it add. A
+ * measurement is compared with the prediction and the difference divided between the pairs in force, the less known
+ * pairs taking more. One sample of a host with several kinds says little about each; over many hosts with different
+ * mixes the shares separate. Learning whole mixes instead lost: with tens of kinds hardly a mix is seen twice.
+ *
+ * <p>Measurements arrive late, so the caller passes the kinds that were beside the service when it was measured, from
+ * {@link PlacementHistory}. Not thread-safe.
+ */
+public final class InterferenceModel {
+    private static final double HALF_CONFIDENCE_WEIGHT = 3;
+    private static final double MIN_GAIN = 0.1;
+    private static final double MAX_WEIGHT = 50;
+
+    private final Map<Pair, Learned> pairs = new HashMap<>();
+
+    private InterferenceModel() {}
+
+    /**
+     * Returns a model that knows nothing.
+     *
+     * @return the model
+     */
+    public static InterferenceModel create() {
+        return new InterferenceModel();
+    }
+
+    /**
+     * Learns from one measurement.
+     *
+     * @param service the kind of service
+     * @param beside the kinds of batch work on the host when it was measured
+     * @param band the load of the host's services then
+     * @param slowdown the run time over that of an undisturbed service
+     */
+    public void observe(String service, Collection<String> beside, LoadBand band, double slowdown) {
+        if (beside.isEmpty()) {
+            return;
+        }
+        double predicted = 1;
+        double gains = 0;
+        for (String batch : new TreeSet<>(beside)) {
+            Learned learned = pairs.computeIfAbsent(new Pair(service, batch, band), p -> new Learned());
+            predicted += learned.added;
+            gains += learned.gain();
+        }
+        double difference = slowdown - predicted;
+        for (String batch : new TreeSet<>(beside)) {
+            Learned learned = pairs.get(new Pair(service, batch, band));
+            double part = learned.gain() / gains;
+            learned.learn(difference * part, part);
+        }
+    }
+
+    /**
+     * Returns what is known of a pair.
+     *
+     * @param service the kind of service
+     * @param batch the kind of batch work
+     * @param band the load of the host's services
+     * @return the estimate
+     */
+    public PairEstimate estimate(String service, String batch, LoadBand band) {
+        Learned learned = pairs.get(new Pair(service, batch, band));
+        if (learned == null) {
+            return new PairEstimate(0, 0);
+        }
+        return new PairEstimate(learned.added, learned.weight / (learned.weight + HALF_CONFIDENCE_WEIGHT));
+    }
+
+    /**
+     * Returns all that was learned.
+     *
+     * @return one line for each pair and band
+     */
+    public List<PairSummary> summary() {
+        return pairs.entrySet().stream()
+                .map(e -> new PairSummary(
+                        e.getKey().service, e.getKey().batch, e.getKey().band, e.getValue().added, e.getValue().weight))
+                .toList();
+    }
+
+    /**
+     * Takes over what another leader had learned.
+     *
+     * @param summary its summary
+     */
+    public void restore(List<PairSummary> summary) {
+        for (PairSummary line : summary) {
+            Learned learned = new Learned();
+            learned.added = line.added();
+            learned.weight = line.weight();
+            pairs.put(new Pair(line.service(), line.batch(), line.band()), learned);
+        }
+    }
+
+    private record Pair(String service, String batch, LoadBand band) {}
+
+    private static final class Learned {
+        private double added;
+        private double weight;
+
+        double gain() {
+            return Math.max(MIN_GAIN, 1 / (1 + weight));
+        }
+
+        void learn(double difference, double part) {
+            added = Math.max(0, added + gain() * difference);
+            weight = Math.min(MAX_WEIGHT, weight + part);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/place/Host.java
@@ -0,0 +1,139 @@
+package org.cornelcove.policy.place;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.job.JobKind;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.resource.Resources;
+import org.cornelcove.policy.learn.LoadBand;
+
+/** One host of the table: what it holds, what is free, and which kinds of work run on it. */
+final class Host {
+    private final HostId id;
+    private final String availabilityZone;
+    private final String rack;
+    private final Resources capacity;
+    private final Map<String, Integer> services = new HashMap<>();
+    private final Map<String, Integer> batch = new HashMap<>();
+    private Resources free;
+    private int attempts;
+    /** The most attempts that it may run at once; below what fits while it is suspected. */
+    private int maxAttempts = Integer.MAX_VALUE;
+    /** False while its services are at the crest. */
+    private boolean openForBatch = true;
+
+    private LoadBand serviceLoad = LoadBand.LOW;
+
+    /** Position in the list of its bucket, kept by {@link ZoneIndex}. */
+    private int position;
+
+    private int bucket;
+
+    Host(HostId id, String availabilityZone, String rack, Resources capacity) {
+        this.id = id;
+        this.availabilityZone = availabilityZone;
+        this.rack = rack;
+        this.capacity = capacity;
+        this.free = capacity;
+    }
+
+    HostId id() {
+        return id;
+    }
+
+    String availabilityZone() {
+        return availabilityZone;
+    }
+
+    String rack() {
+        return rack;
+    }
+
+    Resources capacity() {
+        return capacity;
+    }
+
+    Resources free() {
+        return free;
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    LoadBand serviceLoad() {
+        return serviceLoad;
+    }
+
+    Set<String> services() {
+        return services.keySet();
+    }
+
+    Set<String> batchKinds() {
+        return batch.keySet();
+    }
+
+    int countOf(String service) {
+        return services.getOrDefault(service, 0);
+    }
+
+    int position() {
+        return position;
+    }
+
+    int bucket() {
+        return bucket;
+    }
+
+    void moveTo(int newBucket, int newPosition) {
+        bucket = newBucket;
+        position = newPosition;
+    }
+
+    void limitAttempts(int most) {
+        maxAttempts = most;
+    }
+
+    boolean isTrusted() {
+        return maxAttempts == Integer.MAX_VALUE;
+    }
+
+    void setOpenForBatch(boolean open) {
+        openForBatch = open;
+    }
+
+    void setServiceLoad(LoadBand band) {
+        serviceLoad = band;
+    }
+
+    /** Tells whether the job may start here now. Batch work leaves the reserve free, unless it is urgent. */
+    boolean admits(JobSpec job, int reservePercent) {
+        if (attempts >= maxAttempts || !job.resources().fitsIn(free)) {
+            return false;
+        }
+        if (job.kind() == JobKind.SERVICE || job.urgent()) {
+            return true;
+        }
+        long reserve = capacity.cpuMillicores() * reservePercent / 100;
+        return openForBatch && free.cpuMillicores() - job.resources().cpuMillicores() >= reserve;
+    }
+
+    void take(JobSpec job) {
+        free = free.minus(job.resources());
+        attempts++;
+        kindsOf(job).merge(job.task(), 1, Integer::sum);
+    }
+
+    void release(JobSpec job) {
+        free = free.plus(job.resources());
+        attempts--;
+        kindsOf(job).computeIfPresent(job.task(), (t, n) -> n == 1 ? null : n - 1);
+    }
+
+    private Map<String, Integer> kindsOf(JobSpec job) {
+        return job.kind() == JobKind.SERVICE ? services : batch;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -0,0 +1,376 @@
+package org.cornelcove.policy.place;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.resource.Resources;
+import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.policy.learn.InterferenceModel;
+import org.cornelcove.policy.learn.LoadBand;
+import org.cornelcove.policy.learn.PlacementHistory;
+import org.cornelcove.policy.pace.StartPace;
+import org.cornelcove.policy.place.PendingJobs.PendingJob;
+import org.cornelcove.policy.quarantine.KindTrial;
+import org.cornelcove.policy.quarantine.WorkerHealth;
+
+/**
+ * The leader's placement: which waiting jobs start, and where.
+ *
+ * <p>Urgent jobs go first; then the team with the smallest dominant share for its weight. Within a team the oldest job
+ * goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass. A shape (kind, amount) that
+ * fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. A job
+ * that waited for long is not overtaken any more by its team.
+ *
+ * <p>Held in memory by the leader, and rebuilt by a new one: {@code putHost} and {@code restore} from the replicated
+ * state, {@code submit} for what waits, {@code recover} to bound the pace. The state machine checks every start again.
+ * Not thread-safe.
+ */
+public final class Placer {
+    private static final int LOOK_AHEAD = 16;
+    private static final long NO_OVERTAKING_AFTER_MS = 120_000;
+    private static final double FIRST_STARTS_PER_SECOND = 100;
+    private static final double LAST_STARTS_PER_SECOND = 800;
+
+    private final InterferenceModel interference = InterferenceModel.create();
+    private final PlacementHistory history = PlacementHistory.create();
+    private final KindTrial trials = KindTrial.create();
+    private final StartPace pace = StartPace.of(FIRST_STARTS_PER_SECOND, LAST_STARTS_PER_SECOND);
+    private final PendingJobs pending = new PendingJobs();
+    private final Map<JobId, Placed> placed = new HashMap<>();
+    private final Map<HostId, Resources> capacities = new HashMap<>();
+    private final HostTable hosts;
+    private final TeamQuotas quotas;
+    private final WorkerHealth health;
+    private RuleSet rules;
+    private Resources cluster = Resources.NONE;
+
+    private Placer(RuleSet rules) {
+        this.rules = rules;
+        this.hosts = HostTable.of(interference, rules.batch().serviceReservePercent());
+        this.quotas = new TeamQuotas(rules.teams());
+        this.health = WorkerHealth.of(rules.batch().quarantinePercent());
+    }
+
+    /**
+     * Returns a placement without hosts and jobs.
+     *
+     * @param rules the rules in force
+     * @return the placement
+     */
+    public static Placer of(RuleSet rules) {
+        return new Placer(rules);
+    }
+
+    /**
+     * Takes in a new configuration.
+     *
+     * @param newRules the rules in force from now on
+     */
+    public void setRules(RuleSet newRules) {
+        rules = newRules;
+        hosts.setReservePercent(newRules.batch().serviceReservePercent());
+        quotas.setRules(newRules.teams());
+        health.setMaxPercent(newRules.batch().quarantinePercent());
+    }
+
+    /**
+     * Adds a host that runs nothing yet.
+     *
+     * @param host the host
+     * @param availabilityZone where it stands
+     * @param rack its rack
+     * @param capacity what it holds
+     */
+    public void putHost(HostId host, String availabilityZone, String rack, Resources capacity) {
+        removeHost(host);
+        hosts.add(host, availabilityZone, rack, capacity);
+        capacities.put(host, capacity);
+        cluster = cluster.plus(capacity);
+        health.add(host);
+    }
+
+    /**
+     * Forgets a host. What ran there is reported through {@link #ended}.
+     *
+     * @param host the host
+     */
+    public void removeHost(HostId host) {
+        Resources capacity = capacities.remove(host);
+        if (capacity != null) {
+            hosts.remove(host);
+            history.forget(host);
+            cluster = cluster.minus(capacity);
+        }
+    }
+
+    /**
+     * Opens or closes a host for batch work that is not urgent; closed while it gives way or asks to leave.
+     *
+     * @param host the host
+     * @param open whether it takes some
+     */
+    public void setOpenForBatch(HostId host, boolean open) {
+        hosts.setOpenForBatch(host, open);
+    }
+
+    /**
+     * Notes a job that waits.
+     *
+     * @param job the job
+     * @param sinceMs since when
+     */
+    public void submit(JobSpec job, long sinceMs) {
+        pending.add(new PendingJob(job, sinceMs));
+    }
+
+    /**
+     * Forgets a job that was cancelled or got its final answer, and frees what it held.
+     *
+     * @param job the job
+     * @param nowMs the current instant
+     */
+    public void forget(JobId job, long nowMs) {
+        pending.remove(job);
+        free(job, nowMs).ifPresent(p -> trials.ended(p.spec.task()));
+        health.forget(job);
+    }
+
+    /**
+     * Notes an attempt that holds its resources already, for a new leader.
+     *
+     * @param job the job
+     * @param host where it runs
+     * @param nowMs the current instant
+     */
+    public void restore(JobSpec job, HostId host, long nowMs) {
+        pending.remove(job.id());
+        take(job, host, nowMs);
+    }
+
+    /**
+     * Notes a fault that leaves a backlog: until it is gone, starts are paced.
+     *
+     * @param nowMs the current instant
+     */
+    public void recover(long nowMs) {
+        pace.recover(nowMs);
+    }
+
+    /**
+     * Learns from the end of an attempt and frees what it held. A job that is to run again is submitted again.
+     *
+     * @param job the job
+     * @param end how the attempt ended
+     * @param nowMs the current instant
+     */
+    public void ended(JobId job, AttemptEnd end, long nowMs) {
+        Optional<Placed> found = free(job, nowMs);
+        if (found.isEmpty()) {
+            return;
+        }
+        Placed was = found.get();
+        switch (end) {
+            case FINISHED -> {
+                health.succeeded(was.host, job);
+                trials.succeeded(was.spec.task());
+            }
+            case FAILED -> failed(was, nowMs);
+            default -> trials.ended(was.spec.task());
+        }
+    }
+
+    /**
+     * Tells whether the job failed on so many healthy workers that it gets its final answer.
+     *
+     * @param job the job
+     * @return whether it does
+     */
+    public boolean isHopeless(JobId job) {
+        int enough = Math.min(rules.batch().maxAttempts(), Math.max(1, hosts.size()));
+        return health.healthyWorkersFailedOn(job) >= enough;
+    }
+
+    /**
+     * Learns from a late measurement of a service on a host.
+     *
+     * @param host the host
+     * @param service the kind of service
+     * @param busyShare the share of the host's processors that its services used
+     * @param slowdown the service's run time over that of an undisturbed one
+     * @param measuredAtMs when it was measured
+     */
+    public void measured(HostId host, String service, double busyShare, double slowdown, long measuredAtMs) {
+        LoadBand band = LoadBand.of(busyShare);
+        hosts.setServiceLoad(host, band);
+        history.at(host, measuredAtMs).ifPresent(kinds -> interference.observe(service, kinds, band, slowdown));
+    }
+
+    /**
+     * Decides on the waiting jobs. What is decided counts as placed from then on.
+     *
+     * @param nowMs the current instant
+     * @param most the most decisions to make
+     * @return the decisions, the most urgent first
+     */
+    public List<PlacementDecision> decide(long nowMs, int most) {
+        List<PlacementDecision> decisions = new ArrayList<>();
+        if (pending.isEmpty()) {
+            pace.backlogGone();
+            return decisions;
+        }
+        refreshLimits(nowMs);
+        Round round = new Round(nowMs, most, decisions);
+        round.run(true);
+        round.run(false);
+        return decisions;
+    }
+
+    /**
+     * Returns how many jobs wait.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        return pending.size();
+    }
+
+    /**
+     * Returns the model of pairs that disturb each other, for its summary.
+     *
+     * @return the model
+     */
+    public InterferenceModel interference() {
+        return interference;
+    }
+
+    /**
+     * Returns what is known of the workers' health.
+     *
+     * @return the records
+     */
+    public WorkerHealth health() {
+        return health;
+    }
+
+    private void failed(Placed was, long nowMs) {
+        health.failed(was.host, was.spec.id(), nowMs);
+        if (health.maxAttempts(was.host, nowMs) == WorkerHealth.UNLIMITED) {
+            trials.failed(was.spec.task());
+        } else {
+            trials.ended(was.spec.task());
+        }
+    }
+
+    private void refreshLimits(long nowMs) {
+        for (HostId host : capacities.keySet()) {
+            hosts.limitAttempts(host, health.maxAttempts(host, nowMs));
+        }
+    }
+
+    private void take(JobSpec job, HostId host, long nowMs) {
+        placed.put(job.id(), new Placed(job, host));
+        hosts.take(host, job);
+        quotas.take(job.team(), job.resources());
+        trials.started(job.task());
+        history.note(host, hosts.batchKinds(host), nowMs);
+    }
+
+    private Optional<Placed> free(JobId job, long nowMs) {
+        Placed was = placed.remove(job);
+        if (was == null) {
+            return Optional.empty();
+        }
+        hosts.release(was.host, was.spec);
+        quotas.release(was.spec.team(), was.spec.resources());
+        history.note(was.host, hosts.batchKinds(was.host), nowMs);
+        return Optional.of(was);
+    }
+
+    private record Placed(JobSpec spec, HostId host) {}
+
+    /** What a search depends on; one that found nothing is not repeated within a round. */
+    private record Shape(String task, Resources resources, boolean urgent) {}
+
+    /** One round of decisions. */
+    private final class Round {
+        private final long nowMs;
+        private final int most;
+        private final List<PlacementDecision> decisions;
+        private final Set<Shape> unfit = new HashSet<>();
+
+        Round(long nowMs, int most, List<PlacementDecision> decisions) {
+            this.nowMs = nowMs;
+            this.most = most;
+            this.decisions = decisions;
+        }
+
+        void run(boolean urgent) {
+            List<String> teams = pending.teams(urgent);
+            while (!teams.isEmpty() && decisions.size() < most) {
+                String team = poorest(teams);
+                if (!decideForTeam(team, urgent)) {
+                    teams.remove(team);
+                }
+            }
+        }
+
+        private String poorest(List<String> teams) {
+            return teams.stream()
+                    .min(Comparator.comparingDouble((String t) -> quotas.dominantShare(t, cluster))
+                            .thenComparing(t -> t))
+                    .orElseThrow();
+        }
+
+        /** Decides on one job of the team; false when none of its first jobs can start now. */
+        private boolean decideForTeam(String team, boolean urgent) {
+            for (PendingJob job : pending.first(team, urgent, LOOK_AHEAD)) {
+                Optional<PlacementDecision> decision = decideFor(job.spec());
+                if (decision.isPresent()) {
+                    pending.remove(job.spec().id());
+                    decisions.add(decision.get());
+                    return true;
+                }
+                if (nowMs - job.sinceMs() > NO_OVERTAKING_AFTER_MS) {
+                    return false;
+                }
+            }
+            return false;
+        }
+
+        private Optional<PlacementDecision> decideFor(JobSpec job) {
+            Shape shape = new Shape(job.task(), job.resources(), job.urgent());
+            if (unfit.contains(shape) || !quotas.allows(job.team(), job.resources()) || !trials.mayStart(job.task())) {
+                return Optional.empty();
+            }
+            Set<HostId> avoid = health.workersFailedOn(job.id());
+            Optional<HostId> host = hosts.choose(job, avoid);
+            if (host.isEmpty()) {
+                if (!hosts.fitsAnyHost(job)) {
+                    return Optional.of(
+                            new PlacementDecision.GiveUp(job, Failure.of(ErrorKind.JOB_NEVER_FITS, job.id())));
+                }
+                if (avoid.isEmpty()) {
+                    unfit.add(shape);
+                }
+                return Optional.empty();
+            }
+            if (!pace.tryStart(job.urgent(), nowMs)) {
+                return Optional.empty();
+            }
+            take(job, host.get(), nowMs);
+            return Optional.of(new PlacementDecision.Start(job, host.get()));
+        }
+    }
+}
