--- a/policy/src/main/java/org/cornelcove/policy/place/Host.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Host.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
@@ -19,12 +20,16 @@
     private final Map<String, Integer> services = new HashMap<>();
     private final Map<String, Integer> batch = new HashMap<>();
     private Resources free;
+    private Resources serviceHeld = Resources.NONE;
     private int attempts;
     /** The most attempts that it may run at once; below what fits while it is suspected. */
     private int maxAttempts = Integer.MAX_VALUE;
     /** False while its services are at the crest. */
     private boolean openForBatch = true;
 
+    /** The job for which this host is kept free; null for none. */
+    private JobId heldFor;
+
     private LoadBand serviceLoad = LoadBand.LOW;
 
     /** Position in the list of its bucket, kept by {@link ZoneIndex}. */
@@ -117,18 +122,36 @@
         if (job.kind() == JobKind.SERVICE || job.urgent()) {
             return true;
         }
+        boolean isMine = heldFor == null || heldFor.equals(job.id());
         long reserve = capacity.cpuMillicores() * reservePercent / 100;
-        return openForBatch && free.cpuMillicores() - job.resources().cpuMillicores() >= reserve;
+        return openForBatch && isMine && free.cpuMillicores() - job.resources().cpuMillicores() >= reserve;
+    }
+
+    /** Tells whether the job would fit beside the services alone. */
+    boolean couldHold(JobSpec job, int reservePercent) {
+        long reserve = job.kind() == JobKind.SERVICE ? 0 : capacity.cpuMillicores() * reservePercent / 100;
+        Resources room = capacity.minus(Resources.of(reserve, 0, 0)).minus(serviceHeld);
+        return job.resources().fitsIn(room);
+    }
+
+    boolean isHeld() {
+        return heldFor != null;
+    }
+
+    void holdFor(JobId job) {
+        heldFor = job;
     }
 
     void take(JobSpec job) {
         free = free.minus(job.resources());
+        serviceHeld = job.kind() == JobKind.SERVICE ? serviceHeld.plus(job.resources()) : serviceHeld;
         attempts++;
         kindsOf(job).merge(job.task(), 1, Integer::sum);
     }
 
     void release(JobSpec job) {
         free = free.plus(job.resources());
+        serviceHeld = job.kind() == JobKind.SERVICE ? serviceHeld.minus(job.resources()) : serviceHeld;
         attempts--;
         kindsOf(job).computeIfPresent(job.task(), (t, n) -> n == 1 ? null : n - 1);
     }
--- a/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
@@ -210,6 +210,30 @@
         return hosts.values().stream().anyMatch(h -> job.resources().fitsIn(h.capacity()));
     }
 
+    /**
+     * Keeps the emptiest host that could hold the job free of other ordinary batch work.
+     *
+     * @param job the job
+     * @return the host; empty when none could ever hold it, or all such hosts are kept for others
+     */
+    public Optional<HostId> hold(JobSpec job) {
+        Optional<Host> emptiest = hosts.values().stream()
+                .filter(h -> h.isTrusted() && !h.isHeld() && h.couldHold(job, reservePercent))
+                .max(Comparator.comparingLong((Host h) -> h.free().cpuMillicores())
+                        .thenComparing(Host::id));
+        emptiest.ifPresent(h -> h.holdFor(job.id()));
+        return emptiest.map(Host::id);
+    }
+
+    /**
+     * Opens a host again that was kept free.
+     *
+     * @param id the host
+     */
+    public void unhold(HostId id) {
+        Optional.ofNullable(hosts.get(id)).ifPresent(h -> h.holdFor(null));
+    }
+
     /**
      * Chooses a host; nothing is taken yet.
      *
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -30,8 +30,8 @@
  *
  * <p>Urgent jobs go first; then the team with the smallest dominant share for its weight. Within a team the oldest job
  * goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass. A shape (kind, amount) that
- * fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. A job
- * that waited for long is not overtaken any more by its team.
+ * fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. For a
+ * job that waited long a host is kept free of other batch work until the job fits there, on a bounded number of hosts.
  *
  * <p>Held in memory by the leader, and rebuilt by a new one: {@code putHost} and {@code restore} from the replicated
  * state, {@code submit} for what waits, {@code recover} to bound the pace. The state machine checks every start again.
@@ -39,7 +39,9 @@
  */
 public final class Placer {
     private static final int LOOK_AHEAD = 16;
-    private static final long NO_OVERTAKING_AFTER_MS = 120_000;
+    private static final long HOLD_AFTER_MS = 120_000;
+    private static final long LIMITS_EVERY_MS = 250;
+    private static final int HOSTS_TO_A_HELD_ONE = 50;
     private static final double FIRST_STARTS_PER_SECOND = 100;
     private static final double LAST_STARTS_PER_SECOND = 800;
 
@@ -53,7 +55,11 @@
     private final HostTable hosts;
     private final TeamQuotas quotas;
     private final WorkerHealth health;
+    /** Hosts kept free of other batch work for jobs that waited long. */
+    private final Map<JobId, HostId> held = new HashMap<>();
+
     private RuleSet rules;
+    private long limitsAgainMs = Long.MIN_VALUE;
     private Resources cluster = Resources.NONE;
 
     private Placer(RuleSet rules) {
@@ -143,6 +149,7 @@
      */
     public void forget(JobId job, long nowMs) {
         pending.remove(job);
+        unhold(job);
         free(job, nowMs).ifPresent(p -> trials.ended(p.spec.task()));
         health.forget(job);
     }
@@ -266,6 +273,7 @@
 
     private void failed(Placed was, long nowMs) {
         health.failed(was.host, was.spec.id(), nowMs);
+        limitsAgainMs = nowMs;
         if (health.maxAttempts(was.host, nowMs) == WorkerHealth.UNLIMITED) {
             trials.failed(was.spec.task());
         } else {
@@ -274,12 +282,31 @@
     }
 
     private void refreshLimits(long nowMs) {
+        if (nowMs < limitsAgainMs) {
+            return;
+        }
+        limitsAgainMs = nowMs + LIMITS_EVERY_MS;
         for (HostId host : capacities.keySet()) {
             hosts.limitAttempts(host, health.maxAttempts(host, nowMs));
         }
     }
 
+    /** Keeps a host free for a job that others overtook for long, so that room for it gathers there. */
+    private void hold(JobSpec job) {
+        if (!held.containsKey(job.id()) && held.size() <= hosts.size() / HOSTS_TO_A_HELD_ONE) {
+            hosts.hold(job).ifPresent(host -> held.put(job.id(), host));
+        }
+    }
+
+    private void unhold(JobId job) {
+        HostId host = held.remove(job);
+        if (host != null) {
+            hosts.unhold(host);
+        }
+    }
+
     private void take(JobSpec job, HostId host, long nowMs) {
+        unhold(job.id());
         placed.put(job.id(), new Placed(job, host));
         hosts.take(host, job);
         quotas.take(job.team(), job.resources());
@@ -309,6 +336,8 @@
         private final int most;
         private final List<PlacementDecision> decisions;
         private final Set<Shape> unfit = new HashSet<>();
+        /** Whether the pace allows no further start. */
+        private boolean paced;
 
         Round(long nowMs, int most, List<PlacementDecision> decisions) {
             this.nowMs = nowMs;
@@ -318,7 +347,8 @@
 
         void run(boolean urgent) {
             List<String> teams = pending.teams(urgent);
-            while (!teams.isEmpty() && decisions.size() < most) {
+            paced = false;
+            while (!teams.isEmpty() && decisions.size() < most && !paced) {
                 String team = poorest(teams);
                 if (!decideForTeam(team, urgent)) {
                     teams.remove(team);
@@ -342,9 +372,12 @@
                     decisions.add(decision.get());
                     return true;
                 }
-                if (nowMs - job.sinceMs() > NO_OVERTAKING_AFTER_MS) {
+                if (paced) {
                     return false;
                 }
+                if (nowMs - job.sinceMs() > HOLD_AFTER_MS) {
+                    hold(job.spec());
+                }
             }
             return false;
         }
@@ -367,6 +400,7 @@
                 return Optional.empty();
             }
             if (!pace.tryStart(job.urgent(), nowMs)) {
+                paced = true;
                 return Optional.empty();
             }
             take(job, host.get(), nowMs);
