--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -96,14 +96,14 @@
             return refuse(ErrorKind.NO_TARGET, 0, estimate, laneSlots, nowUs);
         }
         long remainingUs = arrival.deadlineUs() - nowUs;
-        boolean inTime = waitUs == 0 ? estimate.p50Us() <= remainingUs : waitUs + estimate.p99Us() <= remainingUs;
+        boolean inTime = waitUs == 0 ? estimate.p90Us() <= remainingUs : waitUs + estimate.p99Us() <= remainingUs;
         if (!inTime) {
             return refuse(ErrorKind.DEADLINE_UNREACHABLE, waitUs, estimate, laneSlots, nowUs);
         }
         if (!makeRoom(arrival.tenant())) {
             return refuse(ErrorKind.QUEUE_FULL, waitUs, estimate, laneSlots, nowUs);
         }
-        Waiting<T> request = new Waiting<>(arrival, estimate.p50Us(), isLong, sequence++);
+        Waiting<T> request = new Waiting<>(arrival, estimate, isLong, sequence++);
         lane.add(request);
         return new Offer<>(Verdict.admitted(waitUs), Optional.of(request));
     }
@@ -221,7 +221,7 @@
         if (lane.size() == 0 && busy < laneSlots) {
             return 0;
         }
-        long latestStartUs = arrival.deadlineUs() - estimate.p50Us();
+        long latestStartUs = arrival.deadlineUs() - estimate.p90Us();
         long aheadUs = lane.aheadUs(arrival.tenant(), latestStartUs);
         long queueUs = WaitPredictor.waitUs(lane.queuedUs(), aheadUs, lane.shareOf(arrival.tenant()), laneSlots);
         long slotFreesUs = estimate.meanUs() / laneSlots;
--- a/policy/src/main/java/org/cornelcove/policy/queue/Waiting.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/Waiting.java
@@ -1,5 +1,7 @@
 package org.cornelcove.policy.queue;
 
+import org.cornelcove.policy.learn.RunTimeEstimate;
+
 /**
  * A request in the queue, or one that was taken from it and runs.
  *
@@ -21,13 +23,13 @@
     private long startedUs;
     private boolean running;
 
-    Waiting(Arrival<T> arrival, long expectedUs, boolean isLong, long sequence) {
+    Waiting(Arrival<T> arrival, RunTimeEstimate estimate, boolean isLong, long sequence) {
         this.tenant = arrival.tenant();
         this.kind = arrival.kind();
         this.deadlineUs = arrival.deadlineUs();
         this.payload = arrival.payload();
-        this.expectedUs = expectedUs;
-        this.latestStartUs = deadlineUs - expectedUs;
+        this.expectedUs = estimate.meanUs();
+        this.latestStartUs = deadlineUs - estimate.p90Us();
         this.queuedLong = isLong;
         this.isLong = isLong;
         this.sequence = sequence;
