Durable state of the control hosts: jobs, workers, claims, ownership, configuration

Every command of the model is applied by fixed rules without a clock; the fit check, the quotas and the numbering of attempts stand in apply. A release of a claim now names the grant's index: without it a delayed copy of an earlier release could free a key whose later grant is being dispatched.

--- a/control/src/main/java/org/cornelcove/control/package-info.java
+++ b/control/src/main/java/org/cornelcove/control/package-info.java
@@ -1,2 +1,2 @@
-/** The deterministic state machine over the log and the leader's loops. */
+/** The deterministic state machine over the log, in {@code state}, and the leader's loops, in {@code leader}. */
 package org.cornelcove.control;
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/ClaimLedger.java
@@ -0,0 +1,271 @@
+package org.cornelcove.control.state;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.cornelcove.model.command.AbandonClaims;
+import org.cornelcove.model.command.ClaimGranted;
+import org.cornelcove.model.command.ClaimInProgress;
+import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.command.ClaimReplayed;
+import org.cornelcove.model.command.ClaimUnknown;
+import org.cornelcove.model.command.Done;
+import org.cornelcove.model.command.ExpireClaims;
+import org.cornelcove.model.command.Outcome;
+import org.cornelcove.model.command.RecordOutcome;
+import org.cornelcove.model.command.Refused;
+import org.cornelcove.model.command.ReleaseClaim;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.EntryId;
+
+/**
+ * The claims on idempotency keys: at most one grant for each key, from the claim until it expires.
+ *
+ * <p>A grant is given only by {@code ClaimOnce} on a key without a claim. The same {@code ClaimOnce} again, also by the
+ * same holder, finds the claim open and gets {@link ClaimInProgress}: the ledger can't tell a resend whose first answer
+ * was lost from a second caller, and a second grant to the first holder could be a second run. An entry that lost the
+ * answer to its claim therefore never dispatches; it releases nothing, because it knows no claim index, and records the
+ * outcome as unknown. That errs on the safe side: the request has not run, and the caller is told that it may have.
+ *
+ * <p>A release names the index of its grant. Without it a delayed copy of an earlier release could free the key while
+ * a later grant is being dispatched.
+ *
+ * <p>Example: grant at index 7, target refuses, release(7), grant at index 9 is dispatched, late copy of release(7):
+ * refused, since the claim is that of index 9.
+ *
+ * <p>Bounds: a full ledger refuses new claims, because dropping a decided claim before its time to live would let the
+ * key run again. An answer that doesn't fit is not kept; its claim becomes unknown.
+ */
+public final class ClaimLedger {
+    /** The most claims that are kept at once. */
+    public static final int MAX_CLAIMS = 50_000;
+
+    /** The most memory that all claims may take. */
+    public static final long MAX_BYTES = 24L << 20;
+
+    /** The largest answer that is kept for replay. */
+    public static final long MAX_ANSWER_BYTES = 256L << 10;
+
+    private final EntryRegister entries;
+    private final Limits limits;
+    private final Map<String, Claim> claims = new HashMap<>();
+    private final Map<EntryId, TreeSet<String>> openByEntry = new HashMap<>();
+
+    /** Decided claims by the log index at which they were decided; one command may decide several. */
+    private final TreeMap<Long, TreeSet<String>> decided = new TreeMap<>();
+
+    private long bytes;
+
+    ClaimLedger(EntryRegister entries, Limits limits) {
+        this.entries = entries;
+        this.limits = limits;
+    }
+
+    Outcome claim(long at, ClaimOnce command) {
+        Optional<Refused> fenced = entries.fenced(command.entry(), command.incarnation());
+        if (fenced.isPresent()) {
+            return fenced.get();
+        }
+        Claim known = claims.get(command.key());
+        if (known != null) {
+            return answerKnown(known, command);
+        }
+        Claim claim = Claim.open(command.key(), command.digest(), command.entry(), command.incarnation(), at);
+        if (claims.size() >= limits.maxClaims() || bytes + claim.sizeBytes() > limits.maxBytes()) {
+            return new Refused(Failure.of(ErrorKind.LEDGER_FULL, claims.size()));
+        }
+        put(claim);
+        return new ClaimGranted(at);
+    }
+
+    private static Outcome answerKnown(Claim known, ClaimOnce command) {
+        if (!known.digest().equals(command.digest())) {
+            return new Refused(Failure.of(ErrorKind.KEY_REUSED, command.key()));
+        }
+        switch (known.state()) {
+            case OPEN:
+                return new ClaimInProgress(known.entry());
+            case RECORDED:
+                return new ClaimReplayed(known.answer().get());
+            case UNKNOWN:
+            default:
+                return new ClaimUnknown(known.decidedIndex());
+        }
+    }
+
+    Outcome release(long at, ReleaseClaim command) {
+        Claim known = claims.get(command.key());
+        boolean held = known != null
+                && known.state() == ClaimState.OPEN
+                && known.claimedIndex() == command.claimIndex()
+                && heldBy(known, command.entry(), command.incarnation());
+        if (!held) {
+            return notHeld(command.key(), command.entry());
+        }
+        remove(known);
+        return new Done(at);
+    }
+
+    /**
+     * Records the answer, also of a claim that was marked unknown meanwhile: the holder came back and knows better.
+     * What was recorded first stays.
+     */
+    Outcome record(long at, RecordOutcome command) {
+        Optional<Refused> fenced = entries.fenced(command.entry(), command.incarnation());
+        if (fenced.isPresent()) {
+            return fenced.get();
+        }
+        Claim known = claims.get(command.key());
+        if (known == null || !heldBy(known, command.entry(), command.incarnation())) {
+            return notHeld(command.key(), command.entry());
+        }
+        if (known.state() == ClaimState.RECORDED) {
+            return new Done(known.decidedIndex());
+        }
+        if (command.answer().isPresent()) {
+            Claim recorded = known.recorded(command.answer().get(), at);
+            if (fits(known, recorded)) {
+                put(recorded);
+                return new Done(at);
+            }
+        }
+        return markUnknown(known, at);
+    }
+
+    private ClaimUnknown markUnknown(Claim known, long at) {
+        if (known.state() == ClaimState.UNKNOWN) {
+            return new ClaimUnknown(known.decidedIndex());
+        }
+        put(known.unknown(at));
+        return new ClaimUnknown(at);
+    }
+
+    private boolean fits(Claim known, Claim recorded) {
+        long answerBytes = Claim.sizeBytes(recorded.answer().get());
+        return answerBytes <= limits.maxAnswerBytes()
+                && bytes - known.sizeBytes() + recorded.sizeBytes() <= limits.maxBytes();
+    }
+
+    Outcome abandon(long at, AbandonClaims command) {
+        for (String key : List.copyOf(openByEntry.getOrDefault(command.entry(), new TreeSet<>()))) {
+            Claim claim = claims.get(key);
+            if (claim.incarnation() < command.beforeIncarnation()) {
+                put(claim.unknown(at));
+            }
+        }
+        return new Done(at);
+    }
+
+    Outcome expire(long at, ExpireClaims command) {
+        List<String> keys = new ArrayList<>();
+        decided.headMap(command.decidedUpToIndex(), true).values().forEach(keys::addAll);
+        for (String key : keys) {
+            remove(claims.get(key));
+        }
+        return new Done(at);
+    }
+
+    private void put(Claim claim) {
+        Claim old = claims.get(claim.key());
+        if (old != null) {
+            remove(old);
+        }
+        claims.put(claim.key(), claim);
+        bytes += claim.sizeBytes();
+        if (claim.state() == ClaimState.OPEN) {
+            openByEntry.computeIfAbsent(claim.entry(), any -> new TreeSet<>()).add(claim.key());
+        } else {
+            decided.computeIfAbsent(claim.decidedIndex(), any -> new TreeSet<>())
+                    .add(claim.key());
+        }
+    }
+
+    private void remove(Claim claim) {
+        claims.remove(claim.key());
+        bytes -= claim.sizeBytes();
+        if (claim.state() == ClaimState.OPEN) {
+            drop(openByEntry, claim.entry(), claim.key());
+        } else {
+            drop(decided, claim.decidedIndex(), claim.key());
+        }
+    }
+
+    private static <K> void drop(Map<K, TreeSet<String>> sets, K group, String key) {
+        TreeSet<String> keys = sets.get(group);
+        keys.remove(key);
+        if (keys.isEmpty()) {
+            sets.remove(group);
+        }
+    }
+
+    private static boolean heldBy(Claim claim, EntryId entry, long incarnation) {
+        return claim.entry().equals(entry) && claim.incarnation() == incarnation;
+    }
+
+    private static Refused notHeld(String key, EntryId entry) {
+        return new Refused(Failure.of(ErrorKind.CLAIM_NOT_HELD, key, entry));
+    }
+
+    void restore(Collection<Claim> records) {
+        claims.clear();
+        openByEntry.clear();
+        decided.clear();
+        bytes = 0;
+        records.forEach(this::put);
+    }
+
+    /**
+     * Returns all claims, in no particular order.
+     *
+     * @return all claims, in no particular order
+     */
+    public Collection<Claim> all() {
+        return List.copyOf(claims.values());
+    }
+
+    /**
+     * Returns how many claims are kept.
+     *
+     * @return how many claims are kept
+     */
+    public int size() {
+        return claims.size();
+    }
+
+    /**
+     * Returns about how much memory all claims take.
+     *
+     * @return about how much memory all claims take
+     */
+    public long bytes() {
+        return bytes;
+    }
+
+    /**
+     * Tells whether an entry has open claims of starts below the given one.
+     *
+     * @param entry the entry
+     * @param incarnation its start
+     * @return whether an entry has open claims of starts below the given one
+     */
+    public boolean hasOpenBefore(EntryId entry, long incarnation) {
+        return openByEntry.getOrDefault(entry, new TreeSet<>()).stream()
+                .anyMatch(key -> claims.get(key).incarnation() < incarnation);
+    }
+
+    /**
+     * Returns the log index of the claim that was decided first, among those kept.
+     *
+     * @return the log index of the claim that was decided first, among those kept
+     */
+    public Optional<Long> oldestDecidedIndex() {
+        return decided.isEmpty() ? Optional.empty() : Optional.of(decided.firstKey());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/EntryRegister.java
@@ -0,0 +1,56 @@
+package org.cornelcove.control.state;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+import org.cornelcove.model.command.Refused;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.EntryId;
+
+/** The newest start of each entry. A registration of a newer start fences all earlier ones. */
+public final class EntryRegister {
+    private final TreeMap<EntryId, EntryRecord> entries = new TreeMap<>();
+
+    void register(EntryId entry, long incarnation) {
+        entries.put(entry, new EntryRecord(entry, incarnation));
+    }
+
+    Optional<Refused> fenced(EntryId entry, long incarnation) {
+        EntryRecord known = entries.get(entry);
+        if (known == null) {
+            return Optional.of(new Refused(Failure.of(ErrorKind.ENTRY_UNKNOWN, entry)));
+        }
+        return known.incarnation() == incarnation
+                ? Optional.empty()
+                : Optional.of(new Refused(Failure.of(ErrorKind.ENTRY_FENCED, entry)));
+    }
+
+    void restore(Collection<EntryRecord> records) {
+        entries.clear();
+        records.forEach(record -> entries.put(record.entry(), record));
+    }
+
+    /**
+     * Returns all entries, by name.
+     *
+     * @return all entries, by name
+     */
+    public Collection<EntryRecord> all() {
+        return Collections.unmodifiableCollection(entries.values());
+    }
+
+    /**
+     * Returns the newest start of an entry, empty for an unknown one.
+     *
+     * @param entry the entry
+     * @return the newest start of an entry, empty for an unknown one
+     */
+    public OptionalLong incarnation(EntryId entry) {
+        EntryRecord known = entries.get(entry);
+        return known == null ? OptionalLong.empty() : OptionalLong.of(known.incarnation());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/Job.java
@@ -0,0 +1,163 @@
+package org.cornelcove.control.state;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.job.JobState;
+import org.cornelcove.model.job.JobView;
+
+/**
+ * One job. Immutable; each change gives a new one.
+ *
+ * <p>A job holds resources exactly while {@code host} is present. That is independent of its state: a cancelled job
+ * whose attempt still runs keeps its host until the end of the attempt is recorded.
+ *
+ * @param spec what was asked for
+ * @param state where it stands
+ * @param attempt the number of the current or last attempt, 0 before the first
+ * @param host where the current attempt holds resources
+ * @param hostIncarnation the start of the worker at which the attempt was placed
+ * @param checkpoint the last recorded checkpoint
+ * @param reason why it failed or was cancelled, empty otherwise
+ * @param submittedIndex the log index of its submission
+ * @param endedIndex the log index at which its state became final, 0 before
+ * @param failures how many attempts failed
+ * @param failedHosts the distinct hosts on which they failed
+ */
+public record Job(
+        JobSpec spec,
+        JobState state,
+        int attempt,
+        Optional<HostId> host,
+        long hostIncarnation,
+        Optional<String> checkpoint,
+        String reason,
+        long submittedIndex,
+        long endedIndex,
+        int failures,
+        List<HostId> failedHosts) {
+
+    static Job submitted(JobSpec spec, long index) {
+        return new Job(spec, JobState.PENDING, 0, Optional.empty(), 0, Optional.empty(), "", index, 0, 0, List.of());
+    }
+
+    /** Returns the job's name. */
+    public JobId id() {
+        return spec.id();
+    }
+
+    /** Returns the current or last attempt. */
+    public AttemptId attemptId() {
+        return AttemptId.of(spec.id(), attempt);
+    }
+
+    /** Tells whether an attempt holds resources. */
+    public boolean holds() {
+        return host.isPresent();
+    }
+
+    /** Tells whether the given attempt is the one that holds resources. */
+    public boolean holds(AttemptId asked) {
+        return holds() && asked.number() == attempt;
+    }
+
+    /** Returns the job as an operator sees it. */
+    public JobView view() {
+        return new JobView(spec, state, attempt, host, checkpoint, reason);
+    }
+
+    Job placed(HostId where, long incarnation) {
+        return new Job(
+                spec,
+                JobState.PLACED,
+                attempt + 1,
+                Optional.of(where),
+                incarnation,
+                checkpoint,
+                "",
+                submittedIndex,
+                0,
+                failures,
+                failedHosts);
+    }
+
+    Job checkpointed(Optional<String> newest) {
+        return new Job(
+                spec,
+                state,
+                attempt,
+                host,
+                hostIncarnation,
+                newest.or(() -> checkpoint),
+                reason,
+                submittedIndex,
+                endedIndex,
+                failures,
+                failedHosts);
+    }
+
+    /** Frees what the attempt held; the state stays. */
+    Job freed() {
+        return new Job(
+                spec,
+                state,
+                attempt,
+                Optional.empty(),
+                0,
+                checkpoint,
+                reason,
+                submittedIndex,
+                endedIndex,
+                failures,
+                failedHosts);
+    }
+
+    Job requeued() {
+        return new Job(
+                spec,
+                JobState.PENDING,
+                attempt,
+                Optional.empty(),
+                0,
+                checkpoint,
+                "",
+                submittedIndex,
+                0,
+                failures,
+                failedHosts);
+    }
+
+    Job ended(JobState finalState, String why, long index) {
+        return new Job(
+                spec,
+                finalState,
+                attempt,
+                host,
+                hostIncarnation,
+                checkpoint,
+                why,
+                submittedIndex,
+                index,
+                failures,
+                failedHosts);
+    }
+
+    Job failedOnce(List<HostId> hosts) {
+        return new Job(
+                spec,
+                state,
+                attempt,
+                host,
+                hostIncarnation,
+                checkpoint,
+                reason,
+                submittedIndex,
+                endedIndex,
+                failures + 1,
+                hosts);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/JobIndex.java
@@ -0,0 +1,159 @@
+package org.cornelcove.control.state;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobKind;
+import org.cornelcove.model.job.JobState;
+
+/**
+ * All jobs with the figures derived from them: what each host and each team holds, which jobs wait, which have ended.
+ * Every change goes through {@link #put} or {@link #remove}, which take the old job's share out of each figure and add
+ * the new one's, so that the figures can't drift from the jobs.
+ */
+final class JobIndex {
+    private final Map<JobId, Job> jobs = new HashMap<>();
+    private final Map<HostId, Holding> heldByHost = new HashMap<>();
+    private final Map<HostId, TreeSet<JobId>> jobsByHost = new HashMap<>();
+    private final Map<String, Holding> heldByTeam = new HashMap<>();
+    private final TreeSet<PendingKey> pendingUrgent = new TreeSet<>();
+    private final TreeMap<String, TreeSet<PendingKey>> pendingByTeam = new TreeMap<>();
+
+    /** Ended jobs that hold nothing, by the log index at which they ended. */
+    private final TreeMap<Long, JobId> ended = new TreeMap<>();
+
+    Optional<Job> find(JobId id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    Map<JobId, Job> all() {
+        return Collections.unmodifiableMap(jobs);
+    }
+
+    Holding heldOn(HostId host) {
+        return heldByHost.getOrDefault(host, Holding.NONE);
+    }
+
+    Set<JobId> jobsOn(HostId host) {
+        TreeSet<JobId> found = jobsByHost.get(host);
+        return found == null ? Set.of() : Collections.unmodifiableSet(found);
+    }
+
+    Set<HostId> hostsInUse() {
+        return Collections.unmodifiableSet(jobsByHost.keySet());
+    }
+
+    Holding heldBy(String team) {
+        return heldByTeam.getOrDefault(team, Holding.NONE);
+    }
+
+    SortedSet<PendingKey> pendingUrgent() {
+        return Collections.unmodifiableSortedSet(pendingUrgent);
+    }
+
+    SortedMap<String, TreeSet<PendingKey>> pendingByTeam() {
+        return Collections.unmodifiableSortedMap(pendingByTeam);
+    }
+
+    void clear() {
+        jobs.clear();
+        heldByHost.clear();
+        jobsByHost.clear();
+        heldByTeam.clear();
+        pendingUrgent.clear();
+        pendingByTeam.clear();
+        ended.clear();
+    }
+
+    void put(Job job) {
+        Job old = jobs.put(job.id(), job);
+        if (old != null) {
+            withdraw(old);
+        }
+        add(job);
+    }
+
+    /** Forgets the jobs that ended first until at most the given number of ended ones is left. */
+    void keepEnded(int most) {
+        while (ended.size() > most) {
+            Job old = jobs.remove(ended.firstEntry().getValue());
+            withdraw(old);
+        }
+    }
+
+    private void add(Job job) {
+        job.host().ifPresent(host -> hold(job, host));
+        if (job.state() == JobState.PENDING) {
+            queue(job).add(keyOf(job));
+        }
+        if (job.state().isFinal() && !job.holds()) {
+            ended.put(job.endedIndex(), job.id());
+        }
+    }
+
+    private void withdraw(Job job) {
+        job.host().ifPresent(host -> release(job, host));
+        if (job.state() == JobState.PENDING) {
+            queue(job).remove(keyOf(job));
+            dropEmptyQueue(job.spec().team());
+        }
+        if (job.state().isFinal() && !job.holds()) {
+            ended.remove(job.endedIndex());
+        }
+    }
+
+    private void hold(Job job, HostId host) {
+        boolean isBatch = job.spec().kind() == JobKind.BATCH;
+        heldByHost.merge(
+                host,
+                Holding.NONE.plus(job.spec().resources(), isBatch),
+                (held, one) -> held.plus(job.spec().resources(), isBatch));
+        jobsByHost.computeIfAbsent(host, any -> new TreeSet<>()).add(job.id());
+        heldByTeam.merge(
+                job.spec().team(),
+                Holding.NONE.plus(job.spec().resources(), isBatch),
+                (held, one) -> held.plus(job.spec().resources(), isBatch));
+    }
+
+    private void release(Job job, HostId host) {
+        heldByHost.computeIfPresent(host, (any, held) -> less(held, job));
+        heldByTeam.computeIfPresent(job.spec().team(), (any, held) -> less(held, job));
+        TreeSet<JobId> here = jobsByHost.get(host);
+        here.remove(job.id());
+        if (here.isEmpty()) {
+            jobsByHost.remove(host);
+        }
+    }
+
+    private static Holding less(Holding held, Job job) {
+        Holding rest = held.minus(job.spec().resources(), job.spec().kind() == JobKind.BATCH);
+        return rest.attempts() == 0 ? null : rest;
+    }
+
+    private TreeSet<PendingKey> queue(Job job) {
+        if (job.spec().urgent()) {
+            return pendingUrgent;
+        }
+        return pendingByTeam.computeIfAbsent(job.spec().team(), any -> new TreeSet<>());
+    }
+
+    private void dropEmptyQueue(String team) {
+        TreeSet<PendingKey> queue = pendingByTeam.get(team);
+        if (queue != null && queue.isEmpty()) {
+            pendingByTeam.remove(team);
+        }
+    }
+
+    private static PendingKey keyOf(Job job) {
+        return new PendingKey(job.submittedIndex(), job.id());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/JobTable.java
@@ -0,0 +1,301 @@
+package org.cornelcove.control.state;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+import org.cornelcove.model.command.CancelJob;
+import org.cornelcove.model.command.Done;
+import org.cornelcove.model.command.EndAttempt;
+import org.cornelcove.model.command.Outcome;
+import org.cornelcove.model.command.PlaceAttempt;
+import org.cornelcove.model.command.RecordCheckpoint;
+import org.cornelcove.model.command.Refused;
+import org.cornelcove.model.command.RejectJob;
+import org.cornelcove.model.command.SubmitJob;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.job.JobState;
+import org.cornelcove.model.resource.Resources;
+import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.model.rule.TeamRule;
+
+/**
+ * The jobs and their attempts.
+ *
+ * <p>States: {@code PENDING -> PLACED -> FINISHED}, with {@code PLACED -> PENDING} when an attempt was evicted, lost or
+ * failed and may be tried again, and {@code FAILED} or {@code CANCELLED} as the other final states. Invariants:
+ *
+ * <ul>
+ *   <li>at most one attempt of a job holds resources, and it is the one with the highest number;
+ *   <li>what a host holds is within its capacity at each placement; the check stands here, where commands are applied
+ *       in one order, because a check by the leader alone could be passed by two leaders at once;
+ *   <li>a final state never changes, so completion and cancellation are decided by whichever is applied first;
+ *   <li>a cancelled job whose attempt runs keeps its resources until the end of the attempt is recorded: freeing them
+ *       with the cancellation would fill the host while the task still runs there.
+ * </ul>
+ *
+ * <p>Example: attempt 1 is placed, the worker reports {@code EVICTED} with checkpoint c7; one command frees the host
+ * and requeues the job from c7; the same report again finds no attempt 1 that holds anything and changes nothing.
+ */
+public final class JobTable {
+    /** The ended jobs that are kept; a submission resent after more than so many later ends counts as new. */
+    public static final int KEPT_ENDED_JOBS = 10_000;
+
+    private final JobIndex index = new JobIndex();
+    private final WorkerTable workers;
+    private final int keptEndedJobs;
+
+    JobTable(WorkerTable workers, int keptEndedJobs) {
+        this.workers = workers;
+        this.keptEndedJobs = keptEndedJobs;
+    }
+
+    Outcome submit(long at, SubmitJob command, RuleSet rules) {
+        JobSpec spec = command.spec();
+        Optional<Job> known = index.find(spec.id());
+        if (known.isPresent()) {
+            return known.get().spec().equals(spec)
+                    ? new Done(known.get().submittedIndex())
+                    : refused(ErrorKind.JOB_CONFLICT, spec.id());
+        }
+        Optional<Failure> fault = JobCheck.fault(spec, rules);
+        if (fault.isPresent()) {
+            return new Refused(fault.get());
+        }
+        if (neverFits(spec, rules)) {
+            return refused(ErrorKind.JOB_NEVER_FITS, spec.id());
+        }
+        index.put(Job.submitted(spec, at));
+        return new Done(at);
+    }
+
+    Outcome cancel(long at, CancelJob command) {
+        Job job = index.find(command.job()).orElse(null);
+        if (job == null) {
+            return refused(ErrorKind.JOB_UNKNOWN, command.job());
+        }
+        if (job.state() == JobState.CANCELLED) {
+            return new Done(job.endedIndex());
+        }
+        if (job.state().isFinal()) {
+            return refused(ErrorKind.JOB_ALREADY_ENDED, job.id(), job.state());
+        }
+        index.put(job.ended(JobState.CANCELLED, "cancelled", at));
+        index.keepEnded(keptEndedJobs);
+        return new Done(at);
+    }
+
+    Outcome reject(long at, RejectJob command, RuleSet rules) {
+        Job job = index.find(command.job()).orElse(null);
+        if (job == null) {
+            return refused(ErrorKind.JOB_UNKNOWN, command.job());
+        }
+        if (job.state().isFinal()) {
+            return refused(ErrorKind.JOB_ALREADY_ENDED, job.id(), job.state());
+        }
+        Optional<WorkerRecord> room = workers.couldHold(job.spec(), rules.batch());
+        if (job.state() == JobState.PLACED || room.isPresent()) {
+            return refused(
+                    ErrorKind.JOB_RUNNABLE,
+                    job.id(),
+                    room.map(WorkerRecord::host).or(job::host).get());
+        }
+        index.put(job.ended(JobState.FAILED, command.reason(), at));
+        index.keepEnded(keptEndedJobs);
+        return new Done(at);
+    }
+
+    Outcome place(long at, PlaceAttempt command, RuleSet rules) {
+        AttemptId attempt = command.attempt();
+        Job job = index.find(attempt.job()).orElse(null);
+        if (job == null) {
+            return refused(ErrorKind.JOB_UNKNOWN, attempt.job());
+        }
+        if (job.state().isFinal()) {
+            return refused(ErrorKind.JOB_ALREADY_ENDED, job.id(), job.state());
+        }
+        if (job.holds(attempt) && job.host().get().equals(command.host())) {
+            return new Done(at);
+        }
+        if (job.state() != JobState.PENDING || attempt.number() != job.attempt() + 1) {
+            return refused(ErrorKind.ATTEMPT_STALE, attempt);
+        }
+        WorkerRecord worker = workers.find(command.host()).orElse(null);
+        if (worker == null) {
+            return refused(ErrorKind.HOST_UNKNOWN, command.host());
+        }
+        if (!Fit.fits(job.spec(), worker.capacity(), index.heldOn(worker.host()), rules.batch())) {
+            return refused(ErrorKind.HOST_FULL, attempt, worker.host());
+        }
+        Optional<Failure> quota = quotaFault(job.spec(), rules);
+        if (quota.isPresent()) {
+            return new Refused(quota.get());
+        }
+        index.put(job.placed(worker.host(), worker.incarnation()));
+        return new Done(at);
+    }
+
+    Outcome checkpoint(long at, RecordCheckpoint command) {
+        Job job = index.find(command.attempt().job()).orElse(null);
+        if (job == null || !job.holds(command.attempt()) || job.state().isFinal()) {
+            return refused(ErrorKind.ATTEMPT_STALE, command.attempt());
+        }
+        index.put(job.checkpointed(Optional.of(command.checkpoint())));
+        return new Done(at);
+    }
+
+    Outcome end(long at, EndAttempt command, RuleSet rules) {
+        Job job = index.find(command.attempt().job()).orElse(null);
+        if (job == null || !job.holds(command.attempt())) {
+            return refused(ErrorKind.ATTEMPT_STALE, command.attempt());
+        }
+        index.put(job.state().isFinal() ? job.freed() : afterEnd(at, job, command, rules));
+        index.keepEnded(keptEndedJobs);
+        return new Done(at);
+    }
+
+    private Job afterEnd(long at, Job job, EndAttempt command, RuleSet rules) {
+        switch (command.end()) {
+            case FINISHED:
+                return job.checkpointed(command.checkpoint())
+                        .ended(JobState.FINISHED, "", at)
+                        .freed();
+            case FAILED:
+                return afterFailure(at, job, command, rules);
+            case EVICTED:
+            case LOST:
+            default:
+                return job.checkpointed(command.checkpoint()).requeued();
+        }
+    }
+
+    private Job afterFailure(long at, Job job, EndAttempt command, RuleSet rules) {
+        List<HostId> hosts = new ArrayList<>(job.failedHosts());
+        HostId host = job.host().get();
+        if (!hosts.contains(host)) {
+            hosts.add(host);
+        }
+        Job failed = job.checkpointed(command.checkpoint()).failedOnce(List.copyOf(hosts));
+        if (failed.failures() < rules.batch().maxAttempts()) {
+            return failed.requeued();
+        }
+        String reason = "failed " + failed.failures() + " times on " + hosts.size() + " workers, last on " + host + ": "
+                + command.detail();
+        return failed.ended(JobState.FAILED, reason, at).freed();
+    }
+
+    private boolean neverFits(JobSpec spec, RuleSet rules) {
+        return !workers.all().isEmpty()
+                && workers.couldHold(spec, rules.batch()).isEmpty();
+    }
+
+    private Optional<Failure> quotaFault(JobSpec spec, RuleSet rules) {
+        if (rules.teams().isEmpty()) {
+            return Optional.empty();
+        }
+        TeamRule team = rules.teams().get(spec.team());
+        if (team == null) {
+            return Optional.of(Failure.of(ErrorKind.TEAM_UNKNOWN, spec.team()));
+        }
+        Resources together = index.heldBy(spec.team()).total().plus(spec.resources());
+        return together.fitsIn(team.quota())
+                ? Optional.empty()
+                : Optional.of(Failure.of(ErrorKind.QUOTA_EXCEEDED, spec.team(), spec.id()));
+    }
+
+    private static Refused refused(ErrorKind kind, Object... arguments) {
+        return new Refused(Failure.of(kind, arguments));
+    }
+
+    void restore(Collection<Job> records) {
+        index.clear();
+        records.forEach(index::put);
+    }
+
+    /**
+     * Returns one job.
+     *
+     * @param id the job
+     * @return one job
+     */
+    public Optional<Job> find(JobId id) {
+        return index.find(id);
+    }
+
+    /**
+     * Returns all jobs, in no particular order.
+     *
+     * @return all jobs, in no particular order
+     */
+    public Map<JobId, Job> all() {
+        return index.all();
+    }
+
+    /**
+     * Returns what is held on a host.
+     *
+     * @param host the worker
+     * @return what is held on a host
+     */
+    public Holding heldOn(HostId host) {
+        return index.heldOn(host);
+    }
+
+    /**
+     * Returns what a team holds.
+     *
+     * @param team the team
+     * @return what a team holds
+     */
+    public Holding heldBy(String team) {
+        return index.heldBy(team);
+    }
+
+    /**
+     * Returns the jobs that hold resources on a host, by name.
+     *
+     * @param host the worker
+     * @return the jobs that hold resources on a host, by name
+     */
+    public Set<JobId> jobsOn(HostId host) {
+        return index.jobsOn(host);
+    }
+
+    /**
+     * Returns the hosts on which something is held.
+     *
+     * @return the hosts on which something is held
+     */
+    public Set<HostId> hostsInUse() {
+        return index.hostsInUse();
+    }
+
+    /**
+     * Returns the urgent jobs that wait, first submitted first.
+     *
+     * @return the urgent jobs that wait, first submitted first
+     */
+    public SortedSet<PendingKey> pendingUrgent() {
+        return index.pendingUrgent();
+    }
+
+    /**
+     * Returns the other jobs that wait, by team, first submitted first.
+     *
+     * @return the other jobs that wait, by team, first submitted first
+     */
+    public SortedMap<String, TreeSet<PendingKey>> pendingByTeam() {
+        return index.pendingByTeam();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/state/OwnershipTable.java
@@ -0,0 +1,140 @@
+package org.cornelcove.control.state;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.cornelcove.model.command.AssignRange;
+import org.cornelcove.model.command.AssignTarget;
+import org.cornelcove.model.command.Done;
+import org.cornelcove.model.command.Outcome;
+import org.cornelcove.model.command.Refused;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.EntryId;
+import org.cornelcove.model.id.TargetId;
+
+/**
+ * Who owns each target and each range of exclusive keys.
+ *
+ * <p>Epochs of one target or range only rise. Targets without an owner are forgotten, longest unchanged first, once
+ * there are too many; the highest epoch among those forgotten becomes the floor from which new targets start, so that
+ * a target that returns never sees its epoch fall.
+ */
+public final class OwnershipTable {
+    /** The number of ranges into which exclusive keys are divided. */
+    public static final int RANGES = 64;
+
+    /** The most targets without an owner that are kept. */
+    static final int KEPT_OWNERLESS_TARGETS = 10_000;
+
+    private final EntryRegister entries;
+    private final TreeMap<TargetId, TargetOwnership> targets = new TreeMap<>();
+    private final List<Ownership> ranges = new ArrayList<>(Collections.nCopies(RANGES, Ownership.none(0)));
+    private long epochFloor;
+
+    OwnershipTable(EntryRegister entries) {
+        this.entries = entries;
+    }
+
+    Outcome assign(long at, AssignTarget command) {
+        Optional<Refused> unknown = unknownOwner(command.owner());
+        if (unknown.isPresent()) {
+            return unknown.get();
+        }
+        TargetOwnership known = targets.get(command.target());
+        Ownership old = known == null ? Ownership.none(epochFloor) : known.ownership();
+        put(new TargetOwnership(command.target(), old.assign(command.owner()), at));
+        return new Done(at);
+    }
+
+    Outcome assign(long at, AssignRange command) {
+        if (command.range() < 0 || command.range() >= RANGES) {
+            return new Refused(Failure.of(ErrorKind.RANGE_UNKNOWN, command.range(), RANGES - 1));
+        }
+        Optional<Refused> unknown = unknownOwner(command.owner());
+        if (unknown.isPresent()) {
+            return unknown.get();
+        }
+        ranges.set(command.range(), ranges.get(command.range()).assign(command.owner()));
+        return new Done(at);
+    }
+
+    /** Withdraws all that an earlier start of the entry owned. */
+    void withdrawAll(long at, EntryId entry) {
+        Optional<EntryId> owner = Optional.of(entry);
+        for (TargetOwnership target : List.copyOf(targets.values())) {
+            if (target.ownership().owner().equals(owner)) {
+                put(new TargetOwnership(target.target(), target.ownership().withdraw(), at));
+            }
+        }
+        for (int range = 0; range < RANGES; range++) {
+            if (ranges.get(range).owner().equals(owner)) {
+                ranges.set(range, ranges.get(range).withdraw());
+            }
+        }
+    }
+
+    private Optional<Refused> unknownOwner(Optional<EntryId> owner) {
+        return owner.filter(entry -> entries.incarnation(entry).isEmpty())
+                .map(entry -> new Refused(Failure.of(ErrorKind.ENTRY_UNKNOWN, entry)));
+    }
+
+    private void put(TargetOwnership target) {
+        targets.put(target.target(), target);
+        dropOwnerless();
+    }
+
+    private void dropOwnerless() {
+        if (targets.size() <= KEPT_OWNERLESS_TARGETS) {
+            return;
+        }
+        targets.values().stream()
+                .filter(target -> target.ownership().owner().isEmpty())
+                .min((a, b) -> Long.compare(a.changedIndex(), b.changedIndex()))
+                .ifPresent(oldest -> {
+                    targets.remove(oldest.target());
+                    epochFloor = Math.max(epochFloor, oldest.ownership().epoch());
+                });
+    }
+
+    void restore(Collection<TargetOwnership> targetRecords, List<Ownership> rangeRecords, long floor) {
+        targets.clear();
+        targetRecords.forEach(target -> targets.put(target.target(), target));
+        for (int range = 0; range < RANGES; range++) {
+            ranges.set(range, range < rangeRecords.size() ? rangeRecords.get(range) : Ownership.none(0));
+        }
+        epochFloor = floor;
+    }
+
+    /**
+     * Returns all targets that have or had an owner.
+     *
+     * @return all targets that have or had an owner
+     */
+    public Map<TargetId, TargetOwnership> targets() {
+        return Collections.unmodifiableMap(targets);
+    }
+
+    /**
+     * Returns the ranges, by number.
+     *
+     * @return the ranges, by number
+     */
+    public List<Ownership> ranges() {
+        return Collections.unmodifiableList(ranges);
+    }
+
+    /**
+     * Returns the epoch from which a target that is not known starts.
+     *
+     * @return the epoch from which a target that is not known starts
+     */
+    public long epochFloor() {
+        return epochFloor;
+    }
+}
--- a/model/src/main/java/org/cornelcove/model/command/ReleaseClaim.java
+++ b/model/src/main/java/org/cornelcove/model/command/ReleaseClaim.java
@@ -8,5 +8,6 @@
  * @param key the key
  * @param entry the claim's holder
  * @param incarnation the start of that entry
+ * @param claimIndex the index that {@link ClaimGranted} gave; a delayed release of an earlier grant changes nothing
  */
-public record ReleaseClaim(String key, EntryId entry, long incarnation) implements Command {}
+public record ReleaseClaim(String key, EntryId entry, long incarnation, long claimIndex) implements Command {}
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -76,6 +76,18 @@
     KEY_REUSED(513, Severity.ERROR, "idempotency key '%s' was used with other content; choose a new key"),
     JOB_INVALID(514, Severity.ERROR, "job '%s' is not usable: %s; give %s"),
     TEAM_UNKNOWN(515, Severity.ERROR, "no team '%s' in the rules; add it or name another"),
+    WORKER_FENCED(516, Severity.ERROR, "worker %s was started again since; this start must not run anything any more"),
+    WORKER_BUSY(517, Severity.WARNING, "worker %s still holds %s attempts; wait until they have ended"),
+    ENTRY_UNKNOWN(518, Severity.ERROR, "no entry %s; it must send a heartbeat first"),
+    LEDGER_FULL(519, Severity.ERROR, "the ledger holds %s claims; come back once older ones have expired"),
+    RANGE_UNKNOWN(520, Severity.ERROR, "no key range %s; give one from 0 to %s"),
+    CONFIGURATION_INVALID(521, Severity.ERROR, "the proposed rules are not usable: %s; run 'check' on the folder"),
+    JOB_RUNNABLE(522, Severity.WARNING, "job %s can run on %s; nothing was changed"),
+    COMMAND_INVALID(523, Severity.ERROR, "the command is not usable: %s is missing; check that both ends agree"),
+    LEADER_STARTING(
+            524,
+            Severity.WARNING,
+            "this control host took the lead just now and still gathers announcements; ask again with the next heartbeat"),
     // Requests
     SERVICE_UNKNOWN(601, Severity.ERROR, "no service for path %s; add a rule with this path prefix"),
     BODY_TOO_LARGE(602, Severity.ERROR, "the body is over %s bytes; send less or raise maxBodyBytes"),
