--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/leader/HostRoom.java
@@ -0,0 +1,29 @@
+package org.cornelcove.control.leader;
+
+import org.cornelcove.control.state.Holding;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.resource.Resources;
+
+/**
+ * A worker as the placement sees it.
+ *
+ * @param host its name
+ * @param availabilityZone where it stands
+ * @param rack the rack
+ * @param capacity what it holds for tasks
+ * @param held what is held on it, placements under way included
+ */
+public record HostRoom(HostId host, String availabilityZone, String rack, Resources capacity, Holding held) {
+    HostRoom plus(Resources amount, boolean isBatch) {
+        return new HostRoom(host, availabilityZone, rack, capacity, held.plus(amount, isBatch));
+    }
+
+    HostRoom minus(Resources amount, boolean isBatch) {
+        return new HostRoom(host, availabilityZone, rack, capacity, held.minus(amount, isBatch));
+    }
+
+    /** Returns what nothing holds. */
+    public Resources free() {
+        return capacity.minus(held.total());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/leader/Policies.java
@@ -0,0 +1,14 @@
+package org.cornelcove.control.leader;
+
+/**
+ * The decisions that the leader leaves to others.
+ *
+ * @param placement chooses hosts
+ * @param eviction chooses what gives way
+ * @param quarantine chooses workers that get nothing new
+ */
+public record Policies(PlacementPolicy placement, EvictionPolicy eviction, WorkerQuarantine quarantine) {
+    /** The standard ones. */
+    public static final Policies STANDARD =
+            new Policies(BestFit.INSTANCE, LeastLostWork.INSTANCE, WorkerQuarantine.NONE);
+}
--- /dev/null
+++ b/control/src/main/java/org/cornelcove/control/leader/RunningAttempt.java
@@ -0,0 +1,36 @@
+package org.cornelcove.control.leader;
+
+import java.util.Optional;
+
+import org.cornelcove.model.id.HostId;
+
+/**
+ * What the leader knows of an attempt that holds resources.
+ *
+ * @param host where it was placed
+ * @param renewedMs when an order last renewed its lease, or when this leader first saw it
+ * @param reported whether a worker has reported that it runs
+ * @param checkpoint the newest checkpoint reported
+ * @param savedMs when that checkpoint was first reported, or when the attempt was first seen
+ * @param over whether this leader has declared it over; it is never renewed again
+ */
+record RunningAttempt(
+        HostId host, long renewedMs, boolean reported, Optional<String> checkpoint, long savedMs, boolean over) {
+
+    static RunningAttempt seen(HostId host, long nowMs) {
+        return new RunningAttempt(host, nowMs, false, Optional.empty(), nowMs, false);
+    }
+
+    RunningAttempt renewed(long nowMs) {
+        return new RunningAttempt(host, nowMs, reported, checkpoint, savedMs, over);
+    }
+
+    RunningAttempt reported(Optional<String> newest, long nowMs) {
+        boolean saved = newest.isPresent() && !newest.equals(checkpoint);
+        return new RunningAttempt(host, renewedMs, true, newest.or(() -> checkpoint), saved ? nowMs : savedMs, over);
+    }
+
+    RunningAttempt declaredOver() {
+        return new RunningAttempt(host, renewedMs, reported, checkpoint, savedMs, true);
+    }
+}
--- a/control/src/main/java/org/cornelcove/control/state/OwnershipTable.java
+++ b/control/src/main/java/org/cornelcove/control/state/OwnershipTable.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import org.cornelcove.model.command.AssignRange;
 import org.cornelcove.model.command.AssignTarget;
@@ -35,6 +38,7 @@
     private final EntryRegister entries;
     private final TreeMap<TargetId, TargetOwnership> targets = new TreeMap<>();
     private final List<Ownership> ranges = new ArrayList<>(Collections.nCopies(RANGES, Ownership.none(0)));
+    private final Map<EntryId, TreeSet<TargetId>> targetsByOwner = new HashMap<>();
     private long epochFloor;
 
     OwnershipTable(EntryRegister entries) {
@@ -67,10 +71,8 @@
     /** Withdraws all that an earlier start of the entry owned. */
     void withdrawAll(long at, EntryId entry) {
         Optional<EntryId> owner = Optional.of(entry);
-        for (TargetOwnership target : List.copyOf(targets.values())) {
-            if (target.ownership().owner().equals(owner)) {
-                put(new TargetOwnership(target.target(), target.ownership().withdraw(), at));
-            }
+        for (TargetId id : List.copyOf(targetsOf(entry))) {
+            put(new TargetOwnership(id, targets.get(id).ownership().withdraw(), at));
         }
         for (int range = 0; range < RANGES; range++) {
             if (ranges.get(range).owner().equals(owner)) {
@@ -85,10 +87,20 @@
     }
 
     private void put(TargetOwnership target) {
-        targets.put(target.target(), target);
+        TargetOwnership old = targets.put(target.target(), target);
+        if (old != null) {
+            old.ownership().owner().ifPresent(owner -> targetsByOwner.get(owner).remove(old.target()));
+        }
+        index(target);
         dropOwnerless();
     }
 
+    private void index(TargetOwnership target) {
+        target.ownership().owner().ifPresent(owner -> targetsByOwner
+                .computeIfAbsent(owner, any -> new TreeSet<>())
+                .add(target.target()));
+    }
+
     private void dropOwnerless() {
         if (targets.size() <= KEPT_OWNERLESS_TARGETS) {
             return;
@@ -104,7 +116,11 @@
 
     void restore(Collection<TargetOwnership> targetRecords, List<Ownership> rangeRecords, long floor) {
         targets.clear();
-        targetRecords.forEach(target -> targets.put(target.target(), target));
+        targetsByOwner.clear();
+        for (TargetOwnership target : targetRecords) {
+            targets.put(target.target(), target);
+            index(target);
+        }
         for (int range = 0; range < RANGES; range++) {
             ranges.set(range, range < rangeRecords.size() ? rangeRecords.get(range) : Ownership.none(0));
         }
@@ -120,6 +136,16 @@
         return Collections.unmodifiableMap(targets);
     }
 
+    /**
+     * Returns the targets that an entry owns.
+     *
+     * @param entry the entry
+     * @return the targets that an entry owns
+     */
+    public Set<TargetId> targetsOf(EntryId entry) {
+        return Collections.unmodifiableSet(targetsByOwner.getOrDefault(entry, new TreeSet<>()));
+    }
+
     /**
      * Returns the ranges, by number.
      *
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/ClusterStatus.java
@@ -0,0 +1,23 @@
+package org.cornelcove.model.view;
+
+import java.util.List;
+
+/**
+ * The cluster as the leader sees it.
+ *
+ * @param appliedIndex the log index up to which commands are applied
+ * @param configurationVersion the newest accepted version
+ * @param entries all registered entries
+ * @param workers all registered workers
+ * @param targets all targets that have or had an owner
+ * @param jobs how many jobs there are
+ * @param claims how many claims the ledger keeps
+ */
+public record ClusterStatus(
+        long appliedIndex,
+        long configurationVersion,
+        List<EntryStatus> entries,
+        List<WorkerStatus> workers,
+        List<TargetStatus> targets,
+        JobCounts jobs,
+        int claims) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/ConfigurationView.java
@@ -0,0 +1,14 @@
+package org.cornelcove.model.view;
+
+import org.cornelcove.model.rule.RuleSet;
+
+/**
+ * The newest accepted configuration.
+ *
+ * @param version its version, 0 before the first
+ * @param changeNumber the operator's number
+ * @param operator who proposed it
+ * @param digest hex SHA-256 of the canonical rules
+ * @param rules the rules
+ */
+public record ConfigurationView(long version, long changeNumber, String operator, String digest, RuleSet rules) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/EntryStatus.java
@@ -0,0 +1,25 @@
+package org.cornelcove.model.view;
+
+import org.cornelcove.model.id.EntryId;
+
+/**
+ * One entry as the leader sees it.
+ *
+ * @param entry its name
+ * @param incarnation its newest start
+ * @param availabilityZone where it runs, empty while not heard
+ * @param live whether it may hold a lease
+ * @param draining whether it hands over what it owns
+ * @param configurationVersion the version it last acknowledged
+ * @param targets how many targets it owns
+ * @param ranges how many key ranges it owns
+ */
+public record EntryStatus(
+        EntryId entry,
+        long incarnation,
+        String availabilityZone,
+        boolean live,
+        boolean draining,
+        long configurationVersion,
+        int targets,
+        int ranges) {}
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/package-info.java
@@ -0,0 +1,2 @@
+/** What operators are shown. */
+package org.cornelcove.model.view;
