--- a/control/src/main/java/org/cornelcove/control/leader/Queries.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Queries.java
@@ -87,6 +87,7 @@
                 entry.entry(),
                 entry.incarnation(),
                 known.map(LiveEntry::availabilityZone).orElse(""),
+                known.map(LiveEntry::rpcAddress).orElse(""),
                 known.isPresent() && !entries.lapsed(entry.entry(), nowMs),
                 known.map(LiveEntry::draining).orElse(false),
                 known.map(LiveEntry::configurationVersion).orElse(0L),
--- a/control/src/main/java/org/cornelcove/control/view/EntryStatus.java
+++ b/control/src/main/java/org/cornelcove/control/view/EntryStatus.java
@@ -8,6 +8,7 @@
  * @param entry its name
  * @param incarnation its newest start
  * @param availabilityZone where it runs, empty while not heard
+ * @param rpcAddress where other daemons reach it, empty while not heard
  * @param live whether it may hold a lease
  * @param draining whether it hands over what it owns
  * @param configurationVersion the version it last acknowledged
@@ -18,6 +19,7 @@
         EntryId entry,
         long incarnation,
         String availabilityZone,
+        String rpcAddress,
         boolean live,
         boolean draining,
         long configurationVersion,
--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Backend.java
@@ -0,0 +1,19 @@
+package org.cornelcove.daemon.api;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.cornelcove.daemon.call.LeaderRouter;
+import org.cornelcove.entry.EntryServer;
+import org.cornelcove.wire.CallClient;
+
+/**
+ * What the api listener serves from.
+ *
+ * @param router finds the leader
+ * @param client calls other daemons
+ * @param entry this daemon's entry, empty without that role
+ * @param whyUnready why the balancer should send nothing here, empty when ready
+ */
+public record Backend(
+        LeaderRouter router, CallClient client, Optional<EntryServer> entry, Supplier<Optional<String>> whyUnready) {}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/MetricsReport.java
@@ -0,0 +1,106 @@
+package org.cornelcove.daemon.api;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import org.cornelcove.model.view.HistogramView;
+
+/** Writes an entry's metrics as JSON messages and in the text form that collectors scrape. */
+final class MetricsReport {
+    private static final double NS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final MetricRegistry registry;
+
+    private MetricsReport(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    static MetricsReport of(Optional<MetricRegistry> registry) {
+        return new MetricsReport(registry.orElseGet(MetricRegistry::new));
+    }
+
+    List<HistogramView> histograms() {
+        List<HistogramView> views = new ArrayList<>();
+        registry.getTimers().forEach((name, timer) -> views.add(histogram(name, timer)));
+        return views;
+    }
+
+    private static HistogramView histogram(String name, Timer timer) {
+        Snapshot figures = timer.getSnapshot();
+        return new HistogramView(
+                name,
+                timer.getCount(),
+                micros(figures.getMedian()),
+                micros(figures.getValue(0.9)),
+                micros(figures.get99thPercentile()),
+                micros(figures.getMax()));
+    }
+
+    private static long micros(double ns) {
+        return Math.round(ns / TimeUnit.MICROSECONDS.toNanos(1));
+    }
+
+    /** Returns counters and gauges by name, histograms beside them. */
+    MetricValues values() {
+        return new MetricValues(numbers(), histograms());
+    }
+
+    /**
+     * All metrics of an entry.
+     *
+     * @param numbers counters and gauges by name
+     * @param histograms the histograms
+     */
+    record MetricValues(SortedMap<String, Long> numbers, List<HistogramView> histograms) {}
+
+    private SortedMap<String, Long> numbers() {
+        SortedMap<String, Long> numbers = new TreeMap<>();
+        for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
+            numbers.put(counter.getKey(), counter.getValue().getCount());
+        }
+        for (Map.Entry<String, Gauge> gauge : registry.getGauges().entrySet()) {
+            if (gauge.getValue().getValue() instanceof Number number) {
+                numbers.put(gauge.getKey(), number.longValue());
+            }
+        }
+        return numbers;
+    }
+
+    String text() {
+        StringBuilder text = new StringBuilder();
+        numbers()
+                .forEach((name, value) ->
+                        text.append(metricName(name)).append(' ').append(value).append('\n'));
+        registry.getTimers().forEach((name, timer) -> appendSummary(text, metricName(name) + "_seconds", timer));
+        return text.toString();
+    }
+
+    private static void appendSummary(StringBuilder text, String name, Timer timer) {
+        Snapshot figures = timer.getSnapshot();
+        text.append("# TYPE ").append(name).append(" summary\n");
+        for (double quantile : new double[] {0.5, 0.9, 0.99, 0.999}) {
+            double seconds = figures.getValue(quantile) / NS_PER_SECOND;
+            text.append(name)
+                    .append("{quantile=\"")
+                    .append(quantile)
+                    .append("\"} ")
+                    .append(seconds)
+                    .append('\n');
+        }
+        text.append(name).append("_count ").append(timer.getCount()).append('\n');
+    }
+
+    private static String metricName(String name) {
+        return "cornelcove_" + name.replaceAll("[^A-Za-z0-9_]", "_");
+    }
+}
--- a/wire/src/main/java/org/cornelcove/wire/Addresses.java
+++ b/wire/src/main/java/org/cornelcove/wire/Addresses.java
@@ -43,6 +43,17 @@
         return read(text).orElseThrow(() -> new IllegalArgumentException("not ip:port: " + text));
     }
 
+    /**
+     * Writes an address.
+     *
+     * @param address the address
+     * @return {@code ip:port}
+     */
+    public static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
+    }
+
     private static boolean isNumeric(String host) {
         return host.matches("[0-9.]+|[0-9a-fA-F:]+");
     }
