--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/Answer.java
@@ -0,0 +1,69 @@
+package org.cornelcove.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+
+/**
+ * What a caller is told: a target's whole answer, or the system's own.
+ *
+ * @param run what is known about the run
+ * @param status the HTTP status
+ * @param headers end-to-end headers
+ * @param body the body
+ * @param error the kind, present on the system's own answers made here
+ */
+record Answer(RunState run, int status, List<Header> headers, byte[] body, Optional<ErrorKind> error) {
+
+    /** Returns the system's own answer for a failure, with a Retry-After when the number of seconds is above 0. */
+    static Answer ofFailure(RunState run, Failure failure, int retryAfterS) {
+        List<Header> headers = new ArrayList<>();
+        headers.add(new Header(Headers.CONTENT_TYPE, "application/json"));
+        headers.add(new Header(Headers.ERROR, Integer.toString(failure.kind().number())));
+        if (retryAfterS > 0) {
+            headers.add(new Header(Headers.RETRY_AFTER, Integer.toString(retryAfterS)));
+        }
+        byte[] body = json(failure).getBytes(StandardCharsets.UTF_8);
+        return new Answer(run, Statuses.of(failure.kind()), headers, body, Optional.of(failure.kind()));
+    }
+
+    static Answer ofForwarded(ForwardedAnswer answer) {
+        return new Answer(answer.run(), answer.status(), answer.headers(), answer.body(), Optional.empty());
+    }
+
+    ForwardedAnswer toForwarded() {
+        return new ForwardedAnswer(run, status, headers, body);
+    }
+
+    /** Returns this answer with one more header. */
+    Answer with(String name, String value) {
+        List<Header> more = new ArrayList<>(headers.size() + 1);
+        more.addAll(headers);
+        more.add(new Header(name, value));
+        return new Answer(run, status, more, body, error);
+    }
+
+    private static String json(Failure failure) {
+        return "{\"number\":" + failure.kind().number() + ",\"kind\":\"" + failure.kind() + "\",\"severity\":\""
+                + failure.kind().severity() + "\",\"message\":\"" + escape(failure.message()) + "\"}";
+    }
+
+    private static String escape(String text) {
+        StringBuilder out = new StringBuilder(text.length() + 16);
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '"' || c == '\\') {
+                out.append('\\').append(c);
+            } else if (c < ' ' || c > '~') {
+                out.append(String.format("\\u%04x", (int) c));
+            } else {
+                out.append(c);
+            }
+        }
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
@@ -0,0 +1,176 @@
+package org.cornelcove.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.RequestExecutorProvider;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * The listener for callers: reads a request whole, hands it on, and writes the answer when it is there. No thread waits
+ * for anything in between.
+ */
+final class CallerHandler extends HttpHandler {
+    private static final System.Logger LOGGER = System.getLogger(CallerHandler.class.getName());
+    private static final String HEALTHY_PATH = "/-/healthy";
+    private static final String READY_PATH = "/-/ready";
+    private static final String OWN_PATHS = "/-/";
+    private static final int OK = 200;
+    private static final byte[] NO_BODY = {};
+
+    private final EntryClock clock;
+    private final Supplier<EntryView> view;
+    private final Supplier<Optional<String>> whyUnready;
+    private final Supplier<Optional<String>> whyClosed;
+    private final HeadReader heads;
+    private final RequestFlow flow;
+    private final Refusals refusals;
+
+    CallerHandler(
+            Dispatcher.Parts parts,
+            HeadReader heads,
+            RequestFlow flow,
+            Supplier<Optional<String>> whyUnready,
+            Supplier<Optional<String>> whyClosed) {
+        clock = parts.clock();
+        view = parts.view();
+        refusals = parts.refusals();
+        this.heads = heads;
+        this.flow = flow;
+        this.whyUnready = whyUnready;
+        this.whyClosed = whyClosed;
+        setAllowEncodedSlash(true);
+    }
+
+    @Override
+    public RequestExecutorProvider getRequestExecutorProvider() {
+        return new RequestExecutorProvider.SameThreadProvider();
+    }
+
+    @Override
+    public void service(Request request, Response response) {
+        if (request.getRequestURI().startsWith(OWN_PATHS)) {
+            answerOwnPath(request, response);
+            return;
+        }
+        long now = clock.nowNs().getAsLong();
+        EntryView current = view.get();
+        Optional<String> closed = whyClosed.get();
+        if (closed.isPresent()) {
+            refuse(request, response, "", refusals.notReady(closed.get()));
+            return;
+        }
+        Either<Failure, RequestHead> head = heads.read(request, current, now);
+        if (head.isLeft()) {
+            refuse(request, response, "", refusals.wrong(head.getLeft()));
+            return;
+        }
+        readBody(request, response, head.get());
+    }
+
+    private void answerOwnPath(Request request, Response response) {
+        String path = request.getRequestURI();
+        Optional<String> unready = path.equals(HEALTHY_PATH) ? Optional.empty() : whyUnready.get();
+        if (!path.equals(HEALTHY_PATH) && !path.equals(READY_PATH)) {
+            write(response, "", refusals.wrong(Failure.of(ErrorKind.SERVICE_UNKNOWN, path)));
+        } else if (unready.isPresent()) {
+            write(response, "", refusals.notReady(unready.get()));
+        } else {
+            response.setStatus(OK);
+            response.setContentType("text/plain");
+            writeBody(response, "ok\n".getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Answers a request whose body nobody reads; what is left of it is skipped or its connection closed. */
+    private void refuse(Request request, Response response, String id, Answer answer) {
+        write(response, id, answer);
+    }
+
+    private void readBody(Request request, Response response, RequestHead head) {
+        response.suspend();
+        long announced = request.getContentLengthLong();
+        if (announced <= 0 && !request.getRequest().isChunked()) {
+            run(response, head, NO_BODY);
+            return;
+        }
+        if (announced > head.service().maxBodyBytes()) {
+            resume(response, head.id(), tooLarge(head));
+            return;
+        }
+        // Without this the listener stops reading when the request is suspended, after the reader asked for more.
+        request.getContext().getInternalContext().setManualIOEventControl();
+        BodyReader.read(request.getNIOInputStream(), head.service().maxBodyBytes(), new BodyReader.Result() {
+            @Override
+            public void whole(byte[] body) {
+                run(response, head, body);
+            }
+
+            @Override
+            public void tooLarge() {
+                Failure failure =
+                        Failure.of(ErrorKind.BODY_TOO_LARGE, head.service().maxBodyBytes());
+                resume(response, head.id(), refusals.wrong(failure));
+            }
+
+            @Override
+            public void callerGone(Throwable error) {
+                response.resume();
+            }
+        });
+    }
+
+    private Answer tooLarge(RequestHead head) {
+        return refusals.wrong(
+                Failure.of(ErrorKind.BODY_TOO_LARGE, head.service().maxBodyBytes()));
+    }
+
+    private void run(Response response, RequestHead head, byte[] body) {
+        flow.run(head.withBody(body), false).thenAccept(answer -> resume(response, head.id(), answer));
+    }
+
+    private static void resume(Response response, String id, Answer answer) {
+        try {
+            write(response, id, answer);
+            response.resume();
+        } catch (IllegalStateException e) {
+            LOGGER.log(System.Logger.Level.DEBUG, "the caller is gone", e);
+        }
+    }
+
+    private static void write(Response response, String id, Answer answer) {
+        response.setStatus(answer.status());
+        for (Header header : answer.headers()) {
+            response.addHeader(header.name(), header.value());
+        }
+        if (!id.isEmpty()) {
+            response.setHeader(Headers.REQUEST_ID, id);
+        }
+        response.setHeader(Headers.RUN, runText(answer.run()));
+        writeBody(response, answer.body());
+    }
+
+    private static String runText(RunState run) {
+        return switch (run) {
+            case DONE -> "done";
+            case NOT_RUN -> "not-run";
+            case UNKNOWN -> "unknown";
+        };
+    }
+
+    private static void writeBody(Response response, byte[] body) {
+        response.setContentLengthLong(body.length);
+        try {
+            response.getNIOOutputStream().write(body);
+        } catch (IOException e) {
+            LOGGER.log(System.Logger.Level.DEBUG, "the caller is gone", e);
+        }
+    }
+}
--- a/entry/src/main/java/org/cornelcove/entry/ForwardedRequest.java
+++ b/entry/src/main/java/org/cornelcove/entry/ForwardedRequest.java
@@ -18,6 +18,7 @@
  * @param uri path and query
  * @param headers end-to-end headers
  * @param body the body
+ * @param mayQueue whether it may wait at the receiver; otherwise it is refused unless it can start at once
  */
 public record ForwardedRequest(
         String requestId,
@@ -30,4 +31,5 @@
         String method,
         String uri,
         List<Header> headers,
-        byte[] body) {}
+        byte[] body,
+        boolean mayQueue) {}
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/HdrReservoir.java
@@ -0,0 +1,89 @@
+package org.cornelcove.entry;
+
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+
+import com.codahale.metrics.Reservoir;
+import com.codahale.metrics.Snapshot;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
+
+/**
+ * Keeps every value since the start in an HdrHistogram, to two significant digits. Recording is wait-free; a snapshot
+ * merges what was recorded since the one before. A sampling reservoir lost: it drops the rare slow requests.
+ */
+final class HdrReservoir implements Reservoir {
+    private static final int DIGITS = 2;
+
+    private final Recorder recorder = new Recorder(DIGITS);
+    private final Histogram total = new Histogram(DIGITS);
+    private Histogram interval;
+
+    @Override
+    public int size() {
+        return (int) Math.min(Integer.MAX_VALUE, getSnapshot().size());
+    }
+
+    @Override
+    public void update(long value) {
+        recorder.recordValue(Math.max(0, value));
+    }
+
+    @Override
+    public synchronized Snapshot getSnapshot() {
+        interval = recorder.getIntervalHistogram(interval);
+        total.add(interval);
+        return new HdrSnapshot(total.copy());
+    }
+
+    private static final class HdrSnapshot extends Snapshot {
+        private static final double PERCENT = 100;
+        private final Histogram histogram;
+
+        private HdrSnapshot(Histogram histogram) {
+            this.histogram = histogram;
+        }
+
+        @Override
+        public double getValue(double quantile) {
+            return histogram.getValueAtPercentile(quantile * PERCENT);
+        }
+
+        @Override
+        public long[] getValues() {
+            return new long[0];
+        }
+
+        @Override
+        public int size() {
+            return (int) Math.min(Integer.MAX_VALUE, histogram.getTotalCount());
+        }
+
+        @Override
+        public long getMax() {
+            return histogram.getMaxValue();
+        }
+
+        @Override
+        public double getMean() {
+            return histogram.getMean();
+        }
+
+        @Override
+        public long getMin() {
+            return histogram.getTotalCount() == 0 ? 0 : histogram.getMinValue();
+        }
+
+        @Override
+        public double getStdDev() {
+            return histogram.getStdDeviation();
+        }
+
+        @Override
+        public void dump(OutputStream output) {
+            PrintWriter out = new PrintWriter(output, true, StandardCharsets.UTF_8);
+            histogram.recordedValues().forEach(v -> out.println(v.getValueIteratedTo()));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -0,0 +1,200 @@
+package org.cornelcove.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.cornelcove.model.command.ClaimGranted;
+import org.cornelcove.model.command.ClaimInProgress;
+import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.command.ClaimReplayed;
+import org.cornelcove.model.command.ClaimUnknown;
+import org.cornelcove.model.command.Command;
+import org.cornelcove.model.command.Done;
+import org.cornelcove.model.command.Outcome;
+import org.cornelcove.model.command.RecordOutcome;
+import org.cornelcove.model.command.Refused;
+import org.cornelcove.model.command.ReleaseClaim;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.model.request.RecordedAnswer;
+
+/**
+ * Runs requests of class once at most once.
+ *
+ * <p>Before the first byte goes to a target, a claim on the key is committed by the quorum. Only the entry that was told
+ * {@link ClaimGranted} for this very request dispatches it, and the dispatcher repeats an attempt only where it is
+ * proved not run. What comes of it is settled in the ledger:
+ *
+ * <ul>
+ *   <li>a whole answer is recorded before the caller gets it, so that whoever was answered gets the same answer again;
+ *       when the deadline comes first the caller gets the answer anyway and the recording goes on;
+ *   <li>proved not run: the claim is released, and the caller told so;
+ *   <li>anything else is recorded as unknown, and the key never runs again.
+ * </ul>
+ *
+ * <p>A claim whose own answer was lost may stand in the ledger or not. Nothing was dispatched under it and nothing will
+ * be, but the caller is told "not run" only once its release is committed, "unknown" otherwise.
+ *
+ * <p>Answering before recording lost: it saves a commit on the way back, but after a crash in between a caller that has
+ * its answer would be told "unknown" for the same key.
+ */
+final class OnceRequests {
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long IN_PROGRESS_MS = 1_000;
+    private static final long RELEASE_WAIT_MS = 1_000;
+    private static final Set<ErrorKind> WITHOUT_EFFECT =
+            Set.of(ErrorKind.CALL_NOT_SENT, ErrorKind.NOT_LEADER, ErrorKind.NO_QUORUM);
+
+    private final EntrySettings settings;
+    private final EntryClock clock;
+    private final Supplier<EntryView> view;
+    private final Dispatcher dispatcher;
+    private final ControlLink control;
+    private final Settler settler;
+    private final Refusals refusals;
+    private final Set<String> open = ConcurrentHashMap.newKeySet();
+
+    OnceRequests(Dispatcher.Parts parts, Dispatcher dispatcher, ControlLink control, Settler settler) {
+        settings = parts.settings();
+        clock = parts.clock();
+        view = parts.view();
+        refusals = parts.refusals();
+        this.dispatcher = dispatcher;
+        this.control = control;
+        this.settler = settler;
+    }
+
+    /** Claims the key and runs the request. */
+    CompletableFuture<Answer> submit(ServiceRequest request) {
+        if (!view.get().isLeased(clock.nowNs().getAsLong())) {
+            return done(refusals.notReady("its lease has lapsed"));
+        }
+        String key = ExclusiveKeys.scopedKey(request);
+        if (!open.add(key)) {
+            return done(refusals.keyInFlight(request.key(), IN_PROGRESS_MS, RunState.UNKNOWN));
+        }
+        request.trace().add(clock.nowNs().getAsLong(), "claims key", key);
+        return claim(request, key)
+                .handle((outcome, error) ->
+                        error == null ? claimed(request, key, outcome) : claimFailed(request, key, error))
+                .thenCompose(answer -> answer);
+    }
+
+    private CompletableFuture<Outcome> claim(ServiceRequest request, String key) {
+        ClaimOnce claim = new ClaimOnce(key, digestOf(request), settings.entry(), settings.incarnation());
+        return control.execute(claim).copy().orTimeout(remainingMs(request), TimeUnit.MILLISECONDS);
+    }
+
+    private long remainingMs(ServiceRequest request) {
+        return Math.max(1, (request.deadlineNs() - clock.nowNs().getAsLong()) / NANOS_PER_MS);
+    }
+
+    private static String digestOf(ServiceRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((request.method() + "\n" + request.uri() + "\n").getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(request.body()));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    private CompletableFuture<Answer> claimed(ServiceRequest request, String key, Outcome outcome) {
+        if (outcome instanceof ClaimGranted) {
+            request.trace().add(clock.nowNs().getAsLong(), "holds the claim on", key);
+            return dispatcher.submit(request).thenCompose(answer -> settle(request, key, answer));
+        }
+        open.remove(key);
+        return done(withoutClaim(request, outcome));
+    }
+
+    private Answer withoutClaim(ServiceRequest request, Outcome outcome) {
+        if (outcome instanceof ClaimReplayed replayed) {
+            return replay(replayed.answer());
+        }
+        if (outcome instanceof ClaimInProgress) {
+            return refusals.keyInFlight(request.key(), IN_PROGRESS_MS, RunState.UNKNOWN);
+        }
+        if (outcome instanceof ClaimUnknown) {
+            return refusals.unknown(Failure.of(ErrorKind.OUTCOME_UNKNOWN));
+        }
+        if (outcome instanceof Refused refused) {
+            return refused.failure().kind() == ErrorKind.KEY_REUSED
+                    ? refusals.wrong(refused.failure())
+                    : refusals.notReady(refused.failure().message());
+        }
+        return refusals.unknown(Failure.of(ErrorKind.INTERNAL, "unexpected outcome of a claim"));
+    }
+
+    private static Answer replay(RecordedAnswer recorded) {
+        List<Header> headers = recorded.contentType().isEmpty()
+                ? List.of()
+                : List.of(new Header(Headers.CONTENT_TYPE, recorded.contentType()));
+        return new Answer(RunState.DONE, recorded.status(), headers, recorded.body(), Optional.empty());
+    }
+
+    // A claim that brought no outcome
+
+    private CompletableFuture<Answer> claimFailed(ServiceRequest request, String key, Throwable error) {
+        Throwable cause = error.getCause() == null ? error : error.getCause();
+        if (cause instanceof FailureException failed
+                && WITHOUT_EFFECT.contains(failed.failure().kind())) {
+            open.remove(key);
+            return done(refusals.notRun(
+                    "no claim could be made: " + failed.failure().message()));
+        }
+        request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", cause.getMessage());
+        return settler.settle(release(key))
+                .whenComplete((outcome, failure) -> open.remove(key))
+                .copy()
+                .orTimeout(RELEASE_WAIT_MS, TimeUnit.MILLISECONDS)
+                .handle((outcome, failure) -> outcome instanceof Done
+                        ? refusals.notRun("its claim could not be confirmed and was given back")
+                        : refusals.unknown(
+                                Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
+    }
+
+    // Settling
+
+    private CompletableFuture<Answer> settle(ServiceRequest request, String key, Answer answer) {
+        Command command =
+                switch (answer.run()) {
+                    case DONE -> record(key, Optional.of(recorded(answer)));
+                    case UNKNOWN -> record(key, Optional.empty());
+                    case NOT_RUN -> release(key);
+                };
+        long waitMs = answer.run() == RunState.DONE ? remainingMs(request) : RELEASE_WAIT_MS;
+        CompletableFuture<Outcome> settled =
+                settler.settle(command).whenComplete((outcome, failure) -> open.remove(key));
+        if (answer.run() == RunState.UNKNOWN) {
+            return done(answer);
+        }
+        return settled.copy().orTimeout(waitMs, TimeUnit.MILLISECONDS).handle((outcome, failure) -> answer);
+    }
+
+    private Command record(String key, Optional<RecordedAnswer> answer) {
+        return new RecordOutcome(key, settings.entry(), settings.incarnation(), answer);
+    }
+
+    private Command release(String key) {
+        return new ReleaseClaim(key, settings.entry(), settings.incarnation());
+    }
+
+    private static RecordedAnswer recorded(Answer answer) {
+        return RecordedAnswer.of(answer.status(), Headers.find(answer.headers(), Headers.CONTENT_TYPE), answer.body());
+    }
+
+    private static CompletableFuture<Answer> done(Answer answer) {
+        return CompletableFuture.completedFuture(answer);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
@@ -0,0 +1,88 @@
+package org.cornelcove.entry;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Counts the slots of one target exactly, as far as its owner can know them.
+ *
+ * <p>A slot is <em>active</em> from before the first byte leaves until the answer is whole. A run whose answer never
+ * came may still go on at the target, so its slot is <em>lingering</em> until the target says otherwise: an
+ * announcement with fewer busy slots than active ones plus lingering ones frees the difference. The active ones are
+ * counted at their lowest since the announcement before, so that a run that ended meanwhile frees nobody's slot.
+ *
+ * <p>After a change of owner the previous owner's runs hold slots unseen. Until they are surely over, only slots are
+ * used that the target announced as free after the change: {@code busy} of them are taken, whoever holds them.
+ *
+ * <p>Example: 8 slots, 3 active, 2 lingering, so 3 are free. The target announces 4 busy: one lingering run is over,
+ * 4 are free.
+ */
+final class TargetSlots {
+    private final AtomicInteger active = new AtomicInteger();
+    private final AtomicInteger lowestActive = new AtomicInteger();
+    private final AtomicInteger lingering = new AtomicInteger();
+    private volatile int total;
+    private volatile int heldByOthers;
+
+    TargetSlots(int total) {
+        this.total = total;
+    }
+
+    /** Takes a slot if one is free. */
+    boolean tryTake() {
+        while (true) {
+            int taken = active.get();
+            if (taken >= limit()) {
+                return false;
+            }
+            if (active.compareAndSet(taken, taken + 1)) {
+                return true;
+            }
+        }
+    }
+
+    /** Gives a slot back whose run is over. */
+    void release() {
+        int now = active.decrementAndGet();
+        lowestActive.accumulateAndGet(now, Math::min);
+    }
+
+    /** Turns an active slot into a lingering one: its run may go on unseen. */
+    void abandon() {
+        lingering.incrementAndGet();
+        release();
+    }
+
+    /** Takes in a new announcement; returns the number of runs that still linger. */
+    int announced(int slots, int busySlots) {
+        total = slots;
+        int seen = lowestActive.getAndSet(active.get());
+        int stillLingering = Math.max(0, busySlots - seen);
+        return lingering.updateAndGet(count -> Math.min(count, stillLingering));
+    }
+
+    /** Leaves a number of slots to runs of a previous owner. */
+    void holdForOthers(int slots) {
+        heldByOthers = slots;
+    }
+
+    int free() {
+        return Math.max(0, limit() - active.get());
+    }
+
+    int active() {
+        return active.get();
+    }
+
+    int lingering() {
+        return lingering.get();
+    }
+
+    int total() {
+        return total;
+    }
+
+    /** The most that may be active now. */
+    int limit() {
+        return total - lingering.get() - heldByOthers;
+    }
+}
