--- a/cli/src/main/java/org/cornelcove/cli/client/Answers.java
+++ b/cli/src/main/java/org/cornelcove/cli/client/Answers.java
@@ -41,6 +41,9 @@
     private static Failure failure(String endpoint, HttpResponse<byte[]> response) {
         try {
             ErrorView error = Json.MAPPER.readValue(response.body(), ErrorView.class);
+            if (error == null) {
+                return unexpected(endpoint, "status " + response.statusCode() + " with an empty body");
+            }
             ErrorKind kind = kindOf(error);
             if (kind == ErrorKind.SERVICE_UNKNOWN) {
                 return unexpected(endpoint, "it is a caller listener, not an api listener");
--- a/cli/src/main/java/org/cornelcove/cli/client/ApiClient.java
+++ b/cli/src/main/java/org/cornelcove/cli/client/ApiClient.java
@@ -114,7 +114,8 @@
             return Answers.read(call, base.getAuthority(), response.get(timeoutMs, TimeUnit.MILLISECONDS));
         } catch (TimeoutException e) {
             response.cancel(true);
-            return Either.left(lost(base, "none within " + timeoutMs + " ms"));
+            String reason = "no answer within " + timeoutMs + " ms";
+            return Either.left(call.isRead() ? unreachable(base, reason) : lost(base, reason));
         } catch (ExecutionException e) {
             return Either.left(failureOf(base, call, e.getCause()));
         } catch (InterruptedException e) {
@@ -155,8 +156,9 @@
             return Answers.unexpected(base.getAuthority(), Text.printable(String.valueOf(thrown.getMessage())));
         }
         String reason = "the connection was closed before an answer";
-        boolean read = call.method().equals("GET") && thrown instanceof IOException;
-        return read ? Answers.unexpected(base.getAuthority(), reason) : lost(base, reason);
+        return call.isRead() && thrown instanceof IOException
+                ? Answers.unexpected(base.getAuthority(), reason)
+                : lost(base, reason);
     }
 
     private static Failure unreachable(URI base, String reason) {
--- a/cli/src/main/java/org/cornelcove/cli/client/Call.java
+++ b/cli/src/main/java/org/cornelcove/cli/client/Call.java
@@ -35,6 +35,11 @@
         return new Call(method, path, body, answer, false);
     }
 
+    /** Returns whether the call changes nothing, so that a lost answer leaves no doubt. */
+    boolean isRead() {
+        return method.equals("GET");
+    }
+
     private static JavaType type(Class<?> answer) {
         return Json.MAPPER.constructType(answer);
     }
--- a/cli/src/main/java/org/cornelcove/cli/command/CompletionCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/CompletionCommand.java
@@ -15,8 +15,8 @@
         footer = {
             "",
             "Examples:",
-            "  source <(cornelcove completion)",
-            "  cornelcove completion > ~/.local/share/bash-completion/completions/cornelcove"
+            "  cornelcove completion > ~/.local/share/bash-completion/completions/cornelcove",
+            "  source <(cornelcove completion)"
         })
 final class CompletionCommand extends ReportingCommand {
     /**
--- a/cli/src/main/java/org/cornelcove/cli/command/RootCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/RootCommand.java
@@ -39,6 +39,7 @@
             JobCommand.class,
             ExplainCommand.class,
             HistogramsCommand.class,
+            ErrorsCommand.class,
             CompletionCommand.class
         })
 public final class RootCommand implements Callable<Integer> {
--- /dev/null
+++ b/cli/src/test/java/org/cornelcove/cli/CommandsTest.java
@@ -0,0 +1,157 @@
+package org.cornelcove.cli;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+import org.cornelcove.cli.output.Json;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.job.JobState;
+import org.cornelcove.model.view.ClusterStatus;
+import org.cornelcove.model.view.ExplainView;
+import org.cornelcove.model.view.HistogramView;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.cornelcove.cli.FakeDaemon.done;
+import static org.cornelcove.cli.FakeDaemon.error;
+import static org.cornelcove.cli.FakeDaemon.json;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+/** What each command asks and shows. */
+class CommandsTest {
+    private FakeDaemon daemon;
+
+    @BeforeEach
+    void open() throws IOException {
+        daemon = FakeDaemon.open()
+                .on("GET /v1/status", json(Samples.status(Optional.of(1L))))
+                .on("GET /v1/members", json(Samples.MEMBERS))
+                .on("POST /v1/members", done())
+                .on("DELETE /v1/members/1", done())
+                .on("POST /v1/entries/entry-1/drain", done())
+                .on(
+                        "GET /v1/jobs",
+                        json(List.of(Samples.job("a", JobState.PLACED), Samples.job("b", JobState.PENDING))))
+                .on("GET /v1/jobs/a", json(Samples.job("a", JobState.PLACED)))
+                .on("DELETE /v1/jobs/a", json(Samples.job("a", JobState.CANCELLED)))
+                .on("POST /v1/jobs", json(Samples.job("a", JobState.PENDING)))
+                .on("GET /v1/explain/jobs/a", json(new ExplainView(List.of("waits for memory", "next"))))
+                .on("GET /v1/explain/requests/r%2F1", json(new ExplainView(List.of("queued"))))
+                .on(
+                        "GET /v1/histograms",
+                        json(List.of(
+                                new HistogramView("latency.tenant.north", 10, 1, 2, 3, 4),
+                                new HistogramView("latency.class.once", 5, 1, 2, 3, 4))));
+    }
+
+    @AfterEach
+    void close() {
+        daemon.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "members                   | GET /v1/members                              | 12  127.0.0.2:7402  no      learner",
+                "members remove 1          | DELETE /v1/members/1                         | member 1 is removed",
+                "members add 4 10.0.0.4:72 | POST /v1/members {\"id\":4,\"address\":\"10.0.0.4:72\"} | member 4 at 10.0.0.4:72 votes",
+                "drain entry-1             | POST /v1/entries/entry-1/drain               | entry-1 drains",
+                "job list                  | GET /v1/jobs                                 | b   payouts  batch  run   pending",
+                "job show a                | GET /v1/jobs/a                               | cpu           4",
+                "job cancel a              | DELETE /v1/jobs/a                            | state         cancelled",
+                "explain job a             | GET /v1/explain/jobs/a                       | waits for memory",
+                "explain request r/1       | GET /v1/explain/requests/r%2F1               | queued",
+                "histograms --name once    | GET /v1/histograms                           | latency.class.once  5      1       2       3       4",
+                "status                    | GET /v1/status                               | configuration  version 7",
+            })
+    void asksAndShows(String command, String call, String shown) {
+        Run run = run(command);
+        assertThat(run.err(), is(""));
+        assertThat(run.exitCode(), is(0));
+        assertThat(daemon.heard(), is(List.of(call)));
+        assertThat(run.out(), containsString(shown));
+    }
+
+    @Test
+    void statusIsAlignedTables() {
+        assertThat(
+                run("status").out(),
+                containsString("jobs           2 placed\n"
+                        + "\nCONTROL MEMBERS\n"
+                        + "ID  ADDRESS         VOTING  STATE\n"
+                        + "1   127.0.0.1:7402  yes     leader\n"
+                        + "12  127.0.0.2:7402  no      learner\n"
+                        + "\nENTRIES\n"
+                        + "NAME     ZONE   CONFIGURATION  STATE\n"
+                        + "entry-1  surat  7              live\n"
+                        + "\nTARGETS\n"
+                        + "NAME       SERVICE  ZONE   OWNER  STATE\n"
+                        + "booking-1  booking  surat  -      leaving\n"
+                        + "\nWORKERS\n"
+                        + "NAME      ZONE   RACK    CPU FREE  MEMORY FREE  ACCELERATORS FREE  STATE\n"
+                        + "worker-1  surat  rack-1  500m/32   8GiB/125GB   0/1                live\n"));
+    }
+
+    @Test
+    void jsonReadsBackAsTheAnswer() throws IOException {
+        Run run = run("status --json");
+        assertThat(Json.MAPPER.readValue(run.out(), ClusterStatus.class), is(Samples.status(Optional.of(1L))));
+    }
+
+    @Test
+    void optionsMayStandBeforeTheCommand() {
+        Run run = Run.of("--json", "--endpoint", daemon.endpoint(), "job", "list", "--state", "placed");
+        assertThat(run.exitCode(), is(0));
+        assertThat(run.out(), startsWith("[ {"));
+    }
+
+    @Test
+    void statusWithoutALeaderIsExitCode4() throws IOException {
+        try (FakeDaemon alone = FakeDaemon.open().on("GET /v1/status", json(Samples.status(Optional.empty())))) {
+            Run run = Run.of("status", "--endpoint", alone.endpoint());
+            assertThat(run.exitCode(), is(4));
+            assertThat(run.out(), startsWith("leader         none; start the missing control hosts"));
+        }
+    }
+
+    @Test
+    void theSameJobGetsTheSameId() {
+        String submit = "job submit --team payouts --task run --cpu 4 --memory 8GiB --payload ";
+        assertThat(run(submit + "x").exitCode(), is(0));
+        run(submit + "x");
+        run(submit + "y");
+        List<String> heard = daemon.heard();
+        assertThat(heard.get(0), startsWith("POST /v1/jobs {\"id\":\"job-"));
+        assertThat(heard.get(1), is(heard.get(0)));
+        assertThat(heard.get(2).equals(heard.get(0)), is(false));
+    }
+
+    @Test
+    void aJobOfAFileIsTheSameAsOneOfFlags() {
+        run("job submit --file src/test/resources/job.yaml");
+        run("job submit --team payouts --task run --cpu 500m --memory 8GiB --declared-run 40m --urgent --payload x");
+        assertThat(daemon.heard().get(1), is(daemon.heard().get(0)));
+    }
+
+    @Test
+    void aRefusalIsShownWithItsNumber() {
+        daemon.on("GET /v1/jobs/b", error(404, ErrorKind.JOB_UNKNOWN, "b"));
+        Run run = run("job show b");
+        assertThat(run.exitCode(), is(1));
+        assertThat(run.err(), is("error(504): no job b; 'job list' shows those that exist\n"));
+        assertThat(daemon.heard(), hasItem("GET /v1/jobs/b"));
+    }
+
+    private Run run(String command) {
+        return Run.of((command + " --endpoint " + daemon.endpoint()).split(" "));
+    }
+}
