Admit with a margin on the predicted wait

Cause: predictions rest on the share of the tenants that wait now; when another tenant's queue fills in the meantime the wait grows, and what was admitted is given up in the queue. Change: the predicted wait counts 1.6 times.

--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -39,6 +39,7 @@
  */
 public final class RequestQueue<T> {
     private static final double RETURN_SHARE = 0.25;
+    private static final double WAIT_MARGIN = 1.6;
     private static final int PERCENT = 100;
 
     private final ServiceRule rule;
@@ -96,7 +97,8 @@
             return refuse(ErrorKind.NO_TARGET, 0, estimate, laneSlots, nowUs);
         }
         long remainingUs = arrival.deadlineUs() - nowUs;
-        boolean inTime = waitUs == 0 ? estimate.p90Us() <= remainingUs : waitUs + estimate.p99Us() <= remainingUs;
+        boolean inTime =
+                waitUs == 0 ? estimate.p90Us() <= remainingUs : WAIT_MARGIN * waitUs + estimate.p99Us() <= remainingUs;
         if (!inTime) {
             return refuse(ErrorKind.DEADLINE_UNREACHABLE, waitUs, estimate, laneSlots, nowUs);
         }
