--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/Checkers.java
@@ -0,0 +1,213 @@
+package org.cornelcove.control.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+import org.cornelcove.control.leader.Leases;
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.id.EntryId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.id.TargetId;
+import org.cornelcove.model.job.JobView;
+import org.cornelcove.model.resource.Resources;
+
+/** Each guarantee as a check of what was seen; an empty list says that it held. */
+enum Checkers {
+    HOST_NEVER_OVER_CAPACITY(Checkers::overCapacity),
+    NO_JOB_IN_TWO_PLACES(Checkers::twoPlaces),
+    EVICTED_RESUMES_ONCE(Checkers::resumes),
+    JOB_DECIDED_ONCE(Checkers::decidedOnce),
+    KEY_GRANTED_ONCE(Checkers::grantedOnce),
+    CONFIGURATION_NEVER_REVERTS(Checkers::reverts),
+    ONE_OWNER(Checkers::owners),
+    EVERY_JOB_ENDS(Checkers::jobsEnd);
+
+    private static final Resources CAPACITY = Resources.of(4_000, 1L << 30, 1);
+
+    private final Function<History, List<String>> check;
+
+    Checkers(Function<History, List<String>> check) {
+        this.check = check;
+    }
+
+    public List<String> violations(History history) {
+        return check.apply(history);
+    }
+
+    /** What runs on a host grows only when an attempt starts, so it is enough to look at those instants. */
+    private static List<String> overCapacity(History history) {
+        List<String> found = new ArrayList<>();
+        for (History.Run run : history.runs) {
+            Resources together = Resources.NONE;
+            for (History.Run other : history.runs) {
+                if (other.host.equals(run.host) && covers(other, run.fromMs)) {
+                    together = together.plus(other.resources);
+                }
+            }
+            if (!together.fitsIn(CAPACITY)) {
+                found.add(run.host + " runs " + together + " at " + run.fromMs);
+            }
+        }
+        return found;
+    }
+
+    private static boolean covers(History.Run run, long atMs) {
+        return run.fromMs <= atMs && atMs < run.toMs;
+    }
+
+    private static List<String> twoPlaces(History history) {
+        List<String> found = new ArrayList<>();
+        for (History.Run run : history.runs) {
+            for (History.Run other : history.runs) {
+                boolean sameJob = run.attempt.job().equals(other.attempt.job());
+                if (run != other && sameJob && covers(other, run.fromMs)) {
+                    found.add(run.attempt + " on " + run.host + " and " + other.attempt + " on " + other.host + " at "
+                            + run.fromMs);
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Looks at evictions that were acknowledged before the lease could be over, so that nothing else ended them. */
+    private static List<String> resumes(History history) {
+        List<String> found = new ArrayList<>();
+        Set<AttemptId> started = new HashSet<>();
+        for (History.Start start : history.starts) {
+            if (!started.add(start.attempt())) {
+                found.add(start.attempt() + " started twice");
+            }
+        }
+        for (History.Evicted evicted : history.evictions) {
+            if (evicted.forgottenMs() - evicted.orderedMs() < Leases.ATTEMPT_LEASE_MS) {
+                history.starts.stream()
+                        .filter(start ->
+                                start.attempt().job().equals(evicted.attempt().job())
+                                        && start.attempt().number()
+                                                > evicted.attempt().number())
+                        .findFirst()
+                        .filter(start -> !start.checkpoint().equals(Optional.of(evicted.checkpoint())))
+                        .ifPresent(start -> found.add(evicted + " resumed as " + start));
+            }
+        }
+        return found;
+    }
+
+    private static List<String> decidedOnce(History history) {
+        List<String> found = new ArrayList<>();
+        Map<JobId, JobView> last = new HashMap<>();
+        for (History.Shown shown : history.shown) {
+            JobView before = last.put(shown.job().spec().id(), shown.job());
+            if (before != null
+                    && before.state().isFinal()
+                    && before.state() != shown.job().state()) {
+                found.add(before + " then " + shown);
+            }
+            if (before != null && before.attempt() > shown.job().attempt()) {
+                found.add("attempts fell: " + before + " then " + shown);
+            }
+        }
+        return found;
+    }
+
+    private static List<String> grantedOnce(History history) {
+        List<String> found = new ArrayList<>();
+        Map<String, History.Granted> granted = new HashMap<>();
+        for (History.Granted grant : history.grants) {
+            History.Granted before = granted.put(grant.key(), grant);
+            if (before != null && !before.equals(grant)) {
+                found.add(before + " and " + grant);
+            }
+        }
+        return found;
+    }
+
+    private static List<String> reverts(History history) {
+        List<String> found = new ArrayList<>();
+        Map<String, Long> versions = new HashMap<>();
+        for (History.Accepted accepted : history.accepted) {
+            Long before = versions.put(accepted.digest(), accepted.version());
+            if (before != null && before != accepted.version()) {
+                found.add(accepted + " was " + before + " before");
+            }
+        }
+        long shown = 0;
+        for (long version : history.shownVersions) {
+            if (version < shown) {
+                found.add("version " + version + " shown after " + shown);
+            }
+            shown = version;
+        }
+        Map<EntryId, Long> served = new HashMap<>();
+        for (History.Serving serving : history.servings) {
+            Long before = served.put(serving.entry(), serving.version());
+            if (before != null && before > serving.version()) {
+                found.add(serving.entry() + " went from version " + before + " to " + serving.version());
+            }
+        }
+        Map<Long, History.Told> first = new TreeMap<>();
+        history.told.stream()
+                .filter(told -> told.inForce().inForce())
+                .forEach(told -> first.putIfAbsent(told.inForce().version(), told));
+        for (History.Told told : first.values()) {
+            history.servings.stream()
+                    .filter(serving -> serving.atMs() > told.atMs()
+                            && serving.version() < told.inForce().version())
+                    .findFirst()
+                    .ifPresent(serving -> found.add(told + " but " + serving.entry() + " served version "
+                            + serving.version() + " at " + serving.atMs()));
+        }
+        return found;
+    }
+
+    /** Takes each entry to dispatch whenever it may, with the longest deadline that the rules allow. */
+    private static List<String> owners(History history) {
+        List<String> found = new ArrayList<>();
+        Map<TargetId, History.Serving> targets = new HashMap<>();
+        Map<Integer, History.Serving> ranges = new HashMap<>();
+        for (History.Serving serving : history.servings) {
+            for (TargetId target : serving.targets()) {
+                History.Serving before = targets.put(target, serving);
+                if (before != null && other(before, serving) && before.atMs() == serving.atMs()) {
+                    found.add(target + " by " + before.entry() + " and " + serving.entry() + " at " + serving.atMs());
+                }
+            }
+            for (int range : serving.ranges()) {
+                History.Serving before = ranges.put(range, serving);
+                if (before != null
+                        && other(before, serving)
+                        && serving.atMs() < before.atMs() + FakeOperator.MAX_DEADLINE_MS) {
+                    found.add("range " + range + " by " + before.entry() + " at " + before.atMs() + " and "
+                            + serving.entry() + " at " + serving.atMs());
+                }
+            }
+        }
+        return found;
+    }
+
+    private static boolean other(History.Serving a, History.Serving b) {
+        return !a.entry().equals(b.entry());
+    }
+
+    private static List<String> jobsEnd(History history) {
+        Map<JobId, JobView> last = new HashMap<>();
+        history.shown.forEach(shown -> last.put(shown.job().spec().id(), shown.job()));
+        List<String> found = new ArrayList<>();
+        for (JobView job : last.values()) {
+            if (!job.state().isFinal()) {
+                found.add("not ended: " + job);
+            }
+        }
+        if (last.size() < 7) {
+            found.add("only " + last.keySet() + " were ever shown");
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -0,0 +1,207 @@
+package org.cornelcove.control.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.cornelcove.control.leader.ControlLeader;
+import org.cornelcove.control.leader.Policies;
+import org.cornelcove.control.state.ControlState;
+import org.cornelcove.model.command.CancelJob;
+import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.command.Command;
+import org.cornelcove.model.command.EndAttempt;
+import org.cornelcove.model.command.Outcome;
+import org.cornelcove.model.command.ProposeConfiguration;
+import org.cornelcove.model.command.RecordCheckpoint;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.wire.Codec;
+
+/** Three control hosts over one committed log. A host that lost the lead may not know it for long. */
+final class ControlGroup {
+    private static final int SIZE = 3;
+    private static final long ELECTION_MS = 400;
+
+    private static final class Node {
+        private ControlState state = ControlState.create();
+        private ControlLeader leader;
+        private boolean believesLeading;
+        private int applied;
+    }
+
+    private record Proposal(Node node, Command command, CompletableFuture<Outcome> future) {}
+
+    private final Timeline time;
+    private final Mutant mutant;
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<byte[]> log = new ArrayList<>();
+    private final List<Proposal> inFlight = new ArrayList<>();
+    private final List<Consumer<Command>> observers = new ArrayList<>();
+    private int leading;
+    private int renumbered;
+
+    ControlGroup(Timeline time, Mutant mutant) {
+        this.time = time;
+        this.mutant = mutant;
+        for (int i = 0; i < SIZE; i++) {
+            Node node = new Node();
+            node.leader = ControlLeader.create(
+                    node.state,
+                    this::leaderClockMs,
+                    command -> propose(node, command),
+                    () -> barrier(node),
+                    Policies.STANDARD);
+            nodes.add(node);
+            time.every(50, node.leader::tick);
+        }
+        gain(0);
+    }
+
+    private long leaderClockMs() {
+        return mutant == Mutant.SHORT_WAIT ? time.nowMs() * 10 : time.nowMs();
+    }
+
+    public ControlLeader node(int index) {
+        return nodes.get(Math.floorMod(index, SIZE)).leader;
+    }
+
+    /** Calls the observer for each command at its commit. */
+    void observe(Consumer<Command> observer) {
+        observers.add(observer);
+    }
+
+    private Node leader() {
+        return leading < 0 ? null : nodes.get(leading);
+    }
+
+    private CompletableFuture<Long> barrier(Node node) {
+        if (mutant == Mutant.NO_BARRIER && node.believesLeading) {
+            return CompletableFuture.completedFuture((long) node.applied);
+        }
+        CompletableFuture<Long> future = new CompletableFuture<>();
+        time.after(time.between(1, 3), () -> {
+            if (node == leader()) {
+                future.complete((long) node.applied);
+            } else {
+                future.completeExceptionally(Failure.of(ErrorKind.NO_QUORUM).asException());
+            }
+        });
+        return future;
+    }
+
+    private CompletableFuture<Outcome> propose(Node node, Command command) {
+        CompletableFuture<Outcome> future = new CompletableFuture<>();
+        if (node != leader()) {
+            future.completeExceptionally(
+                    Failure.of(ErrorKind.NOT_LEADER, "another").asException());
+            return future;
+        }
+        Proposal proposal = new Proposal(node, command, future);
+        inFlight.add(proposal);
+        time.after(2, () -> {
+            if (inFlight.remove(proposal)) {
+                future.complete(commit(node, command));
+            }
+        });
+        return future;
+    }
+
+    private Outcome commit(Node node, Command asked) {
+        Command command = mutate(asked);
+        log.add(Codec.encode(command));
+        Outcome outcome = catchUp(node).orElseThrow();
+        observers.forEach(observer -> observer.accept(command));
+        if (mutant == Mutant.FREED_ON_CANCEL && command instanceof CancelJob) {
+            freeAtOnce(node, (CancelJob) command);
+        }
+        return outcome;
+    }
+
+    private void freeAtOnce(Node node, CancelJob cancel) {
+        node.state.read(tables -> tables.jobs().find(cancel.job())).ifPresent(job -> {
+            AttemptId attempt = AttemptId.of(cancel.job(), job.attempt());
+            log.add(Codec.encode(new EndAttempt(attempt, AttemptEnd.LOST, Optional.empty(), "")));
+            catchUp(node);
+        });
+    }
+
+    private Command mutate(Command command) {
+        if (mutant == Mutant.NO_CLAIM && command instanceof ClaimOnce) {
+            ClaimOnce claim = (ClaimOnce) command;
+            return new ClaimOnce(claim.key() + "." + log.size(), claim.digest(), claim.entry(), claim.incarnation());
+        }
+        if (mutant == Mutant.CHECKPOINT_DROPPED && command instanceof EndAttempt) {
+            EndAttempt end = (EndAttempt) command;
+            return new EndAttempt(end.attempt(), end.end(), Optional.empty(), end.detail());
+        }
+        if (mutant == Mutant.CHECKPOINT_DROPPED && command instanceof RecordCheckpoint) {
+            return new RecordCheckpoint(
+                    AttemptId.of(((RecordCheckpoint) command).attempt().job(), 0), "none");
+        }
+        if (mutant == Mutant.PROPOSALS_RENUMBERED && command instanceof ProposeConfiguration) {
+            ProposeConfiguration change = (ProposeConfiguration) command;
+            renumbered++;
+            return new ProposeConfiguration(1_000L + renumbered, change.operator(), change.digest(), change.rules());
+        }
+        return command;
+    }
+
+    private Optional<Outcome> catchUp(Node node) {
+        Outcome last = null;
+        while (node.applied < log.size()) {
+            byte[] outcome = node.state.apply(node.applied + 1L, log.get(node.applied));
+            last = Codec.decode(outcome, Outcome.class);
+            node.applied++;
+        }
+        return Optional.ofNullable(last);
+    }
+
+    private void gain(int index) {
+        leading = index;
+        Node node = nodes.get(index);
+        if (time.random().nextBoolean()) {
+            node.state.restore(node.state.snapshot());
+        }
+        catchUp(node);
+        node.believesLeading = true;
+        node.leader.leadershipGained();
+    }
+
+    /**
+     * Ends the lead of the present leader; another takes over after an election.
+     *
+     * @param unawareMs for how long the old leader still believes that it leads
+     */
+    public void changeLeader(long unawareMs) {
+        if (leading < 0) {
+            return;
+        }
+        int old = leading;
+        leading = -1;
+        Node node = nodes.get(old);
+        List<Proposal> cut = List.copyOf(inFlight);
+        inFlight.clear();
+        for (Proposal proposal : cut) {
+            if (time.random().nextBoolean()) {
+                Command command = mutate(proposal.command());
+                log.add(Codec.encode(command));
+                observers.forEach(observer -> observer.accept(command));
+            }
+            proposal.future()
+                    .completeExceptionally(
+                            Failure.of(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN).asException());
+        }
+        time.after(unawareMs, () -> {
+            node.believesLeading = false;
+            if (leader() != node) {
+                node.leader.leadershipLost();
+            }
+        });
+        time.after(ELECTION_MS, () -> gain((old + 1) % SIZE));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
@@ -0,0 +1,159 @@
+package org.cornelcove.control.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cornelcove.control.leader.Leases;
+import org.cornelcove.model.command.ClaimGranted;
+import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.id.EntryId;
+import org.cornelcove.model.id.TargetId;
+import org.cornelcove.model.message.EntryHeartbeat;
+import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.HeardTarget;
+import org.cornelcove.model.message.RangeGrant;
+import org.cornelcove.model.message.TargetAnnouncement;
+import org.cornelcove.model.message.TargetGrant;
+
+/** An entry that follows the protocol, on a clock that runs a little fast or slow. */
+final class FakeEntry {
+    private static final long SAMPLE_MS = 25;
+
+    final EntryId id;
+    final Link link;
+    private final Simulation sim;
+    private final double clockRate;
+    private final Map<TargetId, HeardTarget> announcements = new HashMap<>();
+    private final Map<Integer, Long> serveRangeFromMs = new HashMap<>();
+    private final Map<Integer, Long> rangeEpochs = new HashMap<>();
+    private Set<TargetId> targets = Set.of();
+    private long incarnation = 1;
+    private long version;
+    private long leaseUntilMs;
+    private long sentSequence;
+    private long answeredSequence;
+    private int contact;
+    private boolean frozen;
+    private boolean draining;
+
+    FakeEntry(Simulation sim, String name, double clockRate) {
+        this.sim = sim;
+        this.id = EntryId.of(name);
+        this.clockRate = clockRate;
+        this.link = new Link(sim.time);
+        sim.time.after(sim.time.between(0, 200), () -> sim.time.every(Leases.ENTRY_HEARTBEAT_MS, this::beat));
+        sim.time.every(SAMPLE_MS, this::sample);
+    }
+
+    private long localMs() {
+        return (long) (sim.time.nowMs() * clockRate);
+    }
+
+    void announce(TargetAnnouncement announcement) {
+        if (!frozen) {
+            announcements.put(announcement.target(), new HeardTarget(announcement, localMs()));
+        }
+    }
+
+    private void beat() {
+        if (frozen) {
+            return;
+        }
+        List<HeardTarget> heard = new ArrayList<>();
+        for (HeardTarget target : announcements.values()) {
+            heard.add(new HeardTarget(target.announcement(), localMs() - target.ageMs()));
+        }
+        EntryHeartbeat heartbeat = new EntryHeartbeat(id, incarnation, "z", "rpc", "http", version, draining, heard);
+        long sequence = ++sentSequence;
+        long sentMs = localMs();
+        long started = incarnation;
+        link.call(() -> sim.group.node(contact).heartbeat(heartbeat), (lease, fault) -> {
+            if (fault != null) {
+                contact++;
+            } else if (started == incarnation && !frozen && sequence > answeredSequence) {
+                answeredSequence = sequence;
+                take(lease, sentMs);
+            }
+        });
+        sim.time.after(600, () -> {
+            if (answeredSequence < sequence) {
+                contact++;
+            }
+        });
+    }
+
+    private void take(EntryLease lease, long sentMs) {
+        lease.rules().ifPresent(rules -> version = lease.configurationVersion());
+        leaseUntilMs = Math.max(leaseUntilMs, sentMs + lease.leaseMs());
+        targets = new TreeSet<>();
+        for (TargetGrant grant : lease.targets()) {
+            targets.add(grant.target().target());
+        }
+        Map<Integer, Long> before = new HashMap<>(serveRangeFromMs);
+        serveRangeFromMs.clear();
+        for (RangeGrant grant : lease.ranges()) {
+            long fromMs = localMs() + (long) (grant.waitMs() * 1.02);
+            boolean same = rangeEpochs.getOrDefault(grant.range(), -1L) == grant.epoch();
+            serveRangeFromMs.put(
+                    grant.range(), same ? Math.min(fromMs, before.getOrDefault(grant.range(), fromMs)) : fromMs);
+            rangeEpochs.put(grant.range(), grant.epoch());
+        }
+    }
+
+    private boolean serves() {
+        return !frozen && version > 0 && localMs() < leaseUntilMs;
+    }
+
+    private void sample() {
+        if (!serves()) {
+            return;
+        }
+        Set<Integer> ranges = new TreeSet<>();
+        serveRangeFromMs.forEach((range, fromMs) -> {
+            if (localMs() >= fromMs) {
+                ranges.add(range);
+            }
+        });
+        sim.history.servings.add(new History.Serving(sim.time.nowMs(), id, version, Set.copyOf(targets), ranges));
+    }
+
+    /** Asks for a key as for a request of a caller. */
+    void claim(String key) {
+        if (frozen) {
+            return;
+        }
+        ClaimOnce command = new ClaimOnce(key, "digest", id, incarnation);
+        link.call(() -> sim.group.node(contact).execute(command), (outcome, fault) -> {
+            if (outcome instanceof ClaimGranted) {
+                sim.history.grants.add(new History.Granted(key, id, ((ClaimGranted) outcome).index()));
+            }
+        });
+    }
+
+    public void freeze() {
+        frozen = true;
+    }
+
+    public void thaw() {
+        frozen = false;
+    }
+
+    public void drain() {
+        draining = true;
+    }
+
+    public void restart() {
+        incarnation++;
+        version = 0;
+        leaseUntilMs = 0;
+        targets = Set.of();
+        serveRangeFromMs.clear();
+        rangeEpochs.clear();
+        frozen = false;
+        draining = false;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeOperator.java
@@ -0,0 +1,132 @@
+package org.cornelcove.control.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+import org.cornelcove.control.leader.ControlLeader;
+import org.cornelcove.model.command.CancelJob;
+import org.cornelcove.model.command.Command;
+import org.cornelcove.model.command.Done;
+import org.cornelcove.model.command.ProposeConfiguration;
+import org.cornelcove.model.command.SubmitJob;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.request.RequestClass;
+import org.cornelcove.model.rule.BatchRule;
+import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.model.rule.ServiceRule;
+
+/** An operator who submits, cancels, proposes and looks, and asks again until there is an answer. */
+final class FakeOperator {
+    static final long MAX_DEADLINE_MS = 2_000;
+
+    final Link link;
+    private final Simulation sim;
+    private final List<Command> sent = new ArrayList<>();
+    private int contact;
+    private boolean looking;
+    private long askedVersion = 1;
+
+    FakeOperator(Simulation sim) {
+        this.sim = sim;
+        this.link = new Link(sim.time);
+        sim.time.every(200, this::look);
+    }
+
+    private <T> void ask(Function<ControlLeader, CompletableFuture<T>> question, BiConsumer<T, Throwable> answer) {
+        boolean[] answered = {false};
+        link.call(() -> question.apply(sim.group.node(contact)), (value, fault) -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                contact += fault == null ? 0 : 1;
+                answer.accept(value, fault);
+            }
+        });
+        sim.time.after(2_500, () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                contact++;
+                answer.accept(null, new IllegalStateException("timeout"));
+            }
+        });
+    }
+
+    private void insist(Command command, Runnable done) {
+        ask(leader -> leader.execute(command), (outcome, fault) -> {
+            if (fault != null) {
+                sim.time.after(100, () -> insist(command, done));
+                return;
+            }
+            if (command instanceof ProposeConfiguration && outcome instanceof Done) {
+                sim.history.accepted.add(
+                        new History.Accepted(((ProposeConfiguration) command).digest(), ((Done) outcome).version()));
+            }
+            done.run();
+        });
+    }
+
+    void submit(JobSpec spec) {
+        SubmitJob command = new SubmitJob(spec);
+        sent.add(command);
+        insist(command, () -> sim.reached(Step.SUBMITTED, spec.id()));
+    }
+
+    public void cancel(JobId job) {
+        CancelJob command = new CancelJob(job);
+        sent.add(command);
+        sim.reached(Step.CANCELLED, job);
+        insist(command, () -> {});
+    }
+
+    void propose(long changeNumber) {
+        TreeMap<String, ServiceRule> services = new TreeMap<>();
+        services.put(
+                "s", new ServiceRule("s", "/" + changeNumber, RequestClass.SAFE, 500, MAX_DEADLINE_MS, 1, 1, 1, 0));
+        RuleSet rules = new RuleSet(services, new TreeMap<>(), new TreeMap<>(), new BatchRule(0, 60, 4, 10));
+        ProposeConfiguration command = new ProposeConfiguration(changeNumber, "ana", "d" + changeNumber, rules);
+        sent.add(command);
+        sim.reached(Step.PROPOSED, Simulation.OBSERVED);
+        insist(command, () -> {});
+    }
+
+    /** Sends everything again, as after lost answers. */
+    public void resendAll() {
+        List.copyOf(sent).forEach(command -> insist(command, () -> {}));
+    }
+
+    private void look() {
+        if (looking) {
+            return;
+        }
+        looking = true;
+        contact = sim.time.random().nextInt(3);
+        ask(ControlLeader::jobs, (jobs, fault) -> {
+            if (fault == null) {
+                jobs.forEach(job -> sim.history.shown.add(new History.Shown(sim.time.nowMs(), job)));
+            }
+            lookAtConfiguration();
+        });
+    }
+
+    private void lookAtConfiguration() {
+        ask(ControlLeader::configuration, (configuration, fault) -> {
+            if (fault == null) {
+                sim.history.shownVersions.add(configuration.version());
+                askedVersion = Math.max(askedVersion, configuration.version());
+            }
+            ask(leader -> leader.inForce(askedVersion), (inForce, alsoFault) -> {
+                if (alsoFault == null) {
+                    sim.history.told.add(new History.Told(sim.time.nowMs(), inForce));
+                    if (inForce.inForce() && askedVersion > 1) {
+                        sim.reached(Step.IN_FORCE, Simulation.OBSERVED);
+                    }
+                }
+                looking = false;
+            });
+        });
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/FaultMatrixTest.java
@@ -0,0 +1,59 @@
+package org.cornelcove.control.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+/** Every fault at every step, alone and in pairs, in virtual time with fixed seeds. */
+class FaultMatrixTest {
+    private static final long SEEDS_ALONE = 4;
+
+    static Stream<Arguments> cells() {
+        return Stream.of(Step.values())
+                .flatMap(step -> Stream.of(Fault.values()).map(fault -> Arguments.of(step, fault)));
+    }
+
+    private static List<String> violations(Simulation sim) {
+        List<String> found = new ArrayList<>();
+        for (Checkers checker : Checkers.values()) {
+            checker.violations(sim.history).forEach(violation -> found.add(checker + ": " + violation));
+        }
+        return found.stream().limit(5).toList();
+    }
+
+    @Test
+    void withoutFaultsEveryStepIsReachedAndNothingIsViolated() {
+        Simulation sim = Simulation.run(1, Mutant.NONE);
+        assertThat(sim.reached().size(), is(Step.values().length));
+        assertThat(violations(sim), is(empty()));
+    }
+
+    @ParameterizedTest
+    @MethodSource("cells")
+    void faultAlone(Step step, Fault fault) {
+        for (long seed = 0; seed < SEEDS_ALONE; seed++) {
+            Simulation sim = Simulation.run(seed, Mutant.NONE, step, fault, null);
+            assertThat("seed " + seed, sim.reached(), hasItem(step));
+            assertThat("seed " + seed, violations(sim), is(empty()));
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("cells")
+    void faultsInPairs(Step step, Fault first) {
+        for (Fault second : Fault.values()) {
+            Simulation sim = Simulation.run(7, Mutant.NONE, step, first, second);
+            assertThat("then " + second, violations(sim), is(empty()));
+        }
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/Link.java
@@ -0,0 +1,62 @@
+package org.cornelcove.control.sim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/** The network between one client and the control hosts; its faults can be set at any moment. */
+final class Link {
+    private final Timeline time;
+    private long extraDelayMs;
+    private boolean down;
+    private boolean answersLost;
+    private boolean duplicating;
+    private boolean reordering;
+
+    Link(Timeline time) {
+        this.time = time;
+    }
+
+    public void down(boolean cut) {
+        down = cut;
+    }
+
+    public void answersLost(boolean lost) {
+        answersLost = lost;
+    }
+
+    public void duplicating(boolean doubled) {
+        duplicating = doubled;
+    }
+
+    public void reordering(boolean shuffled) {
+        reordering = shuffled;
+    }
+
+    public void extraDelayMs(long delayMs) {
+        extraDelayMs = delayMs;
+    }
+
+    <T> void call(Supplier<CompletableFuture<T>> remote, BiConsumer<T, Throwable> answer) {
+        deliver(remote, answer);
+        if (duplicating) {
+            deliver(remote, answer);
+        }
+    }
+
+    private <T> void deliver(Supplier<CompletableFuture<T>> remote, BiConsumer<T, Throwable> answer) {
+        if (down) {
+            return;
+        }
+        time.after(delayMs(), () -> remote.get().whenComplete((value, fault) -> {
+            if (!down && !answersLost) {
+                time.after(delayMs(), () -> answer.accept(value, fault));
+            }
+        }));
+    }
+
+    private long delayMs() {
+        long shuffleMs = reordering ? time.between(0, 1_800) : 0;
+        return time.between(1, 4) + extraDelayMs + shuffleMs;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/MutantTest.java
@@ -0,0 +1,45 @@
+package org.cornelcove.control.sim;
+
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+/** Each checker is red on a system that is deliberately broken, before it is trusted green. */
+class MutantTest {
+    private static final long SEEDS = 6;
+
+    static Stream<Arguments> mutants() {
+        return Stream.of(
+                arguments(Mutant.FREED_ON_CANCEL, Step.SUBMITTED, Fault.DUPLICATED, Checkers.HOST_NEVER_OVER_CAPACITY),
+                arguments(Mutant.SHORT_WAIT, Step.STARTED, Fault.WORKER_CUT_LONG, Checkers.NO_JOB_IN_TWO_PLACES),
+                arguments(Mutant.LEASE_IGNORED, Step.STARTED, Fault.WORKER_CUT_LONG, Checkers.NO_JOB_IN_TWO_PLACES),
+                arguments(Mutant.NO_BARRIER, Step.STARTED, Fault.LEADER_CUT_OFF, Checkers.NO_JOB_IN_TWO_PLACES),
+                arguments(Mutant.CHECKPOINT_DROPPED, Step.SUBMITTED, Fault.DUPLICATED, Checkers.EVICTED_RESUMES_ONCE),
+                arguments(Mutant.NO_CLAIM, Step.SUBMITTED, Fault.DUPLICATED, Checkers.KEY_GRANTED_ONCE),
+                arguments(Mutant.NO_BARRIER, Step.PROPOSED, Fault.LEADER_CUT_OFF, Checkers.CONFIGURATION_NEVER_REVERTS),
+                arguments(
+                        Mutant.PROPOSALS_RENUMBERED,
+                        Step.IN_FORCE,
+                        Fault.OPERATOR_RESENDS,
+                        Checkers.CONFIGURATION_NEVER_REVERTS),
+                arguments(Mutant.SHORT_WAIT, Step.IN_FORCE, Fault.ENTRY_CUT, Checkers.ONE_OWNER),
+                arguments(Mutant.NO_BARRIER, Step.CANCELLED, Fault.LEADER_CUT_OFF, Checkers.JOB_DECIDED_ONCE));
+    }
+
+    @ParameterizedTest
+    @MethodSource("mutants")
+    void checkerIsRed(Mutant mutant, Step step, Fault fault, Checkers checker) {
+        long red = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            Simulation sim = Simulation.run(seed, mutant, step, fault, null);
+            red += checker.violations(sim.history).isEmpty() ? 0 : 1;
+        }
+        assertThat("red seeds out of " + SEEDS, red, greaterThan(0L));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/sim/Timeline.java
@@ -0,0 +1,52 @@
+package org.cornelcove.control.sim;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/** Virtual time: events run in the order of their instants, and of their planning where these are equal. */
+final class Timeline {
+    private record Event(long atMs, long sequence, Runnable action) {}
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private final Random random;
+    private long nowMs;
+    private long sequence;
+
+    Timeline(long seed) {
+        random = new Random(seed);
+    }
+
+    public long nowMs() {
+        return nowMs;
+    }
+
+    public Random random() {
+        return random;
+    }
+
+    public long between(long lowest, long highest) {
+        return lowest + random.nextInt((int) (highest - lowest + 1));
+    }
+
+    public void after(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, sequence++, action));
+    }
+
+    public void every(long intervalMs, Runnable action) {
+        after(intervalMs, () -> {
+            action.run();
+            every(intervalMs, action);
+        });
+    }
+
+    public void runUntil(long endMs) {
+        while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+            Event next = events.poll();
+            nowMs = next.atMs();
+            next.action().run();
+        }
+        nowMs = endMs;
+    }
+}
