--- a/control/src/test/java/org/cornelcove/control/sim/History.java
+++ b/control/src/test/java/org/cornelcove/control/sim/History.java
@@ -11,7 +11,7 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.job.JobView;
 import org.cornelcove.model.resource.Resources;
-import org.cornelcove.model.view.InForce;
+import org.cornelcove.model.view.InForceView;
 
 /** What workers, entries, callers and operators saw. */
 final class History {
@@ -47,7 +47,7 @@
     record Shown(long atMs, JobView job) {}
 
     // An operator was told whether a version is in force.
-    record Told(long atMs, InForce inForce) {}
+    record Told(long atMs, InForceView inForce) {}
 
     // An operator proposed rules and was given a version for them.
     record Accepted(String digest, long version) {}
--- a/entry/src/main/java/org/cornelcove/entry/EntrySettings.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntrySettings.java
@@ -64,4 +64,22 @@
                 CLOCK_DRIFT_MS,
                 DRAIN_GRACE_MS);
     }
+
+    /** Returns these settings with another time for the balancer to notice a drain. */
+    public EntrySettings withDrainGraceMs(long graceMs) {
+        return new EntrySettings(
+                entry,
+                incarnation,
+                availabilityZone,
+                callerHost,
+                callerPort,
+                rpcAddress,
+                seed,
+                heartbeatMs,
+                targetSilenceMs,
+                connectTimeoutMs,
+                maxAnswerBytes,
+                clockDriftMs,
+                graceMs);
+    }
 }
--- a/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -18,7 +18,6 @@
 import org.cornelcove.model.command.ClaimReplayed;
 import org.cornelcove.model.command.ClaimUnknown;
 import org.cornelcove.model.command.Command;
-import org.cornelcove.model.command.Done;
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.command.RecordOutcome;
 import org.cornelcove.model.command.Refused;
@@ -110,9 +109,9 @@
     }
 
     private CompletableFuture<Answer> claimed(ServiceRequest request, String key, Outcome outcome) {
-        if (outcome instanceof ClaimGranted) {
+        if (outcome instanceof ClaimGranted granted) {
             request.trace().add(clock.nowNs().getAsLong(), "holds the claim on", key);
-            return dispatcher.submit(request).thenCompose(answer -> settle(request, key, answer));
+            return dispatcher.submit(request).thenCompose(answer -> settle(request, key, granted.index(), answer));
         }
         open.remove(key);
         return done(withoutClaim(request, outcome));
@@ -154,24 +153,18 @@
                     "no claim could be made: " + failed.failure().message()));
         }
         request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", cause.getMessage());
-        return settler.settle(release(key))
-                .whenComplete((outcome, failure) -> open.remove(key))
-                .copy()
-                .orTimeout(RELEASE_WAIT_MS, TimeUnit.MILLISECONDS)
-                .handle((outcome, failure) -> outcome instanceof Done
-                        ? refusals.notRun("its claim could not be confirmed and was given back")
-                        : refusals.unknown(
-                                Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
+        settler.settle(record(key, Optional.empty())).whenComplete((outcome, failure) -> open.remove(key));
+        return done(refusals.unknown(Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
     }
 
     // Settling
 
-    private CompletableFuture<Answer> settle(ServiceRequest request, String key, Answer answer) {
+    private CompletableFuture<Answer> settle(ServiceRequest request, String key, long claimIndex, Answer answer) {
         Command command =
                 switch (answer.run()) {
                     case DONE -> record(key, Optional.of(recorded(answer)));
                     case UNKNOWN -> record(key, Optional.empty());
-                    case NOT_RUN -> release(key);
+                    case NOT_RUN -> release(key, claimIndex);
                 };
         long waitMs = answer.run() == RunState.DONE ? remainingMs(request) : RELEASE_WAIT_MS;
         CompletableFuture<Outcome> settled =
@@ -186,8 +179,8 @@
         return new RecordOutcome(key, settings.entry(), settings.incarnation(), answer);
     }
 
-    private Command release(String key) {
-        return new ReleaseClaim(key, settings.entry(), settings.incarnation());
+    private Command release(String key, long claimIndex) {
+        return new ReleaseClaim(key, settings.entry(), settings.incarnation(), claimIndex);
     }
 
     private static RecordedAnswer recorded(Answer answer) {
--- a/testkit/src/main/java/org/cornelcove/testkit/ApiClient.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/ApiClient.java
@@ -16,8 +16,10 @@
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
 
     private final List<String> addresses;
-    private final HttpClient http =
-            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(TIMEOUT)
+            .build();
     private int preferred;
 
     ApiClient(List<String> addresses) {
--- a/testkit/src/main/java/org/cornelcove/testkit/CallerCommand.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/CallerCommand.java
@@ -34,7 +34,10 @@
 
     @Override
     public Integer call() throws Exception {
-        HttpClient http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+        HttpClient http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(TIMEOUT)
+                .build();
         int failed = 0;
         for (int i = 0; i < count; i++) {
             HttpResponse<String> answer = http.send(request(i), HttpResponse.BodyHandlers.ofString());
