Bound the faults shown for a file; report output that can't be written

Trials with files of 1 MiB of one repeated piece: 'a:' gave 349,525 faults, enough over a folder to run out of memory; now 100 a file and the count of the rest (error 114), shown failing first. 'errors' to a full device ended with exit code 0; now error 706 and exit code 9 (before the change seen by hand only).

--- a/cli/src/main/java/org/cornelcove/cli/Cornelcove.java
+++ b/cli/src/main/java/org/cornelcove/cli/Cornelcove.java
@@ -71,15 +71,17 @@
     private static int reportUsage(ParameterException thrown, String[] arguments) {
         PrintWriter err = thrown.getCommandLine().getErr();
         String message = String.valueOf(thrown.getMessage());
-        Errors.print(List.of(Failure.of(ErrorKind.USAGE, message)), false, err);
-        UnmatchedArgumentException.printSuggestions(thrown, err);
+        boolean json = Arrays.asList(arguments).contains("--json");
+        Errors.print(List.of(Failure.of(ErrorKind.USAGE, message)), json, err);
+        if (!json) {
+            UnmatchedArgumentException.printSuggestions(thrown, err);
+        }
         err.flush();
         return ExitCode.USAGE.code();
     }
 
     private static int reportUnexpected(Exception thrown, CommandLine command) {
-        command.getErr().println(unexpected(thrown));
-        command.getErr().flush();
+        Errors.print(List.of(unexpected(thrown)), false, command.getErr());
         return ExitCode.INTERNAL.code();
     }
 
--- a/cli/src/main/java/org/cornelcove/cli/command/ReportingCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/ReportingCommand.java
@@ -1,5 +1,6 @@
 package org.cornelcove.cli.command;
 
+import java.io.PrintWriter;
 import java.util.List;
 import java.util.concurrent.Callable;
 
@@ -47,8 +48,8 @@
 
     private ExitCode succeed(Report report) {
         String text = root().json() ? Json.write(report.json()) + "\n" : report.text();
-        spec.commandLine().getOut().print(text);
-        spec.commandLine().getOut().flush();
-        return report.exitCode();
+        PrintWriter out = spec.commandLine().getOut();
+        out.print(text);
+        return out.checkError() ? fail(List.of(Failure.of(ErrorKind.OUTPUT_UNWRITABLE))) : report.exitCode();
     }
 }
--- a/cli/src/main/java/org/cornelcove/cli/output/ExitCode.java
+++ b/cli/src/main/java/org/cornelcove/cli/output/ExitCode.java
@@ -25,7 +25,9 @@
     /** The answer was lost; the request may have been carried out. */
     OUTCOME_UNKNOWN(7, "the answer was lost; the request may have been carried out"),
     /** A fault of the program. */
-    INTERNAL(8, "a fault of cornelcove itself");
+    INTERNAL(8, "a fault of cornelcove itself"),
+    /** Standard output could not be written; the command was carried out. */
+    NOT_SHOWN(9, "standard output could not be written; the command was carried out");
 
     private final int code;
     private final String meaning;
@@ -68,6 +70,7 @@
             case UNEXPECTED_ANSWER -> NOT_CORNELCOVED;
             case ANSWER_LOST, CALL_TIMEOUT, PROPOSAL_OUTCOME_UNKNOWN -> OUTCOME_UNKNOWN;
             case INTERNAL -> INTERNAL;
+            case OUTPUT_UNWRITABLE -> NOT_SHOWN;
             default -> REFUSED;
         };
     }
--- a/cli/src/test/java/org/cornelcove/cli/FailuresTest.java
+++ b/cli/src/test/java/org/cornelcove/cli/FailuresTest.java
@@ -1,6 +1,11 @@
 package org.cornelcove.cli;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -9,12 +14,14 @@
 import java.nio.file.Path;
 import java.util.Optional;
 
+import org.cornelcove.cli.client.Timing;
 import org.cornelcove.model.error.ErrorKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import picocli.CommandLine;
 
 import static org.cornelcove.cli.FakeDaemon.body;
 import static org.cornelcove.cli.FakeDaemon.error;
@@ -181,6 +188,28 @@
         }
     }
 
+    @Test
+    void outputThatCannotBeWrittenIsExitCode9() {
+        CommandLine program = Cornelcove.commandLine(Timing.system());
+        StringWriter err = new StringWriter();
+        Writer full = new OutputStreamWriter(new OutputStream() {
+            @Override
+            public void write(int value) throws IOException {
+                throw new IOException("no space left");
+            }
+        });
+        program.setOut(new PrintWriter(full)).setErr(new PrintWriter(err));
+        assertThat(program.execute("errors"), is(9));
+        assertThat(err.toString(), startsWith("error(706): can't write standard output"));
+    }
+
+    @Test
+    void aFaultOfTheCommandLineIsJsonForScriptsToo() {
+        Run run = Run.of("--json", "aply");
+        assertThat(run.exitCode(), is(2));
+        assertThat(run.err(), containsString("\"number\" : 703"));
+    }
+
     @Test
     void failuresAreJsonForScripts() {
         Run run = Run.of("check", "missing", "--json");
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -31,6 +31,7 @@
     RULES_FILE_NAME(112, Severity.ERROR, "%s would not be read; rename it to end in .yaml"),
     RULES_FOLDER_TOO_LARGE(
             113, Severity.ERROR, "%s holds more than %s of rules; remove files that are no longer needed"),
+    RULES_MORE_FAULTS(114, Severity.ERROR, "%s has %s more faults than are shown; mend those first"),
     // Settings
     SETTING_MISSING(201, Severity.FATAL, "--%s is not set; give it, or set %s"),
     SETTING_INVALID(202, Severity.FATAL, "--%s: '%s' is not usable: %s; give %s"),
@@ -134,7 +135,11 @@
     CONFIGURATION_NOT_IN_FORCE(
             705,
             Severity.WARNING,
-            "version %s is accepted but after %s not yet in force at %s; see 'status' and 'apply --wait' again");
+            "version %s is accepted but after %s not yet in force at %s; see 'status' and 'apply --wait' again"),
+    OUTPUT_UNWRITABLE(
+            706,
+            Severity.ERROR,
+            "can't write standard output; the command was carried out: free the disk, or ask again with a reading command");
 
     private final int number;
     private final Severity severity;
--- a/rules/src/main/java/org/cornelcove/rules/Faults.java
+++ b/rules/src/main/java/org/cornelcove/rules/Faults.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -11,9 +12,11 @@
 /** Collects the faults of one file, so that all of them are reported together, in the order of their lines. */
 final class Faults {
     private static final int MAX_SHOWN_CHARACTERS = 120;
+    private static final int MAX_SHOWN_FAULTS = 100;
 
     private final String file;
     private final List<Fault> found = new ArrayList<>();
+    private int notShown;
 
     private record Fault(int line, Failure failure) {}
 
@@ -33,12 +36,20 @@
         for (int index = 0; index < rest.length; index++) {
             arguments[index + 2] = shown(rest[index].toString());
         }
-        found.add(new Fault(line, Failure.of(kind, arguments)));
+        add(new Fault(line, Failure.of(kind, arguments)));
     }
 
     /** Adds a fault of the file as a whole. */
     void add(Failure failure) {
-        found.add(new Fault(0, failure));
+        add(new Fault(0, failure));
+    }
+
+    private void add(Fault fault) {
+        if (found.size() < MAX_SHOWN_FAULTS) {
+            found.add(fault);
+        } else {
+            notShown++;
+        }
     }
 
     String file() {
@@ -50,11 +61,13 @@
     }
 
     List<Failure> failures() {
-        return found.stream()
+        Stream<Failure> shown = found.stream()
                 .sorted(Comparator.comparingInt(Fault::line))
                 .map(Fault::failure)
-                .distinct()
-                .toList();
+                .distinct();
+        Stream<Failure> rest =
+                notShown == 0 ? Stream.empty() : Stream.of(Failure.of(ErrorKind.RULES_MORE_FAULTS, file, notShown));
+        return Stream.concat(shown, rest).toList();
     }
 
     /** Makes a text from a file safe to print on one line. */
--- a/rules/src/test/java/org/cornelcove/rules/RulesFolderTest.java
+++ b/rules/src/test/java/org/cornelcove/rules/RulesFolderTest.java
@@ -85,6 +85,14 @@
         assertThat(kinds(RulesFolder.read(folder).getLeft()), contains(ErrorKind.RULES_FOLDER_TOO_LARGE));
     }
 
+    @Test
+    void countsTheFaultsThatItDoesNotShow() throws IOException {
+        Files.writeString(folder.resolve("10.yaml"), "a:\n".repeat(1000));
+        List<Failure> failures = RulesFolder.read(folder).getLeft();
+        assertThat(failures.size(), is(101));
+        assertThat(failures.get(100).message(), containsString("10.yaml has 900 more faults than are shown"));
+    }
+
     @Test
     void namesTheLineOfBytesThatAreNotText() throws IOException {
         Files.write(folder.resolve("10-bytes.yaml"), new byte[] {'#', '\n', '#', (byte) 0xff, '\n'});
@@ -99,6 +107,13 @@
         assertThat(RulesFolder.read(rules).fold(Object::toString, read -> "read"), is("read"));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"payouts.yaml", "feeder-run.yaml"})
+    void readsTheExampleJobs(String example) {
+        Path job = Path.of("../examples/jobs", example);
+        assertThat(JobFile.read(job).fold(Object::toString, read -> "read"), is("read"));
+    }
+
     private static List<ErrorKind> kinds(List<Failure> failures) {
         return failures.stream().map(Failure::kind).toList();
     }
