--- a/cli/src/test/java/org/cornelcove/cli/Samples.java
+++ b/cli/src/test/java/org/cornelcove/cli/Samples.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.cornelcove.model.id.EntryId;
 import org.cornelcove.model.id.HostId;
@@ -52,6 +53,14 @@
                 7);
     }
 
+    /** Returns a cluster of which the last entry alone is not live. */
+    static ClusterStatus manyEntries(int count) {
+        List<EntryView> entries = IntStream.rangeClosed(1, count)
+                .mapToObj(number -> new EntryView(EntryId.of("entry-" + number), "surat", 7, number < count))
+                .toList();
+        return new ClusterStatus(Optional.of(1L), 4, 120, MEMBERS, entries, List.of(), List.of(), Map.of(), 7);
+    }
+
     static ConfigurationView configuration(long version, long changeNumber, String digest) {
         return new ConfigurationView(version, changeNumber, "asha", digest, RuleSet.empty());
     }
--- a/rules/src/main/java/org/cornelcove/rules/FileReader.java
+++ b/rules/src/main/java/org/cornelcove/rules/RulesFile.java
@@ -14,13 +14,13 @@
 import org.yaml.snakeyaml.nodes.Node;
 
 /** Reads the rules of one file; the rules themselves are read by {@link RuleReader}. */
-final class FileReader {
+final class RulesFile {
     private static final List<String> SECTIONS = List.of("services", "tenants", "teams", "batch");
     private static final String WITHDRAW = "withdraw";
 
     private final Faults faults;
 
-    private FileReader(Faults faults) {
+    private RulesFile(Faults faults) {
         this.faults = faults;
     }
 
@@ -39,7 +39,7 @@
         }
         Fields sections = Fields.of(root.get(), "the file", faults);
         sections.knowOnly(SECTIONS);
-        return Optional.of(new FileReader(faults).read(sections));
+        return Optional.of(new RulesFile(faults).read(sections));
     }
 
     private ParsedFile read(Fields sections) {
--- a/rules/src/main/java/org/cornelcove/rules/RulesFolder.java
+++ b/rules/src/main/java/org/cornelcove/rules/RulesFolder.java
@@ -95,7 +95,7 @@
             if (nameOf(file).endsWith(".yml")) {
                 faults.add(Failure.of(ErrorKind.RULES_FILE_NAME, file));
             } else {
-                FileReader.read(file, faults).ifPresentOrElse(parsed -> merge.add(parsed, faults), merge::skip);
+                RulesFile.read(file, faults).ifPresentOrElse(parsed -> merge.add(parsed, faults), merge::skip);
             }
             failures.addAll(faults.failures());
         }
