--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
@@ -13,15 +14,23 @@
 import org.cornelcove.control.state.Job;
 import org.cornelcove.control.state.Tables;
 import org.cornelcove.control.state.WorkerRecord;
+import org.cornelcove.model.command.AbandonClaims;
 import org.cornelcove.model.command.AssignRange;
 import org.cornelcove.model.command.AssignTarget;
+import org.cornelcove.model.command.CancelJob;
+import org.cornelcove.model.command.ClaimOnce;
 import org.cornelcove.model.command.Command;
 import org.cornelcove.model.command.Done;
 import org.cornelcove.model.command.EndAttempt;
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.command.PlaceAttempt;
+import org.cornelcove.model.command.ProposeConfiguration;
+import org.cornelcove.model.command.RecordOutcome;
+import org.cornelcove.model.command.Refused;
 import org.cornelcove.model.command.RegisterEntry;
 import org.cornelcove.model.command.RegisterWorker;
+import org.cornelcove.model.command.ReleaseClaim;
+import org.cornelcove.model.command.SubmitJob;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.HostId;
@@ -50,13 +59,27 @@
  * the thread that completed the barrier.
  */
 public final class ControlLeader {
+    private static final System.Logger LOGGER = System.getLogger(ControlLeader.class.getName());
+
     private static final long LOOP_INTERVAL_MS = 250;
 
+    /** What others may ask for; everything else is decided by the leader itself. */
+    private static final Set<Class<? extends Command>> OPEN_COMMANDS = Set.of(
+            SubmitJob.class,
+            CancelJob.class,
+            ProposeConfiguration.class,
+            RegisterEntry.class,
+            ClaimOnce.class,
+            ReleaseClaim.class,
+            RecordOutcome.class,
+            AbandonClaims.class);
+
     private final ControlState state;
     private final LongSupplier clock;
     private final Supplier<CompletableFuture<Long>> barrier;
     private final Proposals proposals;
     private final WorkerQuarantine quarantine;
+    private final LeaderCounters counters = new LeaderCounters();
     private final EntryBoard entries = new EntryBoard();
     private final EntryLoop entryLoop = new EntryLoop(entries);
     private final WorkerBoard workers = new WorkerBoard();
@@ -84,7 +107,7 @@
         this.barrier = barrier;
         this.proposals = new Proposals(proposer);
         this.quarantine = policies.quarantine();
-        this.placement = new PlacementLoop(workers, policies);
+        this.placement = new PlacementLoop(workers, policies, counters);
         this.queries = new Queries(entries, workers, quarantine);
         this.explainer = new JobExplainer(workers, quarantine);
     }
@@ -122,23 +145,41 @@
         workers.reset(nowMs);
         placement.reset(nowMs);
         claimClock.reset();
+        counters.add(LeaderCounters.Counter.LEADERSHIPS);
+        LOGGER.log(System.Logger.Level.INFO, "this control host leads");
     }
 
     /**
      * Stops to lead.
      */
     public synchronized void leadershipLost() {
-        leading = false;
-        reign++;
+        if (leading) {
+            leading = false;
+            reign++;
+            LOGGER.log(System.Logger.Level.INFO, "this control host no longer leads");
+        }
+    }
+
+    /**
+     * Returns the counters.
+     *
+     * @return the counters, which go on counting
+     */
+    public LeaderCounters counters() {
+        return counters;
     }
 
     /**
-     * Has a command committed.
+     * Has a command of an operator or an entry committed.
      *
      * @param command the command
-     * @return its outcome
+     * @return its outcome; commands that only the leader itself may propose are refused
      */
     public CompletableFuture<Outcome> execute(Command command) {
+        if (!OPEN_COMMANDS.contains(command.getClass())) {
+            Failure failure = Failure.of(ErrorKind.COMMAND_INVALID, "the right to send it");
+            return CompletableFuture.completedFuture(new Refused(failure));
+        }
         return currentReign().isEmpty() ? notLeading() : proposals.unshared(command);
     }
 
@@ -159,7 +200,13 @@
                 ? proposals.propose(new RegisterEntry(heartbeat.entry(), heartbeat.incarnation()))
                 : CompletableFuture.completedFuture(null);
         return registered.thenCompose(
-                any -> afterBarrier(mine.getAsLong(), (tables, nowMs) -> entries.renew(heartbeat, tables, nowMs)));
+                any -> afterBarrier(mine.getAsLong(), (tables, nowMs) -> renew(heartbeat, tables, nowMs)));
+    }
+
+    private EntryLease renew(EntryHeartbeat heartbeat, Tables tables, long nowMs) {
+        EntryLease lease = entries.renew(heartbeat, tables, nowMs);
+        counters.add(LeaderCounters.Counter.ENTRY_LEASES);
+        return lease;
     }
 
     /**
@@ -233,6 +280,7 @@
     }
 
     private WorkerOrders orders(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
+        counters.add(LeaderCounters.Counter.WORKER_ORDERS);
         return isCurrent(heartbeat, tables) ? workers.orders(heartbeat, tables, nowMs) : WorkerBoard.stopAll(heartbeat);
     }
 
@@ -247,6 +295,7 @@
         List<Command> commands = underLock(mine.getAsLong(), this::due);
         List<CompletableFuture<Outcome>> ownership = new ArrayList<>();
         for (Command command : commands) {
+            counters.countProposal(command);
             CompletableFuture<Outcome> proposed = proposals.propose(command);
             if (command instanceof PlaceAttempt) {
                 proposed.whenComplete((outcome, fault) -> placementDecided((PlaceAttempt) command));
--- a/control/src/main/java/org/cornelcove/control/leader/Evictor.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Evictor.java
@@ -30,10 +30,12 @@
 
     private final EvictionPolicy policy;
     private final WorkerBoard workers;
+    private final LeaderCounters counters;
     private final Map<JobId, Reservation> reservations = new HashMap<>();
     private TokenBucket budget = TokenBucket.of(0, 0);
 
-    Evictor(EvictionPolicy policy, WorkerBoard workers) {
+    Evictor(EvictionPolicy policy, WorkerBoard workers, LeaderCounters counters) {
+        this.counters = counters;
         this.policy = policy;
         this.workers = workers;
     }
@@ -74,11 +76,16 @@
                                 .sum())
                         .thenComparing(Comparator.naturalOrder()));
         if (best.isPresent() && budget.take(plans.get(best.get()).size())) {
-            plans.get(best.get()).forEach(victim -> workers.evict(victim.attempt()));
+            plans.get(best.get()).forEach(this::evict);
             reservations.put(job.id(), new Reservation(best.get(), nowMs + RESERVATION_MS));
         }
     }
 
+    private void evict(Victim victim) {
+        workers.evict(victim.attempt());
+        counters.add(LeaderCounters.Counter.EVICTIONS);
+    }
+
     private List<Victim> victims(HostId host, Tables tables, long nowMs) {
         List<Victim> victims = new ArrayList<>();
         for (JobId id : tables.jobs().jobsOn(host)) {
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -34,11 +34,11 @@
     private final Placer placer;
     private final Evictor evictor;
 
-    PlacementLoop(WorkerBoard workers, Policies policies) {
+    PlacementLoop(WorkerBoard workers, Policies policies, LeaderCounters counters) {
         this.workers = workers;
         this.quarantine = policies.quarantine();
         this.placer = new Placer(policies.placement());
-        this.evictor = new Evictor(policies.eviction(), workers);
+        this.evictor = new Evictor(policies.eviction(), workers, counters);
     }
 
     void reset(long nowMs) {
--- a/control/src/main/java/org/cornelcove/control/leader/Placer.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Placer.java
@@ -26,9 +26,11 @@
  *
  * <p>The round works on a copy of the state to which placements under way are added, so that a host is not planned full
  * twice; whether a placement holds is decided by the durable state alone. Rounds are bounded in the starts that they
- * give and in the jobs that they look at. A job that doesn't fit is passed over for smaller ones of its team; jobs at
+ * give and in the jobs, urgent and other, that they look at. A job that doesn't fit is passed over for smaller ones of its team; jobs at
  * least as large as one that found no room are passed over without a look at the hosts.
  *
+ * <p>A job that failed goes to a worker on which it did not fail yet, as long as there is one that could hold it.
+ *
  * <p>After a fault many jobs wait that ran before. Their restarts take tokens from a bucket, so that they come back at
  * a bounded pace; urgent jobs and first starts take none.
  */
@@ -104,6 +106,7 @@
             for (Job job : input.urgent()) {
                 place(job);
             }
+            looks = 0;
         }
 
         private void placeTeams() {
@@ -188,7 +191,10 @@
             List<HostRoom> fresh = fitting.stream()
                     .filter(room -> !job.failedHosts().contains(room.host()))
                     .toList();
-            boolean failedEverywhere = job.failedHosts().containsAll(rooms.keySet());
+            boolean failedEverywhere = rooms.values().stream()
+                    .filter(room ->
+                            Fit.fitsEmpty(spec, room.capacity(), input.rules().batch()))
+                    .allMatch(room -> job.failedHosts().contains(room.host()));
             List<HostRoom> candidates = failedEverywhere ? fitting : fresh;
             if (candidates.isEmpty()) {
                 return Optional.empty();
--- /dev/null
+++ b/control/src/test/java/org/cornelcove/control/state/ApplyTest.java
@@ -0,0 +1,276 @@
+package org.cornelcove.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.cornelcove.model.command.AbandonClaims;
+import org.cornelcove.model.command.AssignRange;
+import org.cornelcove.model.command.AssignTarget;
+import org.cornelcove.model.command.CancelJob;
+import org.cornelcove.model.command.Command;
+import org.cornelcove.model.command.ExpireClaims;
+import org.cornelcove.model.command.RecordCheckpoint;
+import org.cornelcove.model.command.RejectJob;
+import org.cornelcove.model.command.RemoveWorker;
+import org.cornelcove.model.command.SubmitJob;
+import org.cornelcove.model.id.EntryId;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.id.TargetId;
+import org.cornelcove.model.job.JobKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.cornelcove.control.state.Commands.attempt;
+import static org.cornelcove.control.state.Commands.claim;
+import static org.cornelcove.control.state.Commands.end;
+import static org.cornelcove.control.state.Commands.entry;
+import static org.cornelcove.control.state.Commands.place;
+import static org.cornelcove.control.state.Commands.propose;
+import static org.cornelcove.control.state.Commands.record;
+import static org.cornelcove.control.state.Commands.release;
+import static org.cornelcove.control.state.Commands.spec;
+import static org.cornelcove.control.state.Commands.submit;
+import static org.cornelcove.control.state.Commands.worker;
+import static org.cornelcove.model.job.AttemptEnd.EVICTED;
+import static org.cornelcove.model.job.AttemptEnd.FAILED;
+import static org.cornelcove.model.job.AttemptEnd.FINISHED;
+import static org.cornelcove.model.job.AttemptEnd.LOST;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+/** What each command comes to. Log indexes count from 1 in each case. */
+class ApplyTest {
+    private static final Command CANCEL = new CancelJob(JobId.of("j"));
+    private static final Command NOBODY = new AssignTarget(TargetId.of("t"), Optional.empty());
+
+    /** Commands in turn, each with what it comes to. */
+    private static final class Case {
+        private final String name;
+        private final List<Command> commands = new ArrayList<>();
+        private final List<String> outcomes = new ArrayList<>();
+        private Limits limits = Limits.STANDARD;
+
+        private Case(String name) {
+            this.name = name;
+        }
+
+        private Case then(Command command, String outcome) {
+            commands.add(command);
+            outcomes.add(outcome);
+            return this;
+        }
+
+        private Case limits(Limits given) {
+            limits = given;
+            return this;
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    private static Case of(String name) {
+        return new Case(name);
+    }
+
+    /** Begins with job j of 600 placed on host h of 1000. */
+    private static Case placed(String name) {
+        return of(name).then(worker("h", 1, 1_000), "done 1")
+                .then(submit("j", 600), "done 2")
+                .then(place("j", 1, "h"), "done 3");
+    }
+
+    /** Begins with entry e and its claim on key k at index 2. */
+    private static Case claimed(String name) {
+        return of(name).then(entry("e", 1), "done 1").then(claim("k", "d", "e", 1), "granted 2");
+    }
+
+    private static Command assign(String entry) {
+        return new AssignTarget(TargetId.of("t"), Optional.of(EntryId.of(entry)));
+    }
+
+    static Stream<Case> jobs() {
+        return Stream.of(
+                of("a resent submission gets the first outcome; another specification is a conflict")
+                        .then(submit("j", 1), "done 1")
+                        .then(submit("j", 1), "done 1")
+                        .then(submit("j", 2), "JOB_CONFLICT"),
+                of("a submission that no worker could hold is refused once there are workers")
+                        .then(submit("i", 2_000), "done 1")
+                        .then(worker("h", 1, 1_000), "done 2")
+                        .then(submit("j", 2_000), "JOB_NEVER_FITS"),
+                of("a malformed submission is refused")
+                        .then(submit("j", -1), "JOB_INVALID")
+                        .then(new SubmitJob(spec("j", "no name", JobKind.BATCH, 1)), "JOB_INVALID")
+                        .then(new SubmitJob(spec("j", null, JobKind.BATCH, 1)), "COMMAND_INVALID"),
+                placed("a host is not given more than it holds")
+                        .then(submit("i", 600), "done 4")
+                        .then(place("i", 1, "h"), "HOST_FULL")
+                        .then(end("j", 1, FINISHED, ""), "done 6")
+                        .then(place("i", 1, "h"), "done 7"),
+                placed("attempts are numbered without gaps and placed once")
+                        .then(place("j", 1, "h"), "done 4")
+                        .then(place("j", 2, "h"), "ATTEMPT_STALE")
+                        .then(end("j", 1, LOST, ""), "done 6")
+                        .then(place("j", 1, "h"), "ATTEMPT_STALE")
+                        .then(place("j", 3, "h"), "ATTEMPT_STALE")
+                        .then(place("j", 2, "nowhere"), "HOST_UNKNOWN")
+                        .then(place("j", 2, "h"), "done 10"),
+                placed("reports of an older attempt change nothing")
+                        .then(end("j", 1, EVICTED, "c1"), "done 4")
+                        .then(end("j", 1, EVICTED, "c1"), "ATTEMPT_STALE")
+                        .then(place("j", 2, "h"), "done 6")
+                        .then(end("j", 1, FINISHED, ""), "ATTEMPT_STALE")
+                        .then(new RecordCheckpoint(attempt("j", 1), "c0"), "ATTEMPT_STALE")
+                        .then(new RecordCheckpoint(attempt("j", 2), "c2"), "done 9")
+                        .then(end("j", 2, FINISHED, ""), "done 10")
+                        .then(end("j", 2, FINISHED, ""), "ATTEMPT_STALE"),
+                placed("completion decided first: a cancellation comes too late")
+                        .then(end("j", 1, FINISHED, ""), "done 4")
+                        .then(CANCEL, "JOB_ALREADY_ENDED"),
+                placed("cancellation decided first: the host is freed by the end of the attempt only")
+                        .then(CANCEL, "done 4")
+                        .then(CANCEL, "done 4")
+                        .then(submit("i", 600), "done 6")
+                        .then(place("i", 1, "h"), "HOST_FULL")
+                        .then(new RemoveWorker(HostId.of("h")), "WORKER_BUSY")
+                        .then(end("j", 1, FINISHED, ""), "done 9")
+                        .then(CANCEL, "done 4")
+                        .then(place("i", 1, "h"), "done 11"),
+                placed("a job that failed too often gets its final answer")
+                        .then(propose(1, "d", 0), "done 1")
+                        .then(end("j", 1, FAILED, ""), "done 5")
+                        .then(place("j", 2, "h"), "done 6")
+                        .then(end("j", 2, FAILED, ""), "done 7")
+                        .then(place("j", 3, "h"), "JOB_ALREADY_ENDED"),
+                placed("only a job that no worker could hold is rejected")
+                        .then(end("j", 1, LOST, ""), "done 4")
+                        .then(new RejectJob(JobId.of("j"), "r"), "JOB_RUNNABLE")
+                        .then(worker("h", 2, 500), "done 6")
+                        .then(new RejectJob(JobId.of("j"), "r"), "done 7")
+                        .then(new RejectJob(JobId.of("j"), "r"), "JOB_ALREADY_ENDED")
+                        .then(new RejectJob(JobId.of("x"), "r"), "JOB_UNKNOWN"),
+                of("a team keeps within its quota, and must exist once there are teams")
+                        .then(worker("h", 1, 1_000), "done 1")
+                        .then(propose(1, "d", 700), "done 1")
+                        .then(new SubmitJob(spec("i", "blue", JobKind.BATCH, 1)), "TEAM_UNKNOWN")
+                        .then(submit("j", 600), "done 4")
+                        .then(submit("l", 200), "done 5")
+                        .then(place("j", 1, "h"), "done 6")
+                        .then(place("l", 1, "h"), "QUOTA_EXCEEDED")
+                        .then(propose(2, "e", 800), "done 2")
+                        .then(place("l", 1, "h"), "done 9"),
+                of("ended jobs are kept up to a limit")
+                        .limits(new Limits(1, 9, 9_999, 9))
+                        .then(submit("j", 1), "done 1")
+                        .then(submit("i", 1), "done 2")
+                        .then(CANCEL, "done 3")
+                        .then(new CancelJob(JobId.of("i")), "done 4")
+                        .then(CANCEL, "JOB_UNKNOWN"),
+                of("workers: an older start is refused, an unknown one can't be removed")
+                        .then(worker("h", 2, 1), "done 1")
+                        .then(worker("h", 1, 1), "WORKER_FENCED")
+                        .then(new RemoveWorker(HostId.of("i")), "HOST_UNKNOWN")
+                        .then(new RemoveWorker(HostId.of("h")), "done 4"));
+    }
+
+    static Stream<Case> entries() {
+        return Stream.of(
+                claimed("a key is granted once, also to its holder")
+                        .then(claim("k", "d", "e", 1), "in progress e")
+                        .then(claim("k", "other", "e", 1), "KEY_REUSED"),
+                claimed("a recorded answer is replayed and stays")
+                        .then(record("k", "e", 1, 201), "done 3")
+                        .then(record("k", "e", 1, 500), "done 3")
+                        .then(claim("k", "d", "e", 1), "replayed 201"),
+                claimed("an unknown outcome is never granted again, but may become known")
+                        .then(record("k", "e", 1, 0), "unknown 3")
+                        .then(claim("k", "d", "e", 1), "unknown 3")
+                        .then(release("k", "e", 1, 2), "CLAIM_NOT_HELD")
+                        .then(record("k", "e", 1, 200), "done 6")
+                        .then(claim("k", "d", "e", 1), "replayed 200"),
+                claimed("a delayed release doesn't free a later grant")
+                        .then(release("k", "e", 1, 2), "done 3")
+                        .then(claim("k", "d", "e", 1), "granted 4")
+                        .then(release("k", "e", 1, 2), "CLAIM_NOT_HELD")
+                        .then(claim("k", "d", "e", 1), "in progress e"),
+                claimed("a newer start fences the older, whose open claims become unknown")
+                        .then(entry("e", 2), "done 3")
+                        .then(entry("e", 1), "ENTRY_FENCED")
+                        .then(claim("l", "d", "e", 1), "ENTRY_FENCED")
+                        .then(record("k", "e", 1, 200), "ENTRY_FENCED")
+                        .then(claim("k", "d", "e", 2), "in progress e")
+                        .then(new AbandonClaims(EntryId.of("e"), 2), "done 8")
+                        .then(claim("k", "d", "e", 2), "unknown 8")
+                        .then(claim("l", "d", "f", 1), "ENTRY_UNKNOWN"),
+                claimed("decided claims expire, open ones stay")
+                        .then(record("k", "e", 1, 200), "done 3")
+                        .then(claim("l", "d", "e", 1), "granted 4")
+                        .then(new ExpireClaims(2), "done 5")
+                        .then(claim("k", "d", "e", 1), "replayed 200")
+                        .then(new ExpireClaims(9), "done 7")
+                        .then(claim("k", "d", "e", 1), "granted 8")
+                        .then(claim("l", "d", "e", 1), "in progress e"),
+                claimed("a full ledger refuses claims, and an answer that is too large is not kept")
+                        .limits(new Limits(9, 1, 9_999, 0))
+                        .then(claim("l", "d", "e", 1), "LEDGER_FULL")
+                        .then(record("k", "e", 1, 200), "unknown 4"),
+                of("configurations: resends, conflicts and stale numbers")
+                        .then(propose(5, "a", 0), "done 1")
+                        .then(propose(5, "a", 0), "done 1")
+                        .then(propose(5, "b", 0), "CONFIGURATION_CONFLICT")
+                        .then(propose(6, "b", 0), "done 2")
+                        .then(propose(5, "a", 0), "done 1")
+                        .then(propose(4, "a", 0), "CONFIGURATION_STALE"),
+                of("owners must be registered, ranges must exist")
+                        .then(assign("e"), "ENTRY_UNKNOWN")
+                        .then(new AssignRange(64, Optional.empty()), "RANGE_UNKNOWN")
+                        .then(new AssignRange(63, Optional.empty()), "done 3"));
+    }
+
+    static Stream<Case> all() {
+        return Stream.concat(jobs(), entries());
+    }
+
+    @ParameterizedTest
+    @MethodSource("all")
+    void commandsComeToTheirOutcomes(Case given) {
+        ControlState state = ControlState.create(given.limits);
+        List<String> found = new ArrayList<>();
+        for (Command command : given.commands) {
+            found.add(Commands.apply(state, found.size() + 1L, command));
+        }
+        assertThat(found, is(equalTo(given.outcomes)));
+    }
+
+    @Test
+    void anEpochRisesWithEachOwnerAndIsSettledByRepetition() {
+        ControlState state = ControlState.create();
+        List<Command> commands = List.of(
+                entry("e", 1),
+                entry("f", 1),
+                assign("e"),
+                assign("f"),
+                assign("f"),
+                NOBODY,
+                assign("e"),
+                entry("e", 2));
+        List<String> seen = new ArrayList<>();
+        for (int i = 0; i < commands.size(); i++) {
+            Commands.apply(state, i + 1L, commands.get(i));
+            seen.add(state.read(
+                    tables -> Optional.ofNullable(tables.ownership().targets().get(TargetId.of("t")))
+                            .map(target -> target.ownership().epoch()
+                                    + (target.ownership().settled() ? " settled" : " open"))
+                            .orElse("none")));
+        }
+        assertThat(seen, is(List.of("none", "none", "1 settled", "2 open", "2 settled", "3 open", "4 open", "5 open")));
+    }
+}
