Benchmarks placement and blackhole; search less, pace by the number of hosts

Causes found by running them: (1) the bound on kinds of work never seen held ordinary work back, and all work after a change of leader; it now applies only to kinds that keep failing. (2) a round on a full cluster recomputed every team's share for every team (100 x 100) and searched for every kind of task; teams are now kept in a heap, and an amount that fits nowhere is not searched again. (3) the pace after a change of leader, 100 starts/s, let a backlog grow at 500 arrivals/s; it is now 0.25 to 1 start/s a host.

--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,15 +2,22 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.policy.BlackHoleBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
 import org.cornelcove.bench.policy.HeadOfLineBenchmark;
+import org.cornelcove.bench.policy.PlacementBenchmark;
 import org.cornelcove.bench.policy.RetriesBenchmark;
 import org.cornelcove.bench.policy.SwingBenchmark;
 
 /** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
 public final class Bench {
-    private static final List<Benchmark> BENCHMARKS =
-            List.of(new CrestBenchmark(), new SwingBenchmark(), new HeadOfLineBenchmark(), new RetriesBenchmark());
+    private static final List<Benchmark> BENCHMARKS = List.of(
+            new CrestBenchmark(),
+            new SwingBenchmark(),
+            new HeadOfLineBenchmark(),
+            new RetriesBenchmark(),
+            new PlacementBenchmark(),
+            new BlackHoleBenchmark());
 
     private Bench() {}
 
--- a/policy/src/main/java/org/cornelcove/policy/pace/StartPace.java
+++ b/policy/src/main/java/org/cornelcove/policy/pace/StartPace.java
@@ -6,45 +6,44 @@
  * <p>A new leader, a lost availability zone or a restart leave a backlog that would otherwise start in one instant: image
  * loads, checkpoint reads and reports of thousands of attempts hit the same hosts at once. Urgent work may take every
  * permit; other work leaves {@code URGENT_KEEP} of a second's permits for it. A fixed pace lost: one that is gentle enough
- * for the first seconds takes too long over a large backlog.
+ * for the first seconds takes too long over a large backlog. The pace is set by the number of hosts, because it is there
+ * that starts cost.
  *
- * <p>Example: 50 starts in the first second, doubled every 2 s up to 500 a second. A backlog of 2,000 is started within
- * 9 s. Not thread-safe.
+ * <p>Example: with 45 hosts 11 starts in the first second, 22 in the next, then 45 a second. A backlog of 200 is started
+ * within 6 s. Not thread-safe.
  */
 public final class StartPace {
-    private static final double URGENT_KEEP = 0.2;
-    private static final long DOUBLE_AFTER_MS = 2000;
+    private static final double URGENT_KEEP = 0.05;
+    private static final double FIRST_PER_HOST = 0.25;
+    private static final double LAST_PER_HOST = 1;
+    private static final long DOUBLE_AFTER_MS = 1000;
 
-    private final double firstPerSecond;
-    private final double lastPerSecond;
+    private double lastPerSecond;
     private TokenBucket permits;
     private double perSecond;
     private long nextStepMs;
 
-    private StartPace(double firstPerSecond, double lastPerSecond) {
-        this.firstPerSecond = firstPerSecond;
-        this.lastPerSecond = lastPerSecond;
-    }
+    private StartPace() {}
 
     /**
      * Returns a pace that is unbounded until {@link #recover} is called.
      *
-     * @param firstPerSecond starts a second right after a fault
-     * @param lastPerSecond the bound at which recovery is considered over once the backlog is gone
      * @return the pace
      */
-    public static StartPace of(double firstPerSecond, double lastPerSecond) {
-        return new StartPace(firstPerSecond, lastPerSecond);
+    public static StartPace create() {
+        return new StartPace();
     }
 
     /**
      * Notes a fault that leaves a backlog.
      *
+     * @param hosts the hosts that the backlog starts on
      * @param nowMs the current instant
      */
-    public void recover(long nowMs) {
-        perSecond = firstPerSecond;
-        permits = TokenBucket.full(perSecond, lastPerSecond / 4);
+    public void recover(int hosts, long nowMs) {
+        perSecond = Math.max(1, FIRST_PER_HOST * hosts);
+        lastPerSecond = Math.max(1, LAST_PER_HOST * hosts);
+        permits = TokenBucket.full(perSecond, lastPerSecond / 4 + 1);
         permits.tryTake(0, nowMs);
         permits.empty();
         nextStepMs = nowMs + DOUBLE_AFTER_MS;
@@ -80,6 +79,6 @@
             permits.setPace(perSecond, nextStepMs);
             nextStepMs += DOUBLE_AFTER_MS;
         }
-        return permits.tryTake(urgent ? 0 : URGENT_KEEP * perSecond / 4, nowMs);
+        return permits.tryTake(urgent ? 0 : URGENT_KEEP * perSecond, nowMs);
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
@@ -45,6 +45,9 @@
     private final Map<String, Integer> servicesByPlace = new HashMap<>();
     private final InterferenceModel interference;
     private int reservePercent;
+    /** Processors of the smallest host ever added, a lower bound for what the reserve takes. */
+    private long smallestMillicores = Long.MAX_VALUE / 1000;
+
     private int turn;
 
     private HostTable(InterferenceModel interference, int reservePercent) {
@@ -84,6 +87,7 @@
         remove(id);
         Host host = new Host(id, availabilityZone, rack, capacity);
         hosts.put(id, host);
+        smallestMillicores = Math.min(smallestMillicores, capacity.cpuMillicores());
         zones.computeIfAbsent(availabilityZone, z -> new ZoneIndex()).add(host);
     }
 
@@ -253,6 +257,16 @@
                 .map(Host::id);
     }
 
+    /**
+     * Tells whether some host has room for the job, whatever runs beside it.
+     *
+     * @param job the job
+     * @return whether one has
+     */
+    public boolean hasRoom(JobSpec job) {
+        return !collect(job, h -> h.admits(job, reservePercent)).isEmpty();
+    }
+
     private List<Host> collect(JobSpec job, Predicate<Host> admits) {
         List<Host> candidates = new ArrayList<>(MAX_CANDIDATES);
         boolean accelerators = job.resources().accelerators() > 0;
@@ -266,8 +280,10 @@
         return candidates;
     }
 
-    private static ZoneIndex.Search search(JobSpec job, boolean accelerators) {
-        return new ZoneIndex.Search(job.resources().cpuMillicores(), accelerators, job.kind() == JobKind.SERVICE);
+    private ZoneIndex.Search search(JobSpec job, boolean accelerators) {
+        boolean isService = job.kind() == JobKind.SERVICE;
+        long reserve = isService || job.urgent() ? 0 : smallestMillicores * reservePercent / 100;
+        return new ZoneIndex.Search(job.resources().cpuMillicores() + reserve, accelerators, isService);
     }
 
     /** Zones in the order in which they are looked at: fewest of the same service first, in turn for batch work. */
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -1,12 +1,12 @@
 package org.cornelcove.policy.place;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -38,17 +38,16 @@
  * Not thread-safe.
  */
 public final class Placer {
+    private static final String ANY_TASK = "";
     private static final int LOOK_AHEAD = 16;
     private static final long HOLD_AFTER_MS = 120_000;
     private static final long LIMITS_EVERY_MS = 250;
     private static final int HOSTS_TO_A_HELD_ONE = 50;
-    private static final double FIRST_STARTS_PER_SECOND = 100;
-    private static final double LAST_STARTS_PER_SECOND = 800;
 
     private final InterferenceModel interference = InterferenceModel.create();
     private final PlacementHistory history = PlacementHistory.create();
     private final KindTrial trials = KindTrial.create();
-    private final StartPace pace = StartPace.of(FIRST_STARTS_PER_SECOND, LAST_STARTS_PER_SECOND);
+    private final StartPace pace = StartPace.create();
     private final PendingJobs pending = new PendingJobs();
     private final Map<JobId, Placed> placed = new HashMap<>();
     private final Map<HostId, Resources> capacities = new HashMap<>();
@@ -172,7 +171,7 @@
      * @param nowMs the current instant
      */
     public void recover(long nowMs) {
-        pace.recover(nowMs);
+        pace.recover(hosts.size(), nowMs);
     }
 
     /**
@@ -327,6 +326,14 @@
 
     private record Placed(JobSpec spec, HostId host) {}
 
+    private record TeamTurn(String team, double dominantShare) implements Comparable<TeamTurn> {
+        @Override
+        public int compareTo(TeamTurn other) {
+            int order = Double.compare(dominantShare, other.dominantShare);
+            return order != 0 ? order : team.compareTo(other.team);
+        }
+    }
+
     /** What a search depends on; one that found nothing is not repeated within a round. */
     private record Shape(String task, Resources resources, boolean urgent) {}
 
@@ -346,21 +353,21 @@
         }
 
         void run(boolean urgent) {
-            List<String> teams = pending.teams(urgent);
+            PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
+            for (String team : pending.teams(urgent)) {
+                turns.add(turnOf(team));
+            }
             paced = false;
-            while (!teams.isEmpty() && decisions.size() < most && !paced) {
-                String team = poorest(teams);
-                if (!decideForTeam(team, urgent)) {
-                    teams.remove(team);
+            while (!turns.isEmpty() && decisions.size() < most && !paced) {
+                String team = turns.poll().team;
+                if (decideForTeam(team, urgent)) {
+                    turns.add(turnOf(team));
                 }
             }
         }
 
-        private String poorest(List<String> teams) {
-            return teams.stream()
-                    .min(Comparator.comparingDouble((String t) -> quotas.dominantShare(t, cluster))
-                            .thenComparing(t -> t))
-                    .orElseThrow();
+        private TeamTurn turnOf(String team) {
+            return new TeamTurn(team, quotas.dominantShare(team, cluster));
         }
 
         /** Decides on one job of the team; false when none of its first jobs can start now. */
@@ -384,7 +391,10 @@
 
         private Optional<PlacementDecision> decideFor(JobSpec job) {
             Shape shape = new Shape(job.task(), job.resources(), job.urgent());
-            if (unfit.contains(shape) || !quotas.allows(job.team(), job.resources()) || !trials.mayStart(job.task())) {
+            Shape ofAnyTask = new Shape(ANY_TASK, job.resources(), job.urgent());
+            boolean mayStart = job.urgent() || trials.mayStart(job.task());
+            boolean triedBefore = unfit.contains(ofAnyTask) || unfit.contains(shape);
+            if (!mayStart || triedBefore || !quotas.allows(job.team(), job.resources())) {
                 return Optional.empty();
             }
             Set<HostId> avoid = health.workersFailedOn(job.id());
@@ -395,7 +405,7 @@
                             new PlacementDecision.GiveUp(job, Failure.of(ErrorKind.JOB_NEVER_FITS, job.id())));
                 }
                 if (avoid.isEmpty()) {
-                    unfit.add(shape);
+                    unfit.add(hosts.hasRoom(job) ? shape : ofAnyTask);
                 }
                 return Optional.empty();
             }
--- a/policy/src/main/java/org/cornelcove/policy/quarantine/KindTrial.java
+++ b/policy/src/main/java/org/cornelcove/policy/quarantine/KindTrial.java
@@ -4,14 +4,16 @@
 import java.util.Map;
 
 /**
- * Bounds how many attempts of a kind of work run at once until some have succeeded.
+ * Bounds how many attempts run at once of a kind of work that keeps failing.
  *
- * <p>A wave of tasks of a kind that nobody has seen, or that has begun to fail, takes only a few places at a time; each
- * success doubles the bound, each failure in a row halves it down to the first. Without it a wave of failing tasks takes
- * every place that becomes free, and its failures hide a worker's. Not thread-safe.
+ * <p>After {@code FAILURES_IN_ROW} failures on healthy workers without a success in between, a kind takes only a few
+ * places at a time; each success doubles the bound. Without it a wave of failing tasks takes every place that becomes
+ * free. A bound on each kind that was never seen lost: it held back ordinary work whose runs take minutes, and all work
+ * after a change of leader. Not thread-safe.
  */
 public final class KindTrial {
-    private static final int FIRST_BOUND = 16;
+    private static final int FAILURES_IN_ROW = 8;
+    private static final int FIRST_BOUND = 8;
     private static final int UNBOUNDED_FROM = 1024;
     private static final int MAX_KINDS = 10_000;
 
@@ -72,6 +74,7 @@
         ended(kind);
         Kind known = kinds.get(kind);
         if (known != null) {
+            known.failuresInRow = 0;
             known.bound = Math.min(UNBOUNDED_FROM, known.bound * 2);
         }
     }
@@ -84,13 +87,18 @@
     public void failed(String kind) {
         ended(kind);
         Kind known = kinds.get(kind);
-        if (known != null) {
-            known.bound = Math.max(FIRST_BOUND, known.bound / 2);
+        if (known == null) {
+            return;
+        }
+        known.failuresInRow++;
+        if (known.failuresInRow >= FAILURES_IN_ROW) {
+            known.bound = FIRST_BOUND;
         }
     }
 
     private static final class Kind {
         private int running;
-        private int bound = FIRST_BOUND;
+        private int failuresInRow;
+        private int bound = UNBOUNDED_FROM;
     }
 }
