Fault matrix for the replicated log; protocol core split by job

Cause: the core had no proof under faults, and one class held too much.

Election, log, outbox and rules are classes of their own.

Found by the matrix and mended: a leader whose silent follower streamed from before the log's base threw an index error (cells FROZEN and LEADER_FROZEN, red before the change, green after). By reading: an addition whose member was removed meanwhile threw; it now fails with MEMBER_UNKNOWN.

--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -149,24 +149,23 @@
         CompletableFuture<byte[]> result = new CompletableFuture<>();
         long token = lastToken.incrementAndGet();
         proposals.put(token, result);
-        submit(() -> core.propose(nowMs.getAsLong(), token, command));
+        submit(() -> core.propose(token, command));
         return result;
     }
 
     @Override
     public CompletableFuture<Long> readBarrier() {
-        return request(token -> core.readBarrier(nowMs.getAsLong(), token));
+        return request(token -> core.readBarrier(token));
     }
 
     @Override
     public CompletableFuture<Void> addMember(long id, String address) {
-        return request(token -> core.addMember(nowMs.getAsLong(), token, id, address))
-                .thenApply(index -> null);
+        return request(token -> core.addMember(token, id, address)).thenApply(index -> null);
     }
 
     @Override
     public CompletableFuture<Void> removeMember(long id) {
-        return request(token -> core.removeMember(nowMs.getAsLong(), token, id)).thenApply(index -> null);
+        return request(token -> core.removeMember(token, id)).thenApply(index -> null);
     }
 
     /**
@@ -419,7 +418,7 @@
 
         @Override
         public void installed(Optional<SnapshotMeta> meta) {
-            submit(() -> core.snapshotInstalled(nowMs.getAsLong(), meta));
+            submit(() -> core.snapshotInstalled(meta));
         }
 
         @Override
@@ -441,12 +440,12 @@
 
         @Override
         public void applied(long index) {
-            submit(() -> core.applied(nowMs.getAsLong(), index));
+            submit(() -> core.applied(index));
         }
 
         @Override
         public void snapshotTaken(long index, byte[] state) {
-            submit(() -> core.snapshotTaken(nowMs.getAsLong(), index, state));
+            submit(() -> core.snapshotTaken(index, state));
         }
 
         @Override
--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -29,7 +29,8 @@
     private static final int MAX_APPEND_BYTES = 1 << 20;
     private static final int MAX_UNANSWERED_ENTRIES = 8192;
     private static final int MAX_UNCOMMITTED_ENTRIES = 65_536;
-    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+    /** The clock of something that has not been. */
+    static final long NEVER_MS = Long.MIN_VALUE / 2;
 
     private record Proposal(long index, long token) {}
 
@@ -83,7 +84,7 @@
 
     /** Begins after the first entry of the term was appended. */
     void begin(long nowMs) {
-        firstIndex = core.log.lastIndex();
+        firstIndex = core.log.tail.lastIndex();
         heartbeatDueMs = nowMs;
         tick(nowMs);
     }
@@ -95,23 +96,23 @@
             return;
         }
         if (transferTo != 0 && nowMs >= transferDueMs) {
-            core.fail(transferToken, Failure.of(ErrorKind.NO_QUORUM));
+            core.outbox.fail(transferToken, Failure.of(ErrorKind.NO_QUORUM));
             transferTo = 0;
         }
         if (nowMs >= heartbeatDueMs) {
             heartbeatDueMs = nowMs + core.options.heartbeatMs();
-            promotionIndex = core.commitIndex;
+            promotionIndex = core.log.commitIndex();
             followers().forEach(m -> heartbeat(nowMs, m));
         }
     }
 
     void propose(long token, byte[] command) {
         if (transferTo != 0) {
-            core.fail(token, Failure.of(ErrorKind.NOT_LEADER, transferTo));
-        } else if (core.log.lastIndex() - core.commitIndex >= MAX_UNCOMMITTED_ENTRIES) {
-            core.fail(token, Failure.of(ErrorKind.NO_QUORUM));
+            core.outbox.fail(token, Failure.of(ErrorKind.NOT_LEADER, transferTo));
+        } else if (core.log.tail.lastIndex() - core.log.commitIndex() >= MAX_UNCOMMITTED_ENTRIES) {
+            core.outbox.fail(token, Failure.of(ErrorKind.NO_QUORUM));
         } else {
-            proposals.add(new Proposal(core.appendOwn(EntryKind.COMMAND, command), token));
+            proposals.add(new Proposal(core.log.append(term, EntryKind.COMMAND, command), token));
         }
     }
 
@@ -123,14 +124,14 @@
         reads.add(new Read(token, round));
     }
 
-    void addMember(long nowMs, long token, long id, String address) {
-        Membership members = core.history.current();
+    void addMember(long token, long id, String address) {
+        Membership members = core.log.membership();
         if (members.retired().contains(id)) {
-            core.fail(token, Failure.of(ErrorKind.MEMBER_RETIRED, id));
+            core.outbox.fail(token, Failure.of(ErrorKind.MEMBER_RETIRED, id));
         } else if (members.find(id).isPresent()) {
             changes.add(new MemberChange(token, id, true));
         } else if (!mayChangeMembers()) {
-            core.fail(token, Failure.of(ErrorKind.MEMBERSHIP_CHANGE_PENDING));
+            core.outbox.fail(token, Failure.of(ErrorKind.MEMBERSHIP_CHANGE_PENDING));
         } else {
             changeMembers(members.with(new MemberRecord(id, address, false, MemberRecord.UNBOUND)));
             changes.add(new MemberChange(token, id, true));
@@ -138,14 +139,14 @@
     }
 
     void removeMember(long token, long id) {
-        Membership members = core.history.current();
+        Membership members = core.log.membership();
         boolean known = members.find(id).isPresent();
         if (known && members.without(id).voters().isEmpty()) {
-            core.fail(token, Failure.of(ErrorKind.NO_QUORUM));
+            core.outbox.fail(token, Failure.of(ErrorKind.NO_QUORUM));
         } else if (!known && !members.retired().contains(id)) {
-            core.fail(token, Failure.of(ErrorKind.MEMBER_UNKNOWN, id));
+            core.outbox.fail(token, Failure.of(ErrorKind.MEMBER_UNKNOWN, id));
         } else if (known && !mayChangeMembers()) {
-            core.fail(token, Failure.of(ErrorKind.MEMBERSHIP_CHANGE_PENDING));
+            core.outbox.fail(token, Failure.of(ErrorKind.MEMBERSHIP_CHANGE_PENDING));
         } else {
             if (known) {
                 changeMembers(members.without(id));
@@ -159,7 +160,7 @@
                 .filter(m -> m.voting() && active(nowMs, progressOf(m)))
                 .max((a, b) -> Long.compare(progressOf(a).matchIndex, progressOf(b).matchIndex));
         if (best.isEmpty() || transferTo != 0) {
-            core.fail(token, Failure.of(ErrorKind.NO_QUORUM));
+            core.outbox.fail(token, Failure.of(ErrorKind.NO_QUORUM));
             return;
         }
         transferToken = token;
@@ -168,9 +169,9 @@
     }
 
     void applied() {
-        if (!gained && core.appliedIndex >= firstIndex) {
+        if (!gained && core.log.appliedIndex() >= firstIndex) {
             gained = true;
-            core.emit(new CoreEvent.LeadershipGained(term));
+            core.outbox.emit(new CoreEvent.LeadershipGained(term));
         }
     }
 
@@ -188,14 +189,14 @@
     /** Ends the term: nothing that was asked for can be promised any more. */
     void abandon() {
         Failure unknown = Failure.of(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN);
-        proposals.forEach(p -> core.fail(p.token(), unknown));
-        changes.forEach(c -> core.fail(c.token, unknown));
-        reads.forEach(r -> core.fail(r.token, Failure.of(ErrorKind.NOT_LEADER, "the other control hosts")));
+        proposals.forEach(p -> core.outbox.fail(p.token(), unknown));
+        changes.forEach(c -> core.outbox.fail(c.token, unknown));
+        reads.forEach(r -> core.outbox.fail(r.token, Failure.of(ErrorKind.NOT_LEADER, "the other control hosts")));
         if (transferTo != 0) {
-            core.emit(new CoreEvent.RequestDone(transferToken, 0));
+            core.outbox.emit(new CoreEvent.RequestDone(transferToken, 0));
         }
         if (gained) {
-            core.emit(new CoreEvent.LeadershipLost(term));
+            core.outbox.emit(new CoreEvent.LeadershipLost(term));
         }
     }
 
@@ -213,14 +214,14 @@
         followers().forEach(m -> sendEntries(nowMs, m));
     }
 
-    void receive(long nowMs, Envelope message) {
-        Optional<MemberRecord> member = core.history.current().find(message.from());
+    void receive(Envelope message) {
+        Optional<MemberRecord> member = core.log.membership().find(message.from());
         if (member.isEmpty() || message.from() == core.options.selfId()) {
             return;
         }
         Progress p = progressOf(member.get());
         if (p.incarnation != MemberRecord.UNBOUND && p.incarnation != message.fromIncarnation()) {
-            core.refuseRetired(message);
+            core.outbox.answer(message, term, new Message.MemberRetired());
             return;
         }
         p.incarnation = message.fromIncarnation();
@@ -263,17 +264,19 @@
     // Commit
 
     private long reachedByMajority(long own, ToLongFunction<Progress> value) {
-        return core.history
-                .current()
-                .reachedByMajority(m -> m.id() == core.options.selfId() ? own : value.applyAsLong(progressOf(m)));
+        long[] values = core.rules.voters(core.log.membership()).stream()
+                .mapToLong(m -> m.id() == core.options.selfId() ? own : value.applyAsLong(progressOf(m)))
+                .sorted()
+                .toArray();
+        return values.length == 0 ? 0 : values[(values.length - 1) / 2];
     }
 
     private void commit(long nowMs) {
-        long index = reachedByMajority(core.disk.durableIndex(), p -> p.matchIndex);
-        if (index > core.commitIndex && core.log.term(index) == term) {
-            core.commitIndex = index;
-            boolean removed = core.commitIndex >= core.history.currentIndex()
-                    && !core.history.current().votes(core.options.selfId());
+        long index = reachedByMajority(core.log.disk.durableIndex(), p -> p.matchIndex);
+        if (index > core.log.commitIndex() && core.rules.mayCommit(core.log.tail.term(index), term)) {
+            core.log.commitThrough(index);
+            boolean removed = core.log.commitIndex() >= core.log.history.currentIndex()
+                    && !core.log.membership().votes(core.options.selfId());
             if (removed) {
                 followers().forEach(m -> heartbeat(nowMs, m));
             }
@@ -281,7 +284,7 @@
     }
 
     private void answerReads(long nowMs) {
-        if (core.commitIndex < firstIndex) {
+        if (core.log.commitIndex() < firstIndex) {
             return;
         }
         boolean leased = holdsLease(nowMs);
@@ -290,27 +293,30 @@
             Read read = all.next();
             boolean confirmed = leased || answeredRound >= read.round;
             if (read.index < 0 && confirmed) {
-                read.index = core.commitIndex;
+                read.index = core.log.commitIndex();
             }
-            if (read.index >= 0 && core.appliedIndex >= read.index) {
-                core.emit(new CoreEvent.RequestDone(read.token, core.appliedIndex));
+            if (read.index >= 0 && core.log.appliedIndex() >= read.index) {
+                core.outbox.emit(new CoreEvent.RequestDone(read.token, core.log.appliedIndex()));
                 all.remove();
             }
         }
     }
 
     private boolean holdsLease(long nowMs) {
-        return !transferSent && nowMs - reachedByMajority(nowMs, p -> p.answeredSentMs) < core.options.leaseMs();
+        return !transferSent
+                && core.rules.mayReadUnasked(nowMs - reachedByMajority(nowMs, p -> p.answeredSentMs), core.options);
     }
 
     // Membership
 
     private boolean mayChangeMembers() {
-        return core.history.currentIndex() <= core.commitIndex && core.commitIndex >= firstIndex && transferTo == 0;
+        return core.rules.mayChangeMembers(core.log.history.currentIndex(), core.log.commitIndex())
+                && core.log.commitIndex() >= firstIndex
+                && transferTo == 0;
     }
 
     private void changeMembers(Membership next) {
-        core.appendOwn(EntryKind.MEMBERSHIP, MessageCodec.encodeMembership(next));
+        core.log.append(term, EntryKind.MEMBERSHIP, MessageCodec.encodeMembership(next));
         progress.keySet().removeIf(id -> next.find(id).isEmpty());
     }
 
@@ -319,47 +325,52 @@
             Progress p = progressOf(member);
             boolean caughtUp = p.mode == Progress.Mode.STREAM
                     && active(nowMs, p)
-                    && p.matchIndex >= Math.max(promotionIndex, core.history.currentIndex());
+                    && core.rules.mayPromote(p.matchIndex, Math.max(promotionIndex, core.log.history.currentIndex()));
             if (!member.voting() && caughtUp && mayChangeMembers()) {
-                changeMembers(core.history
-                        .current()
+                changeMembers(core.log
+                        .membership()
                         .with(new MemberRecord(member.id(), member.address(), true, p.incarnation)));
             }
         }
     }
 
     private void answerChanges() {
-        Membership committed = core.history.at(core.commitIndex);
         for (Iterator<MemberChange> all = changes.iterator(); all.hasNext(); ) {
             MemberChange change = all.next();
-            if (change.adding
-                    ? added(committed, change)
-                    : committed.find(change.id).isEmpty()) {
-                core.emit(new CoreEvent.RequestDone(change.token, 0));
+            if (change.adding && core.log.membership().find(change.id).isEmpty()) {
+                core.outbox.fail(change.token, Failure.of(ErrorKind.MEMBER_UNKNOWN, change.id));
+                all.remove();
+            } else if (change.adding ? added(change) : removed(change)) {
+                core.outbox.emit(new CoreEvent.RequestDone(change.token, 0));
                 all.remove();
             }
         }
     }
 
-    private boolean added(Membership committed, MemberChange change) {
-        if (!committed.votes(change.id)) {
+    private boolean removed(MemberChange change) {
+        return core.log.committedMembership().find(change.id).isEmpty();
+    }
+
+    private boolean added(MemberChange change) {
+        Membership members = core.log.membership();
+        if (!core.rules.additionDone(core.log.committedMembership(), members, change.id)) {
             return false;
         }
         if (change.wantedMatchIndex < 0) {
-            change.wantedMatchIndex = core.commitIndex;
+            change.wantedMatchIndex = core.log.commitIndex();
         }
         return change.id == core.options.selfId()
-                || progressOf(committed.find(change.id).get()).matchIndex >= change.wantedMatchIndex;
+                || core.rules.mayPromote(progressOf(members.find(change.id).get()).matchIndex, change.wantedMatchIndex);
     }
 
     private void sendTransfer() {
         if (transferTo == 0 || transferSent) {
             return;
         }
-        core.history.current().find(transferTo).ifPresent(m -> {
-            if (progressOf(m).matchIndex == core.log.lastIndex()) {
+        core.log.membership().find(transferTo).ifPresent(m -> {
+            if (progressOf(m).matchIndex == core.log.tail.lastIndex()) {
                 transferSent = true;
-                core.sendNow(m, known(m), new Message.TransferLeadership());
+                core.outbox.send(m, known(m), term, new Message.TransferLeadership());
             }
         });
     }
@@ -367,13 +378,13 @@
     // Sending
 
     private List<MemberRecord> followers() {
-        return core.history.current().members().stream()
+        return core.log.membership().members().stream()
                 .filter(m -> m.id() != core.options.selfId())
                 .toList();
     }
 
     private Progress progressOf(MemberRecord member) {
-        return progress.computeIfAbsent(member.id(), id -> new Progress(core.log.lastIndex() + 1, NEVER_MS));
+        return progress.computeIfAbsent(member.id(), id -> new Progress(core.log.tail.lastIndex() + 1, NEVER_MS));
     }
 
     private boolean active(long nowMs, Progress p) {
@@ -393,21 +404,22 @@
         if (p.mode == Progress.Mode.SNAPSHOT && nowMs - p.chunkSentMs >= core.options.electionMinMs()) {
             p.chunkSent = false;
         }
-        boolean comparable = p.mode != Progress.Mode.SNAPSHOT && p.nextIndex > core.log.baseIndex();
+        boolean comparable = p.mode != Progress.Mode.SNAPSHOT && p.nextIndex > core.log.tail.baseIndex();
         sendAppend(nowMs, member, comparable ? p.nextIndex - 1 : 0, List.of());
     }
 
     private void sendAppend(long nowMs, MemberRecord member, long prevIndex, List<LogEntry> entries) {
-        long prevTerm = prevIndex == 0 ? 0 : core.log.term(prevIndex);
-        core.sendNow(
+        long prevTerm = prevIndex == 0 ? 0 : core.log.tail.term(prevIndex);
+        core.outbox.send(
                 member,
                 known(member),
-                new Message.AppendRequest(prevIndex, prevTerm, core.commitIndex, round, nowMs, entries));
+                term,
+                new Message.AppendRequest(prevIndex, prevTerm, core.log.commitIndex(), round, nowMs, entries));
     }
 
     private void sendEntries(long nowMs, MemberRecord member) {
         Progress p = progressOf(member);
-        if (p.mode != Progress.Mode.SNAPSHOT && p.nextIndex <= core.log.baseIndex() && active(nowMs, p)) {
+        if (p.mode != Progress.Mode.SNAPSHOT && p.nextIndex <= core.log.tail.baseIndex() && active(nowMs, p)) {
             beginSnapshot(p);
         }
         switch (p.mode) {
@@ -418,15 +430,17 @@
     }
 
     private void sendProbe(long nowMs, MemberRecord member, Progress p) {
-        if (!p.probeSent && p.nextIndex > core.log.baseIndex()) {
+        if (!p.probeSent && p.nextIndex > core.log.tail.baseIndex()) {
             p.probeSent = true;
             sendAppend(nowMs, member, p.nextIndex - 1, List.of());
         }
     }
 
     private void sendStream(long nowMs, MemberRecord member, Progress p) {
-        while (p.nextIndex <= core.log.lastIndex() && p.nextIndex - p.matchIndex <= MAX_UNANSWERED_ENTRIES) {
-            List<LogEntry> entries = core.log.slice(p.nextIndex, MAX_APPEND_BYTES);
+        while (p.nextIndex > core.log.tail.baseIndex()
+                && p.nextIndex <= core.log.tail.lastIndex()
+                && p.nextIndex - p.matchIndex <= MAX_UNANSWERED_ENTRIES) {
+            List<LogEntry> entries = core.log.tail.slice(p.nextIndex, MAX_APPEND_BYTES);
             sendAppend(nowMs, member, p.nextIndex - 1, entries);
             p.nextIndex += entries.size();
         }
@@ -434,13 +448,13 @@
 
     private void beginSnapshot(Progress p) {
         p.mode = Progress.Mode.SNAPSHOT;
-        p.snapshotIndex = core.snapshot.index();
+        p.snapshotIndex = core.log.snapshot().index();
         p.snapshotOffset = 0;
         p.chunkSent = false;
     }
 
     private void sendChunk(long nowMs, MemberRecord member, Progress p) {
-        if (p.snapshotIndex != core.snapshot.index()) {
+        if (p.snapshotIndex != core.log.snapshot().index()) {
             beginSnapshot(p);
         }
         if (p.chunkSent) {
@@ -448,12 +462,13 @@
         }
         p.chunkSent = true;
         p.chunkSentMs = nowMs;
-        core.readChunk(
+        core.outbox.readChunk(
                 member,
                 known(member),
+                term,
                 new Message.SnapshotChunk(
-                        core.snapshot.index(),
-                        core.snapshot.term(),
+                        core.log.snapshot().index(),
+                        core.log.snapshot().term(),
                         p.snapshotOffset,
                         false,
                         round,
--- a/replication/src/main/java/org/cornelcove/replication/core/LogTail.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/LogTail.java
@@ -12,7 +12,6 @@
     private long baseIndex;
     private long baseTerm;
     private ArrayList<LogEntry> entries = new ArrayList<>();
-    private long bytes;
 
     LogTail(long baseIndex, long baseTerm) {
         this.baseIndex = baseIndex;
@@ -31,10 +30,6 @@
         return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
     }
 
-    long bytes() {
-        return bytes;
-    }
-
     /** Returns the entry's term, or -1 when it is not known here. */
     long term(long index) {
         if (index == baseIndex) {
@@ -52,12 +47,11 @@
             throw new IllegalStateException("entry " + entry.index() + " after " + lastIndex());
         }
         entries.add(entry);
-        bytes += entry.payload().length;
     }
 
     void truncateFrom(long index) {
         while (lastIndex() >= index) {
-            bytes -= entries.remove(entries.size() - 1).payload().length;
+            entries.remove(entries.size() - 1);
         }
     }
 
@@ -72,15 +66,17 @@
         return List.copyOf(entries.subList((int) (from - baseIndex - 1), (int) (to - baseIndex - 1)));
     }
 
+    /** Returns all entries from the given one on. */
+    List<LogEntry> from(long index) {
+        return index > lastIndex() ? List.of() : slice(index, Integer.MAX_VALUE);
+    }
+
     /** Forgets entries up to the given one. */
     void compactThrough(long index) {
         long term = term(index);
         if (index <= baseIndex || term < 0) {
             return;
         }
-        for (long i = baseIndex + 1; i <= index; i++) {
-            bytes -= get(i).payload().length;
-        }
         entries = new ArrayList<>(entries.subList((int) (index - baseIndex), entries.size()));
         baseIndex = index;
         baseTerm = term;
@@ -88,7 +84,6 @@
 
     void reset(long index, long term) {
         entries = new ArrayList<>();
-        bytes = 0;
         baseIndex = index;
         baseTerm = term;
     }
--- a/replication/src/main/java/org/cornelcove/replication/core/Membership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Membership.java
@@ -1,13 +1,11 @@
 package org.cornelcove.replication.core;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
-import java.util.function.ToLongFunction;
 
 /**
  * The members of the group and the ids that may never come back.
@@ -65,29 +63,6 @@
         return voters().stream().noneMatch(m -> m.incarnation() == MemberRecord.UNBOUND);
     }
 
-    /**
-     * Tells whether the ids hold a majority of the voters, or all of them while the group is not formed.
-     *
-     * @param ids the members
-     * @return true when they suffice
-     */
-    public boolean elects(Collection<Long> ids) {
-        List<MemberRecord> voters = voters();
-        long count = voters.stream().filter(m -> ids.contains(m.id())).count();
-        return formed() ? count * 2 > voters.size() : count == voters.size() && count > 0;
-    }
-
-    /**
-     * Returns the highest value that a majority of the voters has reached.
-     *
-     * @param value gives the value of a member
-     * @return the value
-     */
-    public long reachedByMajority(ToLongFunction<MemberRecord> value) {
-        long[] values = voters().stream().mapToLong(value).sorted().toArray();
-        return values.length == 0 ? 0 : values[(values.length - 1) / 2];
-    }
-
     /**
      * Returns this membership with a member added or replaced.
      *
--- a/replication/src/main/java/org/cornelcove/replication/core/Progress.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Progress.java
@@ -25,8 +25,6 @@
     long answeredSentMs;
     /** Whether a probe is under way. */
     boolean probeSent;
-    /** The commit index that was sent last. */
-    long sentCommitIndex;
 
     long snapshotIndex;
     long snapshotOffset;
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/core/FaultCell.java
@@ -0,0 +1,85 @@
+package org.cornelcove.replication.core;
+
+import java.util.Set;
+
+/**
+ * One cell of the fault matrix: a group under load, whose first member is replaced by a fourth and whose leader steps
+ * aside, is hit by the fault at the step, mended, and looked at once it has settled.
+ *
+ * @param fault what goes wrong
+ * @param step when
+ * @param seed the seed
+ */
+record FaultCell(Fault fault, Step step, int seed) {
+    private static final long LOAD_BEGINS_MS = 1500;
+    private static final long LOAD_ENDS_MS = 6000;
+    private static final long HEALED_MS = 6500;
+    private static final long SETTLED_MS = 10_000;
+    private static final long OUTAGE_MS = 1500;
+
+    /** The outcome of a cell. */
+    record Outcome(History history, boolean hit) {}
+
+    Outcome run(Mutant mutant) {
+        SimulatedGroup group = SimulatedGroup.of(3, seed * 7919L + step.ordinal(), mutant);
+        boolean[] hit = {false};
+        int[] occurrences = {0};
+        group.observer = (at, member) -> {
+            if (hit[0] || at != step || group.nowMs() < LOAD_BEGINS_MS || !member.alive()) {
+                return;
+            }
+            occurrences[0]++;
+            if (occurrences[0] == 1 + step.stride * seed) {
+                hit[0] = true;
+                group.later(0, () -> strike(group, member));
+            }
+        };
+        group.operate();
+        group.later(LOAD_BEGINS_MS, () -> load(group, 0));
+        group.later(2200, () -> {
+            group.operatorTasks.add((core, token) -> core.addMember(token, 4, "4"));
+            group.operatorTasks.add((core, token) -> core.removeMember(token, 1));
+            group.add(4).start(Membership.EMPTY);
+        });
+        group.later(3500, () -> group.members.values().stream()
+                .filter(SimulatedMember::leads)
+                .findFirst()
+                .ifPresent(m -> m.transfer(0)));
+        group.runUntil(HEALED_MS);
+        Fault.heal(group);
+        group.runUntil(SETTLED_MS);
+        settle(group);
+        return new Outcome(group.history(), hit[0]);
+    }
+
+    private void strike(SimulatedGroup group, SimulatedMember member) {
+        if (member.alive()) {
+            fault.begin(group, member);
+            group.later(OUTAGE_MS, () -> Fault.heal(group));
+        }
+    }
+
+    static void load(SimulatedGroup group, int number) {
+        if (group.nowMs() < LOAD_ENDS_MS) {
+            group.propose("c" + number);
+            if (number % 2 == 0) {
+                group.read();
+            }
+            group.later(10, () -> load(group, number + 1));
+        }
+    }
+
+    static void settle(SimulatedGroup group) {
+        int before = group.history().acknowledgedCount();
+        group.propose("last");
+        group.runUntil(group.nowMs() + 1000);
+        if (group.history().acknowledgedCount() == before) {
+            group.history().violated(History.Guarantee.SERVES_AGAIN, "nobody takes a command");
+            return;
+        }
+        Set<Long> ids = group.memberIds();
+        group.members.values().stream()
+                .filter(m -> ids.contains(m.id) && m.alive())
+                .forEach(m -> group.history().ends(m.id, m.state, History.Guarantee.NO_ACKNOWLEDGED_COMMAND_LOST));
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
@@ -0,0 +1,73 @@
+package org.cornelcove.replication.core;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Deliberately broken members, each of which some checker must notice. */
+enum Mutant {
+    NONE,
+    ACKNOWLEDGES_BEFORE_SYNC,
+    FORGETS_ITS_VOTE,
+    COMMITS_OLD_TERMS,
+    VOTES_AT_ANY_TIME,
+    READS_WITHOUT_LEASE,
+    LEARNERS_COUNT,
+    PROMOTES_EMPTY_LEARNERS,
+    ADDITION_DONE_EARLY,
+    LOST_DISK_UNNOTICED,
+    CHANGES_OVERLAP,
+    SNAPSHOT_NOT_RESTORED;
+
+    /** The protocol's rules with this mutant's fault. */
+    ProtocolRules rules() {
+        return new ProtocolRules() {
+            @Override
+            boolean mayCommit(long entryTerm, long leaderTerm) {
+                return Mutant.this == COMMITS_OLD_TERMS || super.mayCommit(entryTerm, leaderTerm);
+            }
+
+            @Override
+            boolean refusesVotes(long sinceHeardMs, CoreOptions options) {
+                return Mutant.this != VOTES_AT_ANY_TIME && super.refusesVotes(sinceHeardMs, options);
+            }
+
+            @Override
+            boolean mayReadUnasked(long sinceSentMs, CoreOptions options) {
+                return Mutant.this == READS_WITHOUT_LEASE || super.mayReadUnasked(sinceSentMs, options);
+            }
+
+            @Override
+            List<MemberRecord> voters(Membership membership) {
+                return Mutant.this == LEARNERS_COUNT ? membership.members() : super.voters(membership);
+            }
+
+            @Override
+            boolean mayPromote(long matchIndex, long wantedIndex) {
+                return Mutant.this == PROMOTES_EMPTY_LEARNERS || super.mayPromote(matchIndex, wantedIndex);
+            }
+
+            @Override
+            boolean additionDone(Membership committed, Membership current, long id) {
+                return Mutant.this == ADDITION_DONE_EARLY || super.additionDone(committed, current, id);
+            }
+
+            @Override
+            boolean mayChangeMembers(long lastChangeIndex, long commitIndex) {
+                return Mutant.this == CHANGES_OVERLAP || super.mayChangeMembers(lastChangeIndex, commitIndex);
+            }
+        };
+    }
+
+    DiskWrite alter(DiskWrite write) {
+        return this != FORGETS_ITS_VOTE
+                ? write
+                : new DiskWrite(
+                        write.id(),
+                        Optional.empty(),
+                        write.truncateFrom(),
+                        write.entries(),
+                        write.chunk(),
+                        write.snapshot(),
+                        write.compactThrough());
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
@@ -0,0 +1,238 @@
+package org.cornelcove.replication.core;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.storage.MemberStorage;
+
+/** A member on simulated time and a folder in memory. */
+final class SimulatedMember {
+    private static final int SEGMENT_BYTES = 2048;
+
+    final long id;
+    final MemoryFolder folder = new MemoryFolder();
+    final List<String> state = new ArrayList<>();
+    private final SimulatedGroup group;
+    private final List<Object> diskTasks = new ArrayList<>();
+    private final List<Consumer<ReplicaCore>> frozenInputs = new ArrayList<>();
+    ReplicaCore core;
+    /** Rises at each start and crash, so that what was under way is dropped. */
+    int run;
+
+    boolean frozen;
+    boolean retired;
+    private MemberStorage storage;
+    private double clockRate = 1;
+    private long clockOffsetMs;
+    private boolean diskBusy;
+    private long appliedIndex;
+
+    SimulatedMember(SimulatedGroup group, long id) {
+        this.group = group;
+        this.id = id;
+    }
+
+    boolean alive() {
+        return core != null;
+    }
+
+    boolean leads() {
+        return alive() && core.role() == ReplicaCore.Role.LEADER;
+    }
+
+    private long nowMs() {
+        return clockOffsetMs + (long) (group.nowMs() * clockRate);
+    }
+
+    void start(Membership initial) {
+        run++;
+        clockRate = 0.96 + group.random().nextDouble() * 0.08;
+        clockOffsetMs = group.random().nextLong(1_000_000);
+        state.clear();
+        appliedIndex = 0;
+        long incarnation = group.mutant() == Mutant.LOST_DISK_UNNOTICED
+                ? id
+                : group.random().nextLong(1, 1 << 30);
+        try {
+            storage = MemberStorage.open(folder, id, SEGMENT_BYTES, () -> incarnation);
+        } catch (IOException | FailureException e) {
+            throw new IllegalStateException("member " + id + " does not start", e);
+        }
+        core = ReplicaCore.start(group.optionsOf(id), group.mutant().rules(), storage.stored(), initial, nowMs());
+        tickLater(run);
+        pump();
+    }
+
+    /** Stops without warning; with a power failure what was not synced may be lost. */
+    void crash() {
+        run++;
+        core = null;
+        frozen = false;
+        diskBusy = false;
+        diskTasks.clear();
+        frozenInputs.clear();
+        folder.crash(group.random());
+        group.requestsLost(id);
+    }
+
+    void thaw() {
+        frozen = false;
+        List<Consumer<ReplicaCore>> inputs = List.copyOf(frozenInputs);
+        frozenInputs.clear();
+        inputs.forEach(this::input);
+    }
+
+    void input(Consumer<ReplicaCore> step) {
+        if (frozen) {
+            frozenInputs.add(step);
+        } else if (alive()) {
+            step.accept(core);
+            pump();
+        }
+    }
+
+    void receive(Envelope message) {
+        input(c -> c.receive(nowMs(), message));
+    }
+
+    void transfer(long token) {
+        input(c -> c.transferLeadership(nowMs(), token));
+    }
+
+    private void later(long delayMs, int ofRun, Runnable task) {
+        group.later(delayMs, () -> {
+            if (run == ofRun) {
+                task.run();
+            }
+        });
+    }
+
+    private void tickLater(int ofRun) {
+        later(20, ofRun, () -> {
+            if (!frozen) {
+                input(c -> c.tick(nowMs()));
+            }
+            if (run == ofRun) {
+                tickLater(ofRun);
+            }
+        });
+    }
+
+    private void pump() {
+        int ofRun = run;
+        Ready ready = core.drain(nowMs());
+        if (leads()) {
+            group.history().leads(core.term(), id);
+        }
+        ready.messages().forEach(m -> group.send(this, m));
+        diskTasks.addAll(ready.chunkReads());
+        ready.write().ifPresent(w -> {
+            diskTasks.add(w);
+            if (group.mutant() == Mutant.ACKNOWLEDGES_BEFORE_SYNC && w.chunk().isEmpty()) {
+                later(0, ofRun, () -> input(c -> c.written(nowMs(), w.id())));
+            }
+        });
+        startDisk();
+        ready.restore().ifPresent(this::restore);
+        ready.applies().forEach(this::apply);
+        if (ready.restore().isPresent() || !ready.applies().isEmpty()) {
+            long index = appliedIndex;
+            later(group.random().nextLong(3), ofRun, () -> input(c -> c.applied(index)));
+        }
+        if (ready.takeSnapshot()) {
+            long index = appliedIndex;
+            byte[] text = String.join("\n", state).getBytes();
+            later(group.random().nextLong(5), ofRun, () -> input(c -> c.snapshotTaken(index, text)));
+        }
+        ready.events().forEach(this::report);
+        group.happened(Step.DRAINED, this);
+    }
+
+    private void report(CoreEvent event) {
+        if (event instanceof CoreEvent.LeadershipGained) {
+            group.happened(Step.ELECTED, this);
+        } else if (event instanceof CoreEvent.Retired) {
+            retired = true;
+            crash();
+        } else {
+            group.answered(event);
+        }
+    }
+
+    private void restore(SnapshotMeta meta) {
+        try {
+            String text = new String(storage.snapshotState());
+            appliedIndex = meta.index();
+            if (group.mutant() != Mutant.SNAPSHOT_NOT_RESTORED) {
+                state.clear();
+                state.addAll(text.isEmpty() ? List.of() : List.of(text.split("\n")));
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void apply(Ready.Apply apply) {
+        appliedIndex = apply.entry().index();
+        if (apply.entry().kind() == EntryKind.COMMAND) {
+            String command = new String(apply.entry().payload());
+            state.add(command);
+            group.history().applied(id, appliedIndex, command);
+            group.acknowledged(apply.token(), command, appliedIndex);
+            group.happened(Step.APPLIED, this);
+        } else {
+            group.history().applied(id, appliedIndex, apply.entry().kind().name());
+            group.happened(apply.entry().kind() == EntryKind.MEMBERSHIP ? Step.MEMBERS_CHANGED : Step.APPLIED, this);
+        }
+    }
+
+    private void startDisk() {
+        if (!diskBusy && !diskTasks.isEmpty()) {
+            diskBusy = true;
+            later(group.random().nextLong(4), run, this::useDisk);
+        }
+    }
+
+    private void useDisk() {
+        int ofRun = run;
+        group.happened(Step.WRITING, this);
+        if (run != ofRun) {
+            return;
+        }
+        List<Object> tasks = List.copyOf(diskTasks);
+        diskTasks.clear();
+        try {
+            long lastId = 0;
+            List<Optional<SnapshotMeta>> installs = new ArrayList<>();
+            for (Object task : tasks) {
+                if (task instanceof DiskWrite w) {
+                    storage.write(group.mutant().alter(w)).ifPresent(installs::add);
+                    lastId = w.id();
+                } else {
+                    storage.readChunk((ChunkRead) task).ifPresent(m -> group.send(this, m));
+                }
+            }
+            storage.sync();
+            long doneId = lastId;
+            later(group.random().nextLong(2), ofRun, () -> diskDone(doneId, installs));
+            group.happened(installs.isEmpty() ? Step.WRITTEN : Step.SNAPSHOT_INSTALLED, this);
+        } catch (IOException e) {
+            crash();
+        }
+    }
+
+    private void diskDone(long lastId, List<Optional<SnapshotMeta>> installs) {
+        diskBusy = false;
+        input(c -> {
+            installs.forEach(c::snapshotInstalled);
+            c.written(nowMs(), lastId);
+        });
+        if (alive()) {
+            startDisk();
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/core/Step.java
@@ -0,0 +1,46 @@
+package org.cornelcove.replication.core;
+
+/** The moments at which a fault may come. */
+enum Step {
+    DRAINED(1),
+    PRE_VOTE_ASKED(1),
+    VOTE_ASKED(1),
+    VOTE_GIVEN(1),
+    ELECTED(1),
+    WRITING(7),
+    WRITTEN(7),
+    ENTRIES_SENT(5),
+    ENTRIES_ANSWERED(5),
+    APPLIED(5),
+    CHUNK_SENT(2),
+    CHUNK_ANSWERED(2),
+    SNAPSHOT_INSTALLED(1),
+    MEMBERS_CHANGED(1),
+    TRANSFER_SENT(1);
+
+    /** Which occurrence, times the number of the seed, the fault waits for. */
+    final int stride;
+
+    Step(int stride) {
+        this.stride = stride;
+    }
+
+    static Step of(Message message) {
+        if (message instanceof Message.AppendRequest) {
+            return ENTRIES_SENT;
+        } else if (message instanceof Message.AppendResponse) {
+            return ENTRIES_ANSWERED;
+        } else if (message instanceof Message.PreVoteRequest) {
+            return PRE_VOTE_ASKED;
+        } else if (message instanceof Message.VoteRequest) {
+            return VOTE_ASKED;
+        } else if (message instanceof Message.VoteResponse) {
+            return VOTE_GIVEN;
+        } else if (message instanceof Message.SnapshotChunk) {
+            return CHUNK_SENT;
+        } else if (message instanceof Message.SnapshotResponse) {
+            return CHUNK_ANSWERED;
+        }
+        return message instanceof Message.TransferLeadership ? TRANSFER_SENT : DRAINED;
+    }
+}
