Scenarios and mutants for the replicated log

Cause: a green checker proves nothing until it was seen red.

A first try at 'addition done early' and 'votes at any time' was not noticed: the rule and the course of events were too mild, both were sharpened.

--- a/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
@@ -42,6 +42,7 @@
     private static final long SNAPSHOT_EVERY_ENTRIES = 20_000;
     private static final long SNAPSHOT_EVERY_BYTES = 32L << 20;
     private static final long SEGMENT_BYTES = 8L << 20;
+    private static final int MAX_APPEND_BYTES = 1 << 20;
     private static final int CHUNK_BYTES = 256 << 10;
 
     /**
@@ -102,6 +103,7 @@
                 snapshotEveryBytes,
                 snapshotEveryEntries / 2,
                 CHUNK_BYTES,
+                MAX_APPEND_BYTES,
                 seed * 31 + selfId);
     }
 }
--- a/replication/src/main/java/org/cornelcove/replication/core/CoreOptions.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/CoreOptions.java
@@ -14,6 +14,7 @@
  * @param snapshotEveryBytes how many bytes of entries at most lie between two snapshots
  * @param retainedEntries how many entries before a snapshot stay for members that lag
  * @param chunkBytes the size of a snapshot's chunks
+ * @param maxAppendBytes how many bytes of entries one message holds at most, but always one entry
  * @param seed for the election timeouts
  */
 public record CoreOptions(
@@ -27,4 +28,5 @@
         long snapshotEveryBytes,
         long retainedEntries,
         int chunkBytes,
+        int maxAppendBytes,
         long seed) {}
--- a/replication/src/main/java/org/cornelcove/replication/core/Election.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Election.java
@@ -64,7 +64,7 @@
 
     /** Tells whether the votes are a majority, or all of them while the group is not formed. */
     boolean won(Membership membership) {
-        List<MemberRecord> voters = rules.voters(membership);
+        List<MemberRecord> voters = membership.voters();
         long count = voters.stream().filter(m -> votes.containsKey(m.id())).count();
         return membership.formed() ? count * 2 > voters.size() : count == voters.size() && count > 0;
     }
--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -26,7 +26,6 @@
  * the member votes, and it holds everything committed at that moment.
  */
 final class Leadership {
-    private static final int MAX_APPEND_BYTES = 1 << 20;
     private static final int MAX_UNANSWERED_ENTRIES = 8192;
     private static final int MAX_UNCOMMITTED_ENTRIES = 65_536;
     /** The clock of something that has not been. */
@@ -264,7 +263,7 @@
     // Commit
 
     private long reachedByMajority(long own, ToLongFunction<Progress> value) {
-        long[] values = core.rules.voters(core.log.membership()).stream()
+        long[] values = core.rules.answerers(core.log.membership()).stream()
                 .mapToLong(m -> m.id() == core.options.selfId() ? own : value.applyAsLong(progressOf(m)))
                 .sorted()
                 .toArray();
@@ -325,7 +324,7 @@
             Progress p = progressOf(member);
             boolean caughtUp = p.mode == Progress.Mode.STREAM
                     && active(nowMs, p)
-                    && core.rules.mayPromote(p.matchIndex, Math.max(promotionIndex, core.log.history.currentIndex()));
+                    && p.matchIndex >= Math.max(promotionIndex, core.log.history.currentIndex());
             if (!member.voting() && caughtUp && mayChangeMembers()) {
                 changeMembers(core.log
                         .membership()
@@ -352,15 +351,14 @@
     }
 
     private boolean added(MemberChange change) {
-        Membership members = core.log.membership();
-        if (!core.rules.additionDone(core.log.committedMembership(), members, change.id)) {
-            return false;
-        }
-        if (change.wantedMatchIndex < 0) {
+        boolean votes = core.log.committedMembership().votes(change.id);
+        if (votes && change.wantedMatchIndex < 0) {
             change.wantedMatchIndex = core.log.commitIndex();
         }
-        return change.id == core.options.selfId()
-                || core.rules.mayPromote(progressOf(members.find(change.id).get()).matchIndex, change.wantedMatchIndex);
+        long matchIndex = change.id == core.options.selfId()
+                ? core.log.tail.lastIndex()
+                : progressOf(core.log.membership().find(change.id).get()).matchIndex;
+        return core.rules.additionDone(votes, matchIndex, change.wantedMatchIndex);
     }
 
     private void sendTransfer() {
@@ -440,7 +438,7 @@
         while (p.nextIndex > core.log.tail.baseIndex()
                 && p.nextIndex <= core.log.tail.lastIndex()
                 && p.nextIndex - p.matchIndex <= MAX_UNANSWERED_ENTRIES) {
-            List<LogEntry> entries = core.log.tail.slice(p.nextIndex, MAX_APPEND_BYTES);
+            List<LogEntry> entries = core.log.tail.slice(p.nextIndex, core.options.maxAppendBytes());
             sendAppend(nowMs, member, p.nextIndex - 1, entries);
             p.nextIndex += entries.size();
         }
--- a/replication/src/main/java/org/cornelcove/replication/core/ProtocolRules.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ProtocolRules.java
@@ -25,19 +25,14 @@
         return sinceSentMs < options.leaseMs();
     }
 
-    /** Who counts for majorities. */
-    List<MemberRecord> voters(Membership membership) {
+    /** Whose answers count for commits, reads and the leader's contact with its quorum. */
+    List<MemberRecord> answerers(Membership membership) {
         return membership.voters();
     }
 
-    /** A learner that holds everything up to the index is ready to vote. */
-    boolean mayPromote(long matchIndex, long wantedIndex) {
-        return matchIndex >= wantedIndex;
-    }
-
-    /** The addition of a member is done once it votes by a committed entry. */
-    boolean additionDone(Membership committed, Membership current, long id) {
-        return committed.votes(id);
+    /** The addition of a member is done once it votes by a committed entry, and holds what was committed by then. */
+    boolean additionDone(boolean votes, long matchIndex, long wantedIndex) {
+        return votes && matchIndex >= wantedIndex;
     }
 
     /** Whether two uncommitted changes of the membership may stand in the log. */
--- a/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
@@ -540,7 +540,7 @@
     }
 
     private List<MemberRecord> otherVoters() {
-        return rules.voters(log.membership()).stream()
+        return log.membership().voters().stream()
                 .filter(m -> m.id() != options.selfId())
                 .toList();
     }
--- a/replication/src/test/java/org/cornelcove/replication/core/FaultCell.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/FaultCell.java
@@ -22,6 +22,8 @@
 
     Outcome run(Mutant mutant) {
         SimulatedGroup group = SimulatedGroup.of(3, seed * 7919L + step.ordinal(), mutant);
+        group.maxAppendBytes = seed == 1 ? 1 : 1 << 20;
+        group.maxDiskMs = seed == 2 ? 40 : 4;
         boolean[] hit = {false};
         int[] occurrences = {0};
         group.observer = (at, member) -> {
@@ -48,7 +50,7 @@
         group.runUntil(HEALED_MS);
         Fault.heal(group);
         group.runUntil(SETTLED_MS);
-        settle(group);
+        settle(group, History.Guarantee.NO_ACKNOWLEDGED_COMMAND_LOST);
         return new Outcome(group.history(), hit[0]);
     }
 
@@ -69,17 +71,22 @@
         }
     }
 
-    static void settle(SimulatedGroup group) {
+    static void settle(SimulatedGroup group, History.Guarantee lossBreaks) {
         int before = group.history().acknowledgedCount();
         group.propose("last");
         group.runUntil(group.nowMs() + 1000);
         if (group.history().acknowledgedCount() == before) {
-            group.history().violated(History.Guarantee.SERVES_AGAIN, "nobody takes a command");
+            group.history()
+                    .violated(
+                            lossBreaks == History.Guarantee.REPAIRED_SURVIVES_SECOND_LOSS
+                                    ? lossBreaks
+                                    : History.Guarantee.SERVES_AGAIN,
+                            "nobody takes a command");
             return;
         }
         Set<Long> ids = group.memberIds();
         group.members.values().stream()
                 .filter(m -> ids.contains(m.id) && m.alive())
-                .forEach(m -> group.history().ends(m.id, m.state, History.Guarantee.NO_ACKNOWLEDGED_COMMAND_LOST));
+                .forEach(m -> group.history().ends(m.id, m.state, lossBreaks));
     }
 }
--- a/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
@@ -12,7 +12,6 @@
     VOTES_AT_ANY_TIME,
     READS_WITHOUT_LEASE,
     LEARNERS_COUNT,
-    PROMOTES_EMPTY_LEARNERS,
     ADDITION_DONE_EARLY,
     LOST_DISK_UNNOTICED,
     CHANGES_OVERLAP,
@@ -37,18 +36,13 @@
             }
 
             @Override
-            List<MemberRecord> voters(Membership membership) {
-                return Mutant.this == LEARNERS_COUNT ? membership.members() : super.voters(membership);
+            List<MemberRecord> answerers(Membership membership) {
+                return Mutant.this == LEARNERS_COUNT ? membership.members() : super.answerers(membership);
             }
 
             @Override
-            boolean mayPromote(long matchIndex, long wantedIndex) {
-                return Mutant.this == PROMOTES_EMPTY_LEARNERS || super.mayPromote(matchIndex, wantedIndex);
-            }
-
-            @Override
-            boolean additionDone(Membership committed, Membership current, long id) {
-                return Mutant.this == ADDITION_DONE_EARLY || super.additionDone(committed, current, id);
+            boolean additionDone(boolean votes, long matchIndex, long wantedIndex) {
+                return Mutant.this == ADDITION_DONE_EARLY || super.additionDone(votes, matchIndex, wantedIndex);
             }
 
             @Override
--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/core/Scenario.java
@@ -0,0 +1,162 @@
+package org.cornelcove.replication.core;
+
+import java.util.List;
+import java.util.Set;
+
+/** Courses of events that a random fault seldom hits. */
+enum Scenario {
+    /** An entry of an old term reaches a majority under a new leader, and a member with a newer last term comes back. */
+    OLD_TERM_REACHES_MAJORITY {
+        @Override
+        void run(SimulatedGroup group) {
+            elect(group, 1, Set.of());
+            group.lost = m -> List.of(3L, 4L, 5L).contains(m.envelope().to());
+            group.propose(1, "old");
+            group.runUntil(group.nowMs() + 100);
+            group.members.get(1L).crash();
+            elect(group, 5, Set.of(1L, 2L));
+            group.members.get(5L).crash();
+            group.restart(group.members.get(1L));
+            elect(group, 1, Set.of(4L, 5L));
+            group.members.get(1L).crash();
+            group.restart(group.members.get(5L));
+            elect(group, 5, Set.of(1L));
+            group.lost = m -> false;
+            group.restart(group.members.get(1L));
+            group.runUntil(group.nowMs() + 2000);
+        }
+
+        /** Elects a member while others are cut off; of what it appends in its own term nothing leaves. */
+        private void elect(SimulatedGroup group, long id, Set<Long> cutOff) {
+            group.members.values().forEach(m -> m.passive = m.id != id);
+            boolean first = group.nowMs() == 0;
+            boolean last = cutOff.equals(Set.of(1L));
+            group.lost = m -> cutOff.contains(m.envelope().to())
+                    || !first
+                            && !last
+                            && m.envelope().body() instanceof Message.AppendRequest a
+                            && a.entries().stream()
+                                    .anyMatch(e -> e.term() == m.envelope().term());
+            group.runUntil(group.nowMs() + 2000);
+        }
+    },
+    /** A member that does not hear from the leader stands for election, while the other still does. */
+    READ_AFTER_ELECTION {
+        @Override
+        void run(SimulatedGroup group) {
+            group.members.get(2L).passive = true;
+            group.members.get(3L).passive = true;
+            group.runUntil(2000);
+            group.members.get(2L).passive = false;
+            group.lost = m -> m.envelope().from() + m.envelope().to() == 3;
+            group.observer = (step, member) -> {
+                if (step == Step.VOTE_GIVEN && member.id == 3) {
+                    group.network.cutFrom.add(1L);
+                    group.network.cutTo.add(1L);
+                } else if (step == Step.ELECTED && member.id == 2) {
+                    group.later(5, () -> group.propose(2, "new"));
+                    group.later(40, () -> group.read(1));
+                }
+            };
+            group.runUntil(4000);
+        }
+    },
+    /** A leader is cut off from the other voters together with two learners that hold everything. */
+    LEADER_ALONE_WITH_LEARNERS {
+        @Override
+        void run(SimulatedGroup group) {
+            group.members.get(2L).passive = true;
+            group.members.get(3L).passive = true;
+            group.runUntil(2000);
+            group.lost = m -> m.envelope().to() > 3;
+            for (long id = 4; id <= 5; id++) {
+                long added = id;
+                group.add(added).start(Membership.EMPTY);
+                group.members.get(1L).input(c -> c.addMember(-added, added, "" + added));
+                group.runUntil(group.nowMs() + 300);
+            }
+            group.lost = m -> m.envelope().to() != 1
+                            && m.envelope().to() <= 3
+                            && m.envelope().from() == 1
+                    || m.envelope().to() == 1 && m.envelope().from() <= 3;
+            group.runUntil(group.nowMs() + 300);
+            group.propose(1, "minority");
+            group.runUntil(group.nowMs() + 300);
+            group.members.get(2L).passive = false;
+            group.runUntil(group.nowMs() + 2500);
+            group.propose(2, "majority");
+            group.runUntil(group.nowMs() + 500);
+        }
+    },
+    /** A member is lost and replaced, and another one is lost the moment the repair is reported done. */
+    LOSS_RIGHT_AFTER_REPAIR {
+        @Override
+        void run(SimulatedGroup group) {
+            group.operate();
+            group.later(1500, () -> FaultCell.load(group, 0));
+            group.later(2500, () -> {
+                group.lose(group.members.get(3L));
+                group.replace(3, 4);
+            });
+            boolean[] lost = {false};
+            group.observer = (step, member) -> {
+                if (!lost[0] && group.nowMs() > 2500 && group.operatorTasks.isEmpty()) {
+                    lost[0] = true;
+                    group.later(0, () -> group.lose(group.members.get(group.nowMs() % 2 + 1)));
+                }
+            };
+            group.runUntil(8000);
+        }
+    },
+    /** A member that holds the only other copy loses its disk and comes back under its id. */
+    LOST_DISK_SAME_ID {
+        @Override
+        void run(SimulatedGroup group) {
+            group.members.get(2L).passive = true;
+            group.members.get(3L).passive = true;
+            group.runUntil(2000);
+            group.lost = m -> m.envelope().to() == 3;
+            group.propose(1, "kept");
+            group.runUntil(2200);
+            group.members.get(1L).crash();
+            group.lose(group.members.get(2L));
+            group.lost = m -> false;
+            group.restart(group.add(2));
+            group.members.get(3L).passive = false;
+            group.runUntil(5000);
+            group.restart(group.members.get(1L));
+            group.runUntil(8000);
+        }
+    },
+    /** All members lose power while their disks are slow. */
+    POWER_LOST {
+        @Override
+        void run(SimulatedGroup group) {
+            group.maxDiskMs = 200;
+            group.later(1500, () -> FaultCell.load(group, 0));
+            group.later(3000, () -> Fault.ALL_KILLED.begin(group, group.members.get(1L)));
+            group.later(4000, () -> Fault.heal(group));
+            group.runUntil(9000);
+        }
+    };
+
+    abstract void run(SimulatedGroup group);
+
+    History historyOf(Mutant mutant, long seed) {
+        SimulatedGroup group = SimulatedGroup.of(this == OLD_TERM_REACHES_MAJORITY ? 5 : 3, seed, mutant);
+        group.maxAppendBytes = 1;
+        run(group);
+        group.lost = m -> false;
+        group.observer = (step, member) -> {};
+        group.network.cutFrom.clear();
+        group.network.cutTo.clear();
+        group.members.values().forEach(m -> m.passive = false);
+        group.runUntil(group.nowMs() + 3000);
+        FaultCell.settle(
+                group,
+                this == LOSS_RIGHT_AFTER_REPAIR
+                        ? History.Guarantee.REPAIRED_SURVIVES_SECOND_LOSS
+                        : History.Guarantee.NO_ACKNOWLEDGED_COMMAND_LOST);
+        return group.history();
+    }
+}
--- a/replication/src/test/java/org/cornelcove/replication/core/SimulatedGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedGroup.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import org.cornelcove.model.error.ErrorKind;
 
@@ -37,6 +38,11 @@
     }
 
     final Network network = new Network();
+    /** Which messages the network loses besides. */
+    Predicate<Outgoing> lost = message -> false;
+
+    int maxDiskMs = 4;
+    int maxAppendBytes = 1 << 20;
     final TreeMap<Long, SimulatedMember> members = new TreeMap<>();
     final ArrayDeque<BiConsumer<ReplicaCore, Long>> operatorTasks = new ArrayDeque<>();
     BiConsumer<Step, SimulatedMember> observer = (step, member) -> {};
@@ -98,7 +104,8 @@
     }
 
     CoreOptions optionsOf(long id) {
-        return new CoreOptions(id, "" + id, 100, 400, 800, 360, 40, 1 << 20, 20, 100, random.nextLong());
+        return new CoreOptions(
+                id, "" + id, 100, 400, 800, 360, 40, 1 << 20, 20, 100, maxAppendBytes, random.nextLong());
     }
 
     void later(long delayMs, Runnable task) {
@@ -127,8 +134,8 @@
             long to = Long.parseLong(message.address());
             long delay = 1 + random.nextLong(network.reorders ? 150 : 3);
             delay += network.slow.contains(to) || network.slow.contains(from.id) ? 120 : 0;
-            boolean lost = random.nextInt(100) < network.lossPercent || network.cutFrom.contains(from.id);
-            if (!lost) {
+            boolean dropped = random.nextInt(100) < network.lossPercent || network.cutFrom.contains(from.id);
+            if (!dropped && !lost.test(message)) {
                 later(delay, () -> deliver(to, bytes));
             }
         }
@@ -150,7 +157,11 @@
         if (leading.isEmpty()) {
             return false;
         }
-        SimulatedMember member = leading.get(random.nextInt(leading.size()));
+        ask(leading.get(random.nextInt(leading.size())), kind, command, request);
+        return true;
+    }
+
+    private void ask(SimulatedMember member, Kind kind, String command, BiConsumer<ReplicaCore, Long> request) {
         lastToken++;
         long token = lastToken;
         requests.put(token, new Request(member.id, kind, command));
@@ -158,13 +169,20 @@
             history.readBegins(token);
         }
         member.input(c -> request.accept(c, token));
-        return true;
     }
 
     void propose(String command) {
         ask(Kind.PROPOSAL, command, (core, token) -> core.propose(token, command.getBytes()));
     }
 
+    void propose(long member, String command) {
+        ask(members.get(member), Kind.PROPOSAL, command, (core, token) -> core.propose(token, command.getBytes()));
+    }
+
+    void read(long member) {
+        ask(members.get(member), Kind.READ, "", (core, token) -> core.readBarrier(token));
+    }
+
     void read() {
         ask(Kind.READ, "", (core, token) -> core.readBarrier(token));
     }
@@ -212,8 +230,8 @@
     }
 
     /** Takes a lost member's place: removes it and adds another under a new id. */
-    void replace(long lost, long added) {
-        operatorTasks.add((core, token) -> core.removeMember(token, lost));
+    void replace(long gone, long added) {
+        operatorTasks.add((core, token) -> core.removeMember(token, gone));
         operatorTasks.add((core, token) -> core.addMember(token, added, "" + added));
         add(added).start(Membership.EMPTY);
     }
--- a/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
@@ -25,6 +25,9 @@
 
     boolean frozen;
     boolean retired;
+    /** Whether time does not pass for the protocol, so that it stands for no election. */
+    boolean passive;
+
     private MemberStorage storage;
     private double clockRate = 1;
     private long clockOffsetMs;
@@ -113,7 +116,7 @@
 
     private void tickLater(int ofRun) {
         later(20, ofRun, () -> {
-            if (!frozen) {
+            if (!frozen && !passive) {
                 input(c -> c.tick(nowMs()));
             }
             if (run == ofRun) {
@@ -193,7 +196,7 @@
     private void startDisk() {
         if (!diskBusy && !diskTasks.isEmpty()) {
             diskBusy = true;
-            later(group.random().nextLong(4), run, this::useDisk);
+            later(group.random().nextLong(group.maxDiskMs), run, this::useDisk);
         }
     }
 
