--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -51,6 +51,7 @@
     volatile UnaryOperator<CompletableFuture<Outcome>> onExecute = outcome -> outcome;
     volatile ServiceRule service = rule(2_000, 1 << 20, 100);
     private final Map<String, Claim> claims = new HashMap<>();
+    private volatile long silentSinceNs;
     private long index;
 
     private record Claim(ClaimOnce claim, Optional<RecordedAnswer> answer, boolean unknown) {}
@@ -74,6 +75,15 @@
         targets = grants;
     }
 
+    /** From now on no announcement of any target arrives. */
+    void silenceTargets() {
+        silentSinceNs = System.nanoTime();
+    }
+
+    long silentMs() {
+        return silentSinceNs == 0 ? 0 : (System.nanoTime() - silentSinceNs) / 1_000_000;
+    }
+
     @Override
     public synchronized CompletableFuture<Outcome> execute(Command command) {
         commands.add(command);
@@ -118,7 +128,12 @@
         if (!reachable) {
             return new CompletableFuture<>();
         }
-        List<TargetGrant> granted = heartbeat.draining() ? List.of() : targets;
+        List<TargetGrant> granted = heartbeat.draining()
+                ? List.of()
+                : targets.stream()
+                        .map(one -> new TargetGrant(
+                                one.target(), one.epoch(), one.silentMs() + silentMs(), one.previousHoldMs()))
+                        .toList();
         return CompletableFuture.completedFuture(new EntryLease(
                 leaseMs, 1, Optional.of(rules()), granted, heartbeat.draining() ? List.of() : ranges, peers));
     }
--- a/entry/src/test/java/org/cornelcove/entry/Rig.java
+++ b/entry/src/test/java/org/cornelcove/entry/Rig.java
@@ -25,6 +25,7 @@
 
     static final HttpClient HTTP =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    static final long SILENCE_MS = 1_000;
     final FakeControl control = new FakeControl();
     final List<FakeTarget> targets = new ArrayList<>();
     volatile PeerLink peers = (address, request) -> new CompletableFuture<>();
@@ -53,7 +54,7 @@
                 usual.rpcAddress(),
                 usual.seed(),
                 20,
-                usual.targetSilenceMs(),
+                SILENCE_MS,
                 usual.connectTimeoutMs(),
                 1 << 20,
                 50,
