Explain and diff say so where nothing is known yet

Run by hand against a standalone daemon: 'explain request' of an unknown id printed nothing, and 'diff' on a new cluster named an empty operator and digest. verify -pl cli -am: rules 76, cli 93 tests run, 0 failures.

--- a/cli/src/main/java/org/cornelcove/cli/command/DiffCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/DiffCommand.java
@@ -59,8 +59,10 @@
                 current.digest(),
                 CanonicalRules.digest(rules),
                 RuleDiff.between(current.rules(), rules));
-        String head = "against version " + current.version() + ", change number " + current.changeNumber() + " by "
-                + current.operator() + ", digest " + current.digest();
+        String head = current.version() == 0
+                ? "against the rules of a new cluster"
+                : "against version " + current.version() + ", change number " + current.changeNumber() + " by "
+                        + current.operator() + ", digest " + current.digest();
         String lines = difference.changes().stream()
                 .map(change -> Text.printable(change.toString()) + "\n")
                 .collect(Collectors.joining());
--- a/cli/src/main/java/org/cornelcove/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/ExplainCommand.java
@@ -8,6 +8,7 @@
 import org.cornelcove.cli.output.Report;
 import org.cornelcove.cli.output.Text;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.view.ExplainView;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -19,12 +20,13 @@
         subcommands = {ExplainCommand.Job.class, ExplainCommand.Request.class})
 final class ExplainCommand extends GroupCommand {
     private static Either<List<Failure>, Report> explain(Cluster cluster, String collection, String id) {
-        return cluster.explain(collection, id)
-                .map(view -> Report.of(
-                        view,
-                        view.lines().stream()
-                                .map(line -> Text.printable(line) + "\n")
-                                .collect(Collectors.joining())));
+        return cluster.explain(collection, id).map(view -> Report.of(view, text(view)));
+    }
+
+    private static String text(ExplainView view) {
+        return view.lines().isEmpty()
+                ? "nothing is known of it at this endpoint; ask the entry that took it\n"
+                : view.lines().stream().map(line -> Text.printable(line) + "\n").collect(Collectors.joining());
     }
 
     /** Explains a job. */
--- a/cli/src/test/java/org/cornelcove/cli/ApplyTest.java
+++ b/cli/src/test/java/org/cornelcove/cli/ApplyTest.java
@@ -52,6 +52,15 @@
         assertThat(run.out(), containsString("+ tenant north: weight 2, maxQueued 128\n"));
     }
 
+    @Test
+    void diffOfANewClusterNamesNoVersion() throws IOException {
+        try (FakeDaemon young = FakeDaemon.open()) {
+            young.on("GET /v1/configuration", json(Samples.configuration(0, 0, "")));
+            Run run = Run.of("diff", RULES, "--endpoint", young.endpoint());
+            assertThat(run.out(), startsWith("against the rules of a new cluster\n+ tenant north"));
+        }
+    }
+
     @Test
     void takesTheNextNumber() {
         daemon.on(PROPOSE, json(new ConfigurationAccepted(8)));
--- a/cli/src/test/java/org/cornelcove/cli/CommandsTest.java
+++ b/cli/src/test/java/org/cornelcove/cli/CommandsTest.java
@@ -46,6 +46,7 @@
                 .on("DELETE /v1/jobs/a", json(Samples.job("a", JobState.CANCELLED)))
                 .on("POST /v1/jobs", json(Samples.job("a", JobState.PENDING)))
                 .on("GET /v1/explain/jobs/a", json(new ExplainView(List.of("waits for memory", "next"))))
+                .on("GET /v1/explain/requests/r2", json(new ExplainView(List.of())))
                 .on("GET /v1/explain/requests/r%2F1", json(new ExplainView(List.of("queued"))))
                 .on(
                         "GET /v1/histograms",
@@ -71,6 +72,7 @@
                 "job show a                | GET /v1/jobs/a                               | cpu           4",
                 "job cancel a              | DELETE /v1/jobs/a                            | state         cancelled",
                 "explain job a             | GET /v1/explain/jobs/a                       | waits for memory",
+                "explain request r2        | GET /v1/explain/requests/r2                  | nothing is known of it at this endpoint",
                 "explain request r/1       | GET /v1/explain/requests/r%2F1               | queued",
                 "histograms --name once    | GET /v1/histograms                           | latency.class.once  5      1       2       3       4",
                 "status                    | GET /v1/status                               | configuration  version 7",
