A drain ends when nobody can take over what is owned

Cause: the drain waited until every target and range was handed over; a group of one has nobody to take them, so SIGTERM took the daemon's limit of 120 s. Ruled out: handing over to nobody on the leader's side, which a drain without a leader can't have. Change: the wait for a hand-over is bounded by a lease, after which others take over anyway. Before: the new test ran into its 20 s limit. After: it passes; requests in flight are still waited for.

--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -25,6 +25,9 @@
     private static final System.Logger LOGGER = System.getLogger(EntryServer.class.getName());
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long DRAIN_POLL_MS = 20;
+    /** How long a drain waits for others to take over what is owned; after a lease they can without being handed it. */
+    private static final long HAND_OVER_LIMIT_MS = 3_000;
+
     private static final int MAX_HEADERS = 100;
     private static final int MAX_HEADER_BYTES = 16_384;
 
@@ -242,16 +245,17 @@
         stage.set(Stage.HANDING_OVER);
         lease.handOver();
         LOGGER.log(System.Logger.Level.INFO, "draining: handing over");
-        awaitEmpty();
+        awaitEmpty(clock.nowNs().getAsLong() + HAND_OVER_LIMIT_MS * NANOS_PER_MS);
     }
 
-    private void awaitEmpty() {
+    private void awaitEmpty(long handOverEndNs) {
         EntryView view = lease.view();
-        boolean owns = view.isLeased(clock.nowNs().getAsLong())
+        long now = clock.nowNs().getAsLong();
+        boolean owns = view.isLeased(now)
                 && !(view.targetsByService().isEmpty() && view.ranges().isEmpty());
-        if (flow.inFlight() > 0 || owns) {
+        if (flow.inFlight() > 0 || owns && now < handOverEndNs) {
             CompletableFuture.delayedExecutor(DRAIN_POLL_MS, TimeUnit.MILLISECONDS)
-                    .execute(this::awaitEmpty);
+                    .execute(() -> awaitEmpty(handOverEndNs));
             return;
         }
         stage.set(Stage.DRAINED);
--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -47,6 +47,9 @@
     volatile List<RangeGrant> ranges = allRanges();
     volatile List<PeerEntry> peers = List.of();
     volatile boolean reachable = true;
+    /** Whether another entry takes over what a draining one owns. */
+    volatile boolean takenOver = true;
+
     volatile long leaseMs = 2_000;
     volatile UnaryOperator<CompletableFuture<Outcome>> onExecute = outcome -> outcome;
     volatile ServiceRule service = rule(2_000, 1 << 20, 100);
@@ -128,14 +131,15 @@
         if (!reachable) {
             return new CompletableFuture<>();
         }
-        List<TargetGrant> granted = heartbeat.draining()
+        boolean handedOver = heartbeat.draining() && takenOver;
+        List<TargetGrant> granted = handedOver
                 ? List.of()
                 : targets.stream()
                         .map(one -> new TargetGrant(
                                 one.target(), one.epoch(), one.silentMs() + silentMs(), one.previousHoldMs()))
                         .toList();
-        return CompletableFuture.completedFuture(new EntryLease(
-                leaseMs, 1, Optional.of(rules()), granted, heartbeat.draining() ? List.of() : ranges, peers));
+        return CompletableFuture.completedFuture(
+                new EntryLease(leaseMs, 1, Optional.of(rules()), granted, handedOver ? List.of() : ranges, peers));
     }
 
     private RuleSet rules() {
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -89,6 +89,14 @@
         }
     }
 
+    @Test
+    void aDrainEndsWhenNobodyCanTakeOver() throws Exception {
+        try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.ECHO)).open()) {
+            rig.control.takenOver = false;
+            Rig.await(rig.entry.drain()::isDone);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"1000, false, 200", "1001, false, 413", "1000, true, 200", "1001, true, 413", "5000000, true, 413"})
     void bodiesAreBounded(int bytes, boolean chunked, int status) throws Exception {
