Throttling beside services, eviction from a worker that shrank, and tests of the orders

A worker that registers a smaller capacity while attempts hold more now has batch work evicted until the rest fits; before, only new placements were refused. Policies gain ThrottlePolicy.

--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -82,7 +82,7 @@
     private final LeaderCounters counters = new LeaderCounters();
     private final EntryBoard entries = new EntryBoard();
     private final EntryLoop entryLoop = new EntryLoop(entries);
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers;
     private final PlacementLoop placement;
     private final ClaimClock claimClock = new ClaimClock();
     private final Queries queries;
@@ -107,6 +107,7 @@
         this.barrier = barrier;
         this.proposals = new Proposals(proposer);
         this.quarantine = policies.quarantine();
+        this.workers = new WorkerBoard(policies.throttle());
         this.placement = new PlacementLoop(workers, policies, counters);
         this.queries = new Queries(entries, workers, quarantine);
         this.explainer = new JobExplainer(workers, quarantine);
--- a/control/src/main/java/org/cornelcove/control/leader/Evictor.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Evictor.java
@@ -12,7 +12,9 @@
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobKind;
+import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.job.JobState;
+import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.BatchRule;
 
 /**
@@ -25,6 +27,10 @@
 
     private static final double SECONDS_PER_MINUTE = 60;
 
+    /** Asks for no room of its own: it fits once the host holds no more than its capacity. */
+    private static final JobSpec NOTHING =
+            new JobSpec(JobId.of("nothing"), "none", JobKind.SERVICE, "", Resources.NONE, 0, false, "");
+
     /** A host that is kept for a job. */
     private record Reservation(HostId host, long untilMs) {}
 
@@ -58,6 +64,21 @@
         }
     }
 
+    /**
+     * Evicts from hosts that hold more than their capacity, since a worker told of a smaller one. That is outside the
+     * budget.
+     */
+    void relieve(Tables tables, long nowMs) {
+        BatchRule rule = tables.configuration().newest().rules().batch();
+        for (HostId host : tables.jobs().hostsInUse()) {
+            HostRoom room = HostRoom.of(tables.workers().find(host).orElseThrow(), tables);
+            if (!room.held().total().fitsIn(room.capacity())
+                    && !workers.evicts(tables.jobs().jobsOn(host), tables)) {
+                policy.choose(NOTHING, room, victims(host, tables, nowMs), rule).forEach(this::evict);
+            }
+        }
+    }
+
     private static boolean waits(JobId id, Tables tables) {
         return tables.jobs().find(id).map(Job::state).orElse(JobState.FAILED) == JobState.PENDING;
     }
--- a/control/src/main/java/org/cornelcove/control/leader/HostRoom.java
+++ b/control/src/main/java/org/cornelcove/control/leader/HostRoom.java
@@ -1,6 +1,8 @@
 package org.cornelcove.control.leader;
 
 import org.cornelcove.control.state.Holding;
+import org.cornelcove.control.state.Tables;
+import org.cornelcove.control.state.WorkerRecord;
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.resource.Resources;
 
@@ -14,6 +16,15 @@
  * @param held what is held on it, placements under way included
  */
 public record HostRoom(HostId host, String availabilityZone, String rack, Resources capacity, Holding held) {
+    static HostRoom of(WorkerRecord worker, Tables tables) {
+        return new HostRoom(
+                worker.host(),
+                worker.availabilityZone(),
+                worker.rack(),
+                worker.capacity(),
+                tables.jobs().heldOn(worker.host()));
+    }
+
     HostRoom plus(Resources amount, boolean isBatch) {
         return new HostRoom(host, availabilityZone, rack, capacity, held.plus(amount, isBatch));
     }
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -53,6 +53,7 @@
 
     /** Returns the placements and rejections that are due. */
     List<Command> due(Tables tables, long nowMs) {
+        evictor.relieve(tables, nowMs);
         if (tables.jobs().pendingUrgent().isEmpty()
                 && tables.jobs().pendingByTeam().isEmpty()) {
             return List.of();
@@ -79,7 +80,7 @@
         Map<HostId, HostRoom> all = new TreeMap<>();
         Map<HostId, HostRoom> open = new TreeMap<>();
         for (WorkerRecord worker : tables.workers().all()) {
-            HostRoom room = room(worker, tables);
+            HostRoom room = HostRoom.of(worker, tables);
             all.put(worker.host(), room);
             if (workers.takesWork(worker.host(), worker.incarnation(), nowMs)
                     && !quarantine.isQuarantined(worker.host(), nowMs)) {
@@ -102,15 +103,6 @@
                 evictor.kept());
     }
 
-    private static HostRoom room(WorkerRecord worker, Tables tables) {
-        return new HostRoom(
-                worker.host(),
-                worker.availabilityZone(),
-                worker.rack(),
-                worker.capacity(),
-                tables.jobs().heldOn(worker.host()));
-    }
-
     private static List<Job> first(Collection<PendingKey> queue, int most, Tables tables) {
         return queue.stream()
                 .limit(most)
--- a/control/src/main/java/org/cornelcove/control/leader/Policies.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Policies.java
@@ -5,10 +5,12 @@
  *
  * @param placement chooses hosts
  * @param eviction chooses what gives way
+ * @param throttle decides where batch work runs at a reduced rate
  * @param quarantine chooses workers that get nothing new
  */
-public record Policies(PlacementPolicy placement, EvictionPolicy eviction, WorkerQuarantine quarantine) {
+public record Policies(
+        PlacementPolicy placement, EvictionPolicy eviction, ThrottlePolicy throttle, WorkerQuarantine quarantine) {
     /** The standard ones. */
     public static final Policies STANDARD =
-            new Policies(BestFit.INSTANCE, LeastLostWork.INSTANCE, WorkerQuarantine.NONE);
+            new Policies(BestFit.INSTANCE, LeastLostWork.INSTANCE, UsageThrottle.INSTANCE, WorkerQuarantine.NONE);
 }
--- a/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
@@ -20,6 +20,7 @@
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobState;
 import org.cornelcove.model.message.AttemptAction;
 import org.cornelcove.model.message.AttemptOrder;
@@ -47,9 +48,14 @@
     private final Map<HostId, LiveWorker> workers = new TreeMap<>();
     private final Map<AttemptId, RunningAttempt> attempts = new HashMap<>();
     private final Set<AttemptId> evicting = new HashSet<>();
-    private final Set<AttemptId> throttled = new HashSet<>();
+    private final Set<HostId> throttled = new HashSet<>();
+    private final ThrottlePolicy throttle;
     private long gainedMs;
 
+    WorkerBoard(ThrottlePolicy throttle) {
+        this.throttle = throttle;
+    }
+
     void reset(long nowMs) {
         workers.clear();
         attempts.clear();
@@ -71,9 +77,24 @@
             held(report.attempt(), heartbeat.host(), tables).ifPresent(job -> record(report, job, nowMs, commands));
         }
         loseForgotten(heartbeat, reported, tables, nowMs, commands);
+        measure(heartbeat, tables);
         return commands;
     }
 
+    private void measure(WorkerHeartbeat heartbeat, Tables tables) {
+        long usedCpuMillicores = heartbeat.attempts().stream()
+                .filter(report -> report.end().isEmpty())
+                .mapToLong(AttemptReport::usedCpuMillicores)
+                .sum();
+        HostId host = heartbeat.host();
+        HostRoom room = HostRoom.of(tables.workers().find(host).orElseThrow(), tables);
+        if (throttle.throttles(room, usedCpuMillicores, throttled.contains(host))) {
+            throttled.add(host);
+        } else {
+            throttled.remove(host);
+        }
+    }
+
     private static Optional<Job> held(AttemptId attempt, HostId host, Tables tables) {
         return tables.jobs()
                 .find(attempt.job())
@@ -148,14 +169,15 @@
         if (report.isEmpty()) {
             return Optional.of(new AttemptOrder(id, AttemptAction.RUN, Optional.of(job.spec()), job.checkpoint()));
         }
-        return Optional.of(new AttemptOrder(id, action(id, heartbeat), Optional.empty(), Optional.empty()));
+        return Optional.of(new AttemptOrder(id, action(job, heartbeat), Optional.empty(), Optional.empty()));
     }
 
-    private AttemptAction action(AttemptId id, WorkerHeartbeat heartbeat) {
-        if (heartbeat.leaving() || evicting.contains(id)) {
+    private AttemptAction action(Job job, WorkerHeartbeat heartbeat) {
+        if (heartbeat.leaving() || evicting.contains(job.attemptId())) {
             return AttemptAction.EVICT;
         }
-        return throttled.contains(id) ? AttemptAction.THROTTLE : AttemptAction.RUN;
+        boolean reduced = job.spec().kind() == JobKind.BATCH && throttled.contains(heartbeat.host());
+        return reduced ? AttemptAction.THROTTLE : AttemptAction.RUN;
     }
 
     /** Returns orders that stop everything, for a start that was superseded. */
@@ -184,7 +206,6 @@
         }
         attempts.keySet().retainAll(holding);
         evicting.retainAll(holding);
-        throttled.retainAll(holding);
         removeWorkers(tables, nowMs, commands);
         return commands;
     }
@@ -222,16 +243,14 @@
         evicting.add(id);
     }
 
-    boolean isEvicting(AttemptId id) {
-        return evicting.contains(id);
+    /** Tells whether an attempt of one of the jobs is being evicted. */
+    boolean evicts(Set<JobId> jobs, Tables tables) {
+        return jobs.stream()
+                .map(id -> tables.jobs().find(id).orElseThrow().attemptId())
+                .anyMatch(evicting::contains);
     }
 
-    /** Has an attempt run at a reduced rate, or at the full one again. */
-    void throttle(AttemptId id, boolean reduced) {
-        if (reduced) {
-            throttled.add(id);
-        } else {
-            throttled.remove(id);
-        }
+    boolean isEvicting(AttemptId id) {
+        return evicting.contains(id);
     }
 }
--- a/control/src/main/java/org/cornelcove/control/state/ControlState.java
+++ b/control/src/main/java/org/cornelcove/control/state/ControlState.java
@@ -213,7 +213,7 @@
                         .sorted(Comparator.comparing(Claim::key))
                         .toList(),
                 List.copyOf(tables.ownership().targets().values()),
-                tables.ownership().ranges(),
+                List.copyOf(tables.ownership().ranges()),
                 tables.ownership().epochFloor(),
                 tables.configuration().newest(),
                 tables.configuration().changes());
--- a/control/src/test/java/org/cornelcove/control/sim/History.java
+++ b/control/src/test/java/org/cornelcove/control/sim/History.java
@@ -34,7 +34,7 @@
     // A worker started an attempt.
     record Start(AttemptId attempt, Optional<String> checkpoint, long atMs) {}
 
-    // A worker was told to evict, did so, and was told to forget it.
+    // A worker was told to evict, in answer to a heartbeat sent at the first instant, and to forget it at the second.
     record Evicted(AttemptId attempt, String checkpoint, long orderedMs, long forgottenMs) {}
 
     // What one entry with a valid lease could serve at one instant.
