--- a/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import org.cornelcove.control.leader.ControlLeader;
 import org.cornelcove.control.leader.Policies;
@@ -26,6 +28,9 @@
 
 /** Three control hosts over one committed log. A host that lost the lead may not know it for long. */
 final class ControlGroup {
+    /** Kept here, since loggers without a reference lose their level. */
+    private static final Logger QUIET = Logger.getLogger("org.cornelcove.control");
+
     private static final int SIZE = 3;
     private static final long ELECTION_MS = 400;
 
@@ -50,6 +55,7 @@
     private long commitMs = 2;
 
     ControlGroup(Timeline time, Mutant mutant) {
+        QUIET.setLevel(Level.WARNING);
         this.time = time;
         this.mutant = mutant;
         for (int i = 0; i < SIZE; i++) {
