--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
+import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
 import org.cornelcove.bench.policy.HeadOfLineBenchmark;
 import org.cornelcove.bench.policy.PlacementBenchmark;
@@ -17,7 +18,8 @@
             new HeadOfLineBenchmark(),
             new RetriesBenchmark(),
             new PlacementBenchmark(),
-            new BlackHoleBenchmark());
+            new BlackHoleBenchmark(),
+            new ColocationBenchmark());
 
     private Bench() {}
 
--- a/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
@@ -78,6 +78,26 @@
         return new PairEstimate(learned.added, learned.weight / (learned.weight + HALF_CONFIDENCE_WEIGHT));
     }
 
+    /**
+     * Returns the worst that is known of a pair at a load or above it, since the crest comes while the work still runs.
+     *
+     * @param service the kind of service
+     * @param batch the kind of batch work
+     * @param band the load of the host's services now
+     * @return the estimate, that of the given load when nothing is known
+     */
+    public PairEstimate worst(String service, String batch, LoadBand band) {
+        PairEstimate worst = estimate(service, batch, band);
+        for (LoadBand higher : LoadBand.values()) {
+            PairEstimate other = estimate(service, batch, higher);
+            boolean counts = higher.compareTo(band) > 0 && other.isKnown();
+            if (counts && (!worst.isKnown() || other.added() > worst.added())) {
+                worst = other;
+            }
+        }
+        return worst;
+    }
+
     /**
      * Returns all that was learned.
      *
--- a/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
@@ -304,7 +304,7 @@
         }
         LoadBand band = host.serviceLoad();
         for (String service : host.services()) {
-            PairEstimate pair = interference.estimate(service, job.task(), band);
+            PairEstimate pair = interference.worst(service, job.task(), band);
             if (band == LoadBand.HIGH && (!pair.isKnown() || pair.added() > HARMLESS_ADDED)) {
                 return false;
             }
@@ -323,7 +323,7 @@
             return cost + servicesIn(host.rack(), job.task()) + 2 * host.countOf(job.task()) + (1 - left);
         }
         for (String service : host.services()) {
-            PairEstimate pair = interference.estimate(service, job.task(), host.serviceLoad());
+            PairEstimate pair = interference.worst(service, job.task(), host.serviceLoad());
             cost += pair.isKnown() ? pair.added() : UNKNOWN_COST;
         }
         return cost + left;
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -41,7 +41,6 @@
     private static final String ANY_TASK = "";
     private static final int LOOK_AHEAD = 16;
     private static final long HOLD_AFTER_MS = 120_000;
-    private static final long LIMITS_EVERY_MS = 250;
     private static final int HOSTS_TO_A_HELD_ONE = 50;
 
     private final InterferenceModel interference = InterferenceModel.create();
@@ -58,7 +57,7 @@
     private final Map<JobId, HostId> held = new HashMap<>();
 
     private RuleSet rules;
-    private long limitsAgainMs = Long.MIN_VALUE;
+    private Set<HostId> limited = Set.of();
     private Resources cluster = Resources.NONE;
 
     private Placer(RuleSet rules) {
@@ -272,7 +271,6 @@
 
     private void failed(Placed was, long nowMs) {
         health.failed(was.host, was.spec.id(), nowMs);
-        limitsAgainMs = nowMs;
         if (health.maxAttempts(was.host, nowMs) == WorkerHealth.UNLIMITED) {
             trials.failed(was.spec.task());
         } else {
@@ -281,13 +279,12 @@
     }
 
     private void refreshLimits(long nowMs) {
-        if (nowMs < limitsAgainMs) {
-            return;
-        }
-        limitsAgainMs = nowMs + LIMITS_EVERY_MS;
-        for (HostId host : capacities.keySet()) {
-            hosts.limitAttempts(host, health.maxAttempts(host, nowMs));
-        }
+        Set<HostId> restricted = health.restricted();
+        limited.stream()
+                .filter(host -> !restricted.contains(host))
+                .forEach(host -> hosts.limitAttempts(host, WorkerHealth.UNLIMITED));
+        restricted.forEach(host -> hosts.limitAttempts(host, health.maxAttempts(host, nowMs)));
+        limited = restricted;
     }
 
     /** Keeps a host free for a job that others overtook for long, so that room for it gathers there. */
--- a/policy/src/main/java/org/cornelcove/policy/quarantine/WorkerHealth.java
+++ b/policy/src/main/java/org/cornelcove/policy/quarantine/WorkerHealth.java
@@ -35,6 +35,9 @@
 
     private final Map<HostId, Record> workers = new HashMap<>();
     private final Map<JobId, Set<HostId>> failedOn = new HashMap<>();
+    /** Workers in quarantine, on probation, or limited. */
+    private final Set<HostId> restricted = new HashSet<>();
+
     private int maxPercent;
 
     private WorkerHealth(int maxPercent) {
@@ -76,6 +79,7 @@
      */
     public void remove(HostId host) {
         workers.remove(host);
+        restricted.remove(host);
     }
 
     /**
@@ -107,6 +111,9 @@
                 worker.terms = 0;
             }
         }
+        if (worker.probationLeft == 0) {
+            restricted.remove(host);
+        }
     }
 
     /**
@@ -172,6 +179,15 @@
         return worker.limited || worker.probationLeft > 0 ? 1 : UNLIMITED;
     }
 
+    /**
+     * Returns the workers that are not in good standing.
+     *
+     * @return the workers
+     */
+    public Set<HostId> restricted() {
+        return Set.copyOf(restricted);
+    }
+
     /**
      * Returns how many workers are in quarantine.
      *
@@ -193,6 +209,7 @@
         }
         worker.blamedFor.clear();
         worker.limited = true;
+        restricted.add(host);
         if ((quarantined(nowMs) + 1) * 100 <= maxPercent * workers.size()) {
             worker.untilMs = nowMs + (FIRST_TERM_MS << Math.min(worker.terms, MAX_DOUBLINGS));
             worker.terms++;
