Credit measurements to throttled placements, throttle what disturbs, return by steps

Causes: what was throttled was learned as harmless, because a late measurement did not know of the throttle; throttled work returned one attempt at a time per host, some 20 s after each crest; the mark of 0.85 left processors idle at the crest. Change: the history keeps the rate of each kind; slowdown is learned net of a lack of processors; known disturbing kinds are throttled at the load where they disturb; returns are paced by the number of hosts; marks 0.95 and 0.75; the smallest attempt that is enough is throttled.

--- a/bench/src/main/java/org/cornelcove/bench/policy/ColocationRun.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/ColocationRun.java
@@ -183,7 +183,9 @@
                 nowS,
                 services,
                 slowdown,
-                machine.running.stream().map(t -> t.asAttempt(nowS)).toList()));
+                machine.running.stream()
+                        .map(t -> t.asAttempt(nowS, placer.disturbance(t.job.id())))
+                        .toList()));
         for (Task task : List.copyOf(machine.running)) {
             double progress = Math.min(task.left, task.millicores() * share / 1000);
             task.left -= progress;
@@ -211,10 +213,9 @@
         }
         HostLoad load =
                 new HostLoad(machine.id, CAPACITY, Math.round(report.services), report.atS * 1000L, report.batch);
-        if (load.pressure() <= 1) {
-            double busy = report.services / CAPACITY;
-            placer.measured(machine.id, SERVICES[machine.service], busy, report.slowdown, report.atS * 1000L);
-        }
+        double busy = report.services / CAPACITY;
+        double net = report.slowdown / Math.max(1, load.pressure());
+        placer.measured(machine.id, SERVICES[machine.service], busy, net, report.atS * 1000L);
         for (GiveWayOrder order : giveWay.decide(load, nowS * 1000L)) {
             machine.find(order.attempt()).ifPresent(task -> follow(machine, task, order.action()));
         }
@@ -223,6 +224,7 @@
 
     private void follow(Machine machine, Task task, AttemptAction action) {
         task.throttled = action == AttemptAction.THROTTLE;
+        placer.setThrottled(task.job.id(), task.throttled, nowS * 1000L);
         if (action == AttemptAction.EVICT) {
             evictions++;
             task.unsaved = 0;
@@ -232,6 +234,9 @@
     }
 
     private void evictNaively(Machine machine, Report report) {
+        if (report.atS < machine.evictedS) {
+            return;
+        }
         double pressure = report.services
                 + report.batch.stream()
                         .mapToLong(BatchAttempt::usedCpuMillicores)
@@ -244,6 +249,7 @@
                 return;
             }
             pressure -= task.millicores();
+            machine.evictedS = nowS + 1;
             evictions++;
             lost += task.unsaved;
             task.left += task.unsaved;
@@ -271,6 +277,8 @@
         private final List<Task> running = new ArrayList<>();
         private final Deque<Report> reports = new ArrayDeque<>();
         private long declared = SERVICE_DECLARED;
+        /** Reports from before the last eviction are not acted upon. */
+        private int evictedS;
 
         Machine(HostId id, int service) {
             this.id = id;
@@ -336,8 +344,9 @@
             return AttemptId.of(job.id(), attempt);
         }
 
-        BatchAttempt asAttempt(int atS) {
-            return new BatchAttempt(attemptId(), Math.round(millicores()), (atS - savedS) * 1000L, false, throttled);
+        BatchAttempt asAttempt(int atS, double disturbance) {
+            return new BatchAttempt(
+                    attemptId(), Math.round(millicores()), (atS - savedS) * 1000L, false, throttled, disturbance);
         }
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/evict/BatchAttempt.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/BatchAttempt.java
@@ -10,9 +10,15 @@
  * @param sinceCheckpointMs how long ago its last checkpoint was taken, or its start
  * @param urgent whether its job is urgent
  * @param throttled whether it runs at a reduced rate now
+ * @param disturbance the share that it is known to add to the run time of a service beside it at this load, 0 for unknown
  */
 public record BatchAttempt(
-        AttemptId attempt, long usedCpuMillicores, long sinceCheckpointMs, boolean urgent, boolean throttled) {
+        AttemptId attempt,
+        long usedCpuMillicores,
+        long sinceCheckpointMs,
+        boolean urgent,
+        boolean throttled,
+        double disturbance) {
     /** Returns the processor time that would have to be spent again. */
     public double lostWork() {
         return (double) usedCpuMillicores * sinceCheckpointMs;
--- a/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
@@ -15,10 +15,11 @@
  * How batch work gives way to services on a loaded host, and comes back.
  *
  * <p>Above {@code HIGH} the largest attempts are throttled until the expected use is below the mark: that takes effect at
- * once and loses no work. Only when the host stays above it with all attempts throttled for {@code EVICT_AFTER_MS} is one
+ * once and loses no work. An attempt that is known to disturb a service at its load now is throttled whatever the use. Only
+ * when the host stays above it with all attempts throttled for {@code EVICT_AFTER_MS} is one
  * attempt evicted, the one with least work since its checkpoint for the processor time that it frees. Evictions draw on
- * one budget for the cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return one at a time, paced over
- * the cluster, and only if the host is expected to stay below {@code HIGH}.
+ * one budget for the cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return, paced over the cluster, and
+ * only as long as the host is expected to stay below {@code HIGH}.
  *
  * <p>Measurements are late. One taken before the last order to a host took effect is not acted upon, so that the same
  * load is not answered twice. The gap between the marks keeps a load that swings around one of them from throttling and
@@ -31,12 +32,14 @@
     /** The share of its use that a throttled attempt keeps. */
     public static final double THROTTLED_SHARE = 0.25;
 
-    private static final double HIGH = 0.85;
-    private static final double LOW = 0.65;
+    private static final double HIGH = 0.95;
+    private static final double LOW = 0.75;
     private static final long EVICT_AFTER_MS = 10_000;
-    private static final long CALM_MS = 5000;
+    private static final long CALM_MS = 3000;
     private static final long SETTLE_MS = 1000;
-    private static final double RETURNS_PER_SECOND = 10;
+    private static final double HARMFUL_DISTURBANCE = 0.3;
+    private static final double RETURNS_PER_HOST_SECOND = 0.5;
+    private static final double RETURNS_STORED = 20;
     private static final long MINUTE_S = 60;
 
     private final Map<HostId, State> states = new HashMap<>();
@@ -45,7 +48,7 @@
 
     private GiveWay(int evictionsPerMinute) {
         evictions = TokenBucket.full((double) evictionsPerMinute / MINUTE_S, Math.max(1, evictionsPerMinute / 4.0));
-        returns = TokenBucket.full(RETURNS_PER_SECOND, RETURNS_PER_SECOND);
+        returns = TokenBucket.full(1, RETURNS_STORED);
     }
 
     /**
@@ -71,7 +74,8 @@
             return List.of();
         }
         state.note(load.pressure(), load.measuredAtMs());
-        List<GiveWayOrder> orders = state.isHigh() ? giveWay(load, state, nowMs) : comeBack(load, state, nowMs);
+        List<GiveWayOrder> orders =
+                mustGiveWay(load, state) ? giveWay(load, state, nowMs) : comeBack(load, state, nowMs);
         if (!orders.isEmpty()) {
             state.settledAtMs = nowMs + SETTLE_MS;
         }
@@ -98,12 +102,16 @@
         states.remove(host);
     }
 
+    private static boolean mustGiveWay(HostLoad load, State state) {
+        return state.isHigh() || load.batch().stream().anyMatch(a -> !a.throttled() && disturbs(a));
+    }
+
     private List<GiveWayOrder> giveWay(HostLoad load, State state, long nowMs) {
         List<GiveWayOrder> orders = new ArrayList<>(throttle(load));
         if (!orders.isEmpty()) {
             return orders;
         }
-        boolean lasting = load.measuredAtMs() - state.highSinceMs >= EVICT_AFTER_MS;
+        boolean lasting = state.isHigh() && load.measuredAtMs() - state.highSinceMs >= EVICT_AFTER_MS;
         Optional<BatchAttempt> victim = lasting ? victim(load.batch()) : Optional.empty();
         if (victim.isPresent() && evictions.tryTake(0, nowMs)) {
             orders.add(new GiveWayOrder(victim.get().attempt(), AttemptAction.EVICT));
@@ -111,27 +119,48 @@
         return orders;
     }
 
-    /** Throttles the largest attempts first, urgent ones last, until the expected use is below the mark. */
+    /** Throttles what disturbs, then others, urgent ones last, until the expected use is below the mark. */
     private static List<GiveWayOrder> throttle(HostLoad load) {
         List<GiveWayOrder> orders = new ArrayList<>();
-        double expected = load.pressure();
-        List<BatchAttempt> largestFirst = load.batch().stream()
-                .filter(a -> !a.throttled() && a.usedCpuMillicores() > 0)
-                .sorted(Comparator.comparing(BatchAttempt::urgent)
-                        .thenComparing(Comparator.comparingLong(BatchAttempt::usedCpuMillicores)
-                                .reversed())
-                        .thenComparing(a -> a.attempt().toString()))
-                .toList();
-        for (BatchAttempt attempt : largestFirst) {
-            if (expected <= HIGH) {
-                break;
+        List<BatchAttempt> left = new ArrayList<>(load.batch());
+        left.removeIf(a -> a.throttled() || a.usedCpuMillicores() == 0);
+        double excess = (load.pressure() - HIGH) * load.capacityMillicores();
+        for (BatchAttempt attempt : List.copyOf(left)) {
+            if (disturbs(attempt)) {
+                orders.add(new GiveWayOrder(attempt.attempt(), AttemptAction.THROTTLE));
+                excess -= saving(attempt);
+                left.remove(attempt);
             }
-            orders.add(new GiveWayOrder(attempt.attempt(), AttemptAction.THROTTLE));
-            expected -= attempt.usedCpuMillicores() * (1 - THROTTLED_SHARE) / load.capacityMillicores();
+        }
+        while (excess > 0 && !left.isEmpty()) {
+            BatchAttempt next = nextToThrottle(left, excess);
+            orders.add(new GiveWayOrder(next.attempt(), AttemptAction.THROTTLE));
+            excess -= saving(next);
+            left.remove(next);
         }
         return orders;
     }
 
+    /** Returns the smallest attempt that is enough alone, else the largest; urgent ones only when no other is left. */
+    private static BatchAttempt nextToThrottle(List<BatchAttempt> left, double excess) {
+        boolean onlyUrgent = left.stream().allMatch(BatchAttempt::urgent);
+        Comparator<BatchAttempt> bySize = Comparator.comparingLong(BatchAttempt::usedCpuMillicores)
+                .thenComparing(a -> a.attempt().toString());
+        List<BatchAttempt> eligible = left.stream()
+                .filter(a -> onlyUrgent || !a.urgent())
+                .sorted(bySize)
+                .toList();
+        return eligible.stream().filter(a -> saving(a) >= excess).findFirst().orElse(eligible.get(eligible.size() - 1));
+    }
+
+    private static double saving(BatchAttempt attempt) {
+        return attempt.usedCpuMillicores() * (1 - THROTTLED_SHARE);
+    }
+
+    private static boolean disturbs(BatchAttempt attempt) {
+        return attempt.disturbance() > HARMFUL_DISTURBANCE;
+    }
+
     /**
      * Chooses the attempt whose eviction costs least.
      *
@@ -145,25 +174,30 @@
                         .thenComparing(a -> a.attempt().toString()));
     }
 
+    /** Lets throttled attempts return, small ones first, as long as the host is expected to stay below the mark. */
     private List<GiveWayOrder> comeBack(HostLoad load, State state, long nowMs) {
         boolean calm = state.lowSinceMs >= 0 && load.measuredAtMs() - state.lowSinceMs >= CALM_MS;
         if (!calm) {
             return List.of();
         }
-        Optional<BatchAttempt> smallest = load.batch().stream()
-                .filter(BatchAttempt::throttled)
-                .min(Comparator.comparing((BatchAttempt a) -> !a.urgent())
+        state.open = true;
+        returns.setPace(Math.max(1, RETURNS_PER_HOST_SECOND * states.size()), nowMs);
+        List<GiveWayOrder> orders = new ArrayList<>();
+        double expected = load.pressure();
+        List<BatchAttempt> smallestFirst = load.batch().stream()
+                .filter(a -> a.throttled() && !disturbs(a))
+                .sorted(Comparator.comparing((BatchAttempt a) -> !a.urgent())
                         .thenComparingLong(BatchAttempt::usedCpuMillicores)
-                        .thenComparing(a -> a.attempt().toString()));
-        if (smallest.isEmpty()) {
-            state.open = true;
-            return List.of();
-        }
-        double added = smallest.get().usedCpuMillicores() * (1 / THROTTLED_SHARE - 1) / load.capacityMillicores();
-        if (load.pressure() + added > HIGH || !returns.tryTake(0, nowMs)) {
-            return List.of();
+                        .thenComparing(a -> a.attempt().toString()))
+                .toList();
+        for (BatchAttempt attempt : smallestFirst) {
+            expected += attempt.usedCpuMillicores() * (1 / THROTTLED_SHARE - 1) / load.capacityMillicores();
+            if (expected > HIGH || !returns.tryTake(0, nowMs)) {
+                break;
+            }
+            orders.add(new GiveWayOrder(attempt.attempt(), AttemptAction.RUN));
         }
-        return List.of(new GiveWayOrder(smallest.get().attempt(), AttemptAction.RUN));
+        return orders;
     }
 
     /** What is known of one host. */
--- a/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
@@ -1,10 +1,9 @@
 package org.cornelcove.policy.learn;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 /**
  * Which kinds of batch work slow which kinds of service down, learned by load band.
@@ -39,25 +38,23 @@
      * Learns from one measurement.
      *
      * @param service the kind of service
-     * @param beside the kinds of batch work on the host when it was measured
+     * @param beside the kinds of batch work on the host when it was measured, each with the rate at which it ran
      * @param band the load of the host's services then
-     * @param slowdown the run time over that of an undisturbed service
+     * @param slowdown the run time over that of an undisturbed service, net of a lack of processors
      */
-    public void observe(String service, Collection<String> beside, LoadBand band, double slowdown) {
-        if (beside.isEmpty()) {
-            return;
-        }
+    public void observe(String service, Map<String, Double> beside, LoadBand band, double slowdown) {
+        Map<String, Double> ordered = new TreeMap<>(beside);
         double predicted = 1;
         double gains = 0;
-        for (String batch : new TreeSet<>(beside)) {
-            Learned learned = pairs.computeIfAbsent(new Pair(service, batch, band), p -> new Learned());
-            predicted += learned.added;
-            gains += learned.gain();
+        for (Map.Entry<String, Double> batch : ordered.entrySet()) {
+            Learned learned = pairs.computeIfAbsent(new Pair(service, batch.getKey(), band), p -> new Learned());
+            predicted += batch.getValue() * learned.added;
+            gains += batch.getValue() * learned.gain();
         }
         double difference = slowdown - predicted;
-        for (String batch : new TreeSet<>(beside)) {
-            Learned learned = pairs.get(new Pair(service, batch, band));
-            double part = learned.gain() / gains;
+        for (Map.Entry<String, Double> batch : ordered.entrySet()) {
+            Learned learned = pairs.get(new Pair(service, batch.getKey(), band));
+            double part = batch.getValue() * learned.gain() / gains;
             learned.learn(difference * part, part);
         }
     }
--- a/policy/src/main/java/org/cornelcove/policy/learn/PlacementHistory.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/PlacementHistory.java
@@ -6,7 +6,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import org.cornelcove.model.id.HostId;
 
@@ -36,15 +35,15 @@
      * Notes the kinds of batch work that a host runs from now on.
      *
      * @param host the host
-     * @param kinds the kinds
+     * @param kinds the kinds, each with the rate at which it runs, 1 unless all of it is throttled
      * @param nowMs the current instant
      */
-    public void note(HostId host, Set<String> kinds, long nowMs) {
+    public void note(HostId host, Map<String, Double> kinds, long nowMs) {
         Deque<Change> line = changes.computeIfAbsent(host, h -> new ArrayDeque<>());
         if (!line.isEmpty() && line.getLast().kinds.equals(kinds)) {
             return;
         }
-        line.addLast(new Change(nowMs, Set.copyOf(kinds)));
+        line.addLast(new Change(nowMs, Map.copyOf(kinds)));
         if (line.size() > MAX_CHANGES) {
             line.removeFirst();
         }
@@ -55,9 +54,9 @@
      *
      * @param host the host
      * @param instantMs the instant
-     * @return the kinds; empty when the history does not reach back so far
+     * @return the kinds with their rates; empty when the history does not reach back so far
      */
-    public Optional<Set<String>> at(HostId host, long instantMs) {
+    public Optional<Map<String, Double>> at(HostId host, long instantMs) {
         Deque<Change> line = changes.get(host);
         if (line == null) {
             return Optional.empty();
@@ -81,5 +80,5 @@
         changes.remove(host);
     }
 
-    private record Change(long fromMs, Set<String> kinds) {}
+    private record Change(long fromMs, Map<String, Double> kinds) {}
 }
--- a/policy/src/main/java/org/cornelcove/policy/place/Host.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Host.java
@@ -13,12 +13,15 @@
 
 /** One host of the table: what it holds, what is free, and which kinds of work run on it. */
 final class Host {
+    private static final double THROTTLED_RATE = 0.25;
+
     private final HostId id;
     private final String availabilityZone;
     private final String rack;
     private final Resources capacity;
     private final Map<String, Integer> services = new HashMap<>();
     private final Map<String, Integer> batch = new HashMap<>();
+    private final Map<String, Integer> throttled = new HashMap<>();
     private Resources free;
     private Resources serviceHeld = Resources.NONE;
     private int attempts;
@@ -77,8 +80,18 @@
         return services.keySet();
     }
 
-    Set<String> batchKinds() {
-        return batch.keySet();
+    /** Returns the kinds of batch work here, each with the rate at which it runs. */
+    Map<String, Double> batchRates() {
+        Map<String, Double> rates = new HashMap<>();
+        batch.forEach((task, count) -> {
+            boolean allThrottled = throttled.getOrDefault(task, 0) >= count;
+            rates.put(task, allThrottled ? THROTTLED_RATE : 1);
+        });
+        return rates;
+    }
+
+    void countThrottled(String task, int difference) {
+        throttled.merge(task, difference, (a, b) -> a + b == 0 ? null : a + b);
     }
 
     int countOf(String service) {
--- a/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
@@ -177,11 +177,42 @@
      * Returns the kinds of batch work on a host.
      *
      * @param id the host
-     * @return the kinds
+     * @return the kinds, each with the rate at which it runs
      */
-    public Set<String> batchKinds(HostId id) {
+    public Map<String, Double> batchRates(HostId id) {
         Host host = hosts.get(id);
-        return host == null ? Set.of() : Set.copyOf(host.batchKinds());
+        return host == null ? Map.of() : host.batchRates();
+    }
+
+    /**
+     * Notes that an attempt was throttled, or runs at full rate again.
+     *
+     * @param id the host
+     * @param job the job
+     * @param throttled whether it runs at a reduced rate
+     */
+    public void setThrottled(HostId id, JobSpec job, boolean throttled) {
+        Optional.ofNullable(hosts.get(id)).ifPresent(h -> h.countThrottled(job.task(), throttled ? 1 : -1));
+    }
+
+    /**
+     * Returns how much a kind of batch work is known to disturb the services of a host at their load now.
+     *
+     * @param id the host
+     * @param task the kind of batch work
+     * @return the share added to the run time of the service that suffers most
+     */
+    public double disturbance(HostId id, String task) {
+        Host host = hosts.get(id);
+        if (host == null) {
+            return 0;
+        }
+        return host.services().stream()
+                .map(service -> interference.estimate(service, task, host.serviceLoad()))
+                .filter(PairEstimate::isKnown)
+                .mapToDouble(PairEstimate::added)
+                .max()
+                .orElse(0);
     }
 
     /**
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -53,6 +53,7 @@
     private final HostTable hosts;
     private final TeamQuotas quotas;
     private final WorkerHealth health;
+    private final Set<JobId> throttled = new HashSet<>();
     /** Hosts kept free of other batch work for jobs that waited long. */
     private final Map<JobId, HostId> held = new HashMap<>();
 
@@ -213,7 +214,7 @@
      * @param host the host
      * @param service the kind of service
      * @param busyShare the share of the host's processors that its services used
-     * @param slowdown the service's run time over that of an undisturbed one
+     * @param slowdown the service's run time over that of an undisturbed one, net of a lack of processors
      * @param measuredAtMs when it was measured
      */
     public void measured(HostId host, String service, double busyShare, double slowdown, long measuredAtMs) {
@@ -222,6 +223,38 @@
         history.at(host, measuredAtMs).ifPresent(kinds -> interference.observe(service, kinds, band, slowdown));
     }
 
+    /**
+     * Notes that an attempt was throttled, or runs at full rate again, so that later measurements are credited rightly.
+     *
+     * @param job the job
+     * @param isThrottled whether it runs at a reduced rate
+     * @param nowMs the current instant
+     */
+    public void setThrottled(JobId job, boolean isThrottled, long nowMs) {
+        Placed was = placed.get(job);
+        if (was == null || isThrottled == throttled.contains(job)) {
+            return;
+        }
+        if (isThrottled) {
+            throttled.add(job);
+        } else {
+            throttled.remove(job);
+        }
+        hosts.setThrottled(was.host, was.spec, isThrottled);
+        history.note(was.host, hosts.batchRates(was.host), nowMs);
+    }
+
+    /**
+     * Returns how much a running job is known to disturb the services of its host at their load now.
+     *
+     * @param job the job
+     * @return the share added to the run time of the service that suffers most; 0 when unknown
+     */
+    public double disturbance(JobId job) {
+        Placed was = placed.get(job);
+        return was == null ? 0 : hosts.disturbance(was.host, was.spec.task());
+    }
+
     /**
      * Decides on the waiting jobs. What is decided counts as placed from then on.
      *
@@ -307,7 +340,7 @@
         hosts.take(host, job);
         quotas.take(job.team(), job.resources());
         trials.started(job.task());
-        history.note(host, hosts.batchKinds(host), nowMs);
+        history.note(host, hosts.batchRates(host), nowMs);
     }
 
     private Optional<Placed> free(JobId job, long nowMs) {
@@ -315,9 +348,12 @@
         if (was == null) {
             return Optional.empty();
         }
+        if (throttled.remove(job)) {
+            hosts.setThrottled(was.host, was.spec, false);
+        }
         hosts.release(was.host, was.spec);
         quotas.release(was.spec.team(), was.spec.resources());
-        history.note(was.host, hosts.batchKinds(was.host), nowMs);
+        history.note(was.host, hosts.batchRates(was.host), nowMs);
         return Optional.of(was);
     }
 
