--- a/bench/src/main/java/org/cornelcove/bench/policy/ColocationRun.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/ColocationRun.java
@@ -21,6 +21,7 @@
 import org.cornelcove.model.rule.BatchRule;
 import org.cornelcove.model.rule.RuleSet;
 import org.cornelcove.policy.evict.BatchAttempt;
+import org.cornelcove.policy.evict.EvictionBudget;
 import org.cornelcove.policy.evict.GiveWay;
 import org.cornelcove.policy.evict.GiveWayOrder;
 import org.cornelcove.policy.evict.HostLoad;
@@ -56,7 +57,7 @@
     private final JobStream stream = new JobStream(81, 8, ADDED[0].length);
     private final Random random = new Random(82);
     private final Placer placer;
-    private final GiveWay giveWay = GiveWay.of(BatchRule.DEFAULT.evictionsPerMinute());
+    private final GiveWay giveWay = GiveWay.of(EvictionBudget.of(BatchRule.DEFAULT.evictionsPerMinute()));
     private final List<Machine> machines = new ArrayList<>();
     private final Map<JobId, Task> tasks = new HashMap<>();
     private final Deque<JobSpec> queue = new ArrayDeque<>();
@@ -211,8 +212,12 @@
             evictNaively(machine, report);
             return;
         }
-        HostLoad load =
-                new HostLoad(machine.id, CAPACITY, Math.round(report.services), report.atS * 1000L, report.batch);
+        HostLoad load = new HostLoad(
+                machine.id,
+                Resources.of(CAPACITY, 125 * JobStream.GIB, 0),
+                Resources.of(Math.round(report.services), 0, 0),
+                report.atS * 1000L,
+                report.batch);
         double busy = report.services / CAPACITY;
         double net = report.slowdown / Math.max(1, load.pressure());
         placer.measured(machine.id, SERVICES[machine.service], busy, net, report.atS * 1000L);
@@ -346,7 +351,14 @@
 
         BatchAttempt asAttempt(int atS, double disturbance) {
             return new BatchAttempt(
-                    attemptId(), Math.round(millicores()), (atS - savedS) * 1000L, false, throttled, disturbance);
+                    attemptId(),
+                    Math.round(millicores()),
+                    0,
+                    job.resources().memoryBytes(),
+                    (atS - savedS) * 1000L,
+                    false,
+                    throttled,
+                    disturbance);
         }
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/evict/BatchAttempt.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/BatchAttempt.java
@@ -7,6 +7,8 @@
  *
  * @param attempt the attempt
  * @param usedCpuMillicores its measured use
+ * @param usedMemoryBytes its measured use
+ * @param declaredMemoryBytes what it was placed with
  * @param sinceCheckpointMs how long ago its last checkpoint was taken, or its start
  * @param urgent whether its job is urgent
  * @param throttled whether it runs at a reduced rate now
@@ -15,6 +17,8 @@
 public record BatchAttempt(
         AttemptId attempt,
         long usedCpuMillicores,
+        long usedMemoryBytes,
+        long declaredMemoryBytes,
         long sinceCheckpointMs,
         boolean urgent,
         boolean throttled,
@@ -23,4 +27,9 @@
     public double lostWork() {
         return (double) usedCpuMillicores * sinceCheckpointMs;
     }
+
+    /** Tells whether it uses more memory than it was placed with. */
+    public boolean exceedsMemory() {
+        return usedMemoryBytes > declaredMemoryBytes;
+    }
 }
--- a/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
@@ -17,8 +17,8 @@
  * <p>Above {@code HIGH} the largest attempts are throttled until the expected use is below the mark: that takes effect at
  * once and loses no work. An attempt that is known to disturb a service at its load now is throttled whatever the use. Only
  * when the host stays above it with all attempts throttled for {@code EVICT_AFTER_MS} is one
- * attempt evicted, the one with least work since its checkpoint for the processor time that it frees. Evictions draw on
- * one budget for the cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return, paced over the cluster, and
+ * attempt evicted, the one with least work since its checkpoint for the processor time that it frees. A
+ * host short of memory evicts at once, first what exceeds its declared size. Evictions draw on one budget for the cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return, paced over the cluster, and
  * only as long as the host is expected to stay below {@code HIGH}.
  *
  * <p>Measurements are late. One taken before the last order to a host took effect is not acted upon, so that the same
@@ -40,25 +40,24 @@
     private static final double HARMFUL_DISTURBANCE = 0.3;
     private static final double RETURNS_PER_HOST_SECOND = 0.5;
     private static final double RETURNS_STORED = 20;
-    private static final long MINUTE_S = 60;
 
     private final Map<HostId, State> states = new HashMap<>();
-    private final TokenBucket evictions;
+    private final EvictionBudget evictions;
     private final TokenBucket returns;
 
-    private GiveWay(int evictionsPerMinute) {
-        evictions = TokenBucket.full((double) evictionsPerMinute / MINUTE_S, Math.max(1, evictionsPerMinute / 4.0));
+    private GiveWay(EvictionBudget evictions) {
+        this.evictions = evictions;
         returns = TokenBucket.full(1, RETURNS_STORED);
     }
 
     /**
      * Returns an object that has given no order yet.
      *
-     * @param evictionsPerMinute the most evictions a minute over the cluster
+     * @param evictions the cluster's budget
      * @return the object
      */
-    public static GiveWay of(int evictionsPerMinute) {
-        return new GiveWay(evictionsPerMinute);
+    public static GiveWay of(EvictionBudget evictions) {
+        return new GiveWay(evictions);
     }
 
     /**
@@ -74,6 +73,11 @@
             return List.of();
         }
         state.note(load.pressure(), load.measuredAtMs());
+        Optional<GiveWayOrder> forMemory = relieveMemory(load, state, nowMs);
+        if (forMemory.isPresent()) {
+            state.settledAtMs = nowMs + SETTLE_MS;
+            return List.of(forMemory.get());
+        }
         List<GiveWayOrder> orders =
                 mustGiveWay(load, state) ? giveWay(load, state, nowMs) : comeBack(load, state, nowMs);
         if (!orders.isEmpty()) {
@@ -102,6 +106,21 @@
         states.remove(host);
     }
 
+    /** Throttling frees no memory, so one attempt is evicted at once, of those above their declared size if there are. */
+    private Optional<GiveWayOrder> relieveMemory(HostLoad load, State state, long nowMs) {
+        if (load.memoryPressure() <= HIGH) {
+            return Optional.empty();
+        }
+        state.open = false;
+        List<BatchAttempt> above =
+                load.batch().stream().filter(BatchAttempt::exceedsMemory).toList();
+        Optional<BatchAttempt> victim = victim(above).or(() -> victim(load.batch()));
+        if (victim.isEmpty() || !evictions.tryTake(nowMs)) {
+            return Optional.empty();
+        }
+        return Optional.of(new GiveWayOrder(victim.get().attempt(), AttemptAction.EVICT));
+    }
+
     private static boolean mustGiveWay(HostLoad load, State state) {
         return state.isHigh() || load.batch().stream().anyMatch(a -> !a.throttled() && disturbs(a));
     }
@@ -113,7 +132,7 @@
         }
         boolean lasting = state.isHigh() && load.measuredAtMs() - state.highSinceMs >= EVICT_AFTER_MS;
         Optional<BatchAttempt> victim = lasting ? victim(load.batch()) : Optional.empty();
-        if (victim.isPresent() && evictions.tryTake(0, nowMs)) {
+        if (victim.isPresent() && evictions.tryTake(nowMs)) {
             orders.add(new GiveWayOrder(victim.get().attempt(), AttemptAction.EVICT));
         }
         return orders;
@@ -124,7 +143,7 @@
         List<GiveWayOrder> orders = new ArrayList<>();
         List<BatchAttempt> left = new ArrayList<>(load.batch());
         left.removeIf(a -> a.throttled() || a.usedCpuMillicores() == 0);
-        double excess = (load.pressure() - HIGH) * load.capacityMillicores();
+        double excess = (load.pressure() - HIGH) * load.capacity().cpuMillicores();
         for (BatchAttempt attempt : List.copyOf(left)) {
             if (disturbs(attempt)) {
                 orders.add(new GiveWayOrder(attempt.attempt(), AttemptAction.THROTTLE));
@@ -191,7 +210,9 @@
                         .thenComparing(a -> a.attempt().toString()))
                 .toList();
         for (BatchAttempt attempt : smallestFirst) {
-            expected += attempt.usedCpuMillicores() * (1 / THROTTLED_SHARE - 1) / load.capacityMillicores();
+            expected += attempt.usedCpuMillicores()
+                    * (1 / THROTTLED_SHARE - 1)
+                    / load.capacity().cpuMillicores();
             if (expected > HIGH || !returns.tryTake(0, nowMs)) {
                 break;
             }
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -17,11 +18,13 @@
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.policy.evict.EvictionBudget;
 import org.cornelcove.policy.learn.InterferenceModel;
 import org.cornelcove.policy.learn.LoadBand;
 import org.cornelcove.policy.learn.PlacementHistory;
 import org.cornelcove.policy.pace.StartPace;
 import org.cornelcove.policy.place.PendingJobs.PendingJob;
+import org.cornelcove.policy.place.RunningJobs.RunningJob;
 import org.cornelcove.policy.quarantine.KindTrial;
 import org.cornelcove.policy.quarantine.WorkerHealth;
 
@@ -39,6 +42,9 @@
  */
 public final class Placer {
     private static final String ANY_TASK = "";
+    /** Searches for room in one call, since each looks at all that runs. */
+    private static final int MAX_SEARCHES = 4;
+
     private static final int LOOK_AHEAD = 16;
     private static final long HOLD_AFTER_MS = 120_000;
     private static final int HOSTS_TO_A_HELD_ONE = 50;
@@ -48,12 +54,14 @@
     private final KindTrial trials = KindTrial.create();
     private final StartPace pace = StartPace.create();
     private final PendingJobs pending = new PendingJobs();
-    private final Map<JobId, Placed> placed = new HashMap<>();
     private final Map<HostId, Resources> capacities = new HashMap<>();
     private final HostTable hosts;
     private final TeamQuotas quotas;
+    private final RunningJobs running;
     private final WorkerHealth health;
-    private final Set<JobId> throttled = new HashSet<>();
+    /** Hosts on which work is evicted for an urgent job. */
+    private final Map<JobId, HostId> roomFor = new HashMap<>();
+
     /** Hosts kept free of other batch work for jobs that waited long. */
     private final Map<JobId, HostId> held = new HashMap<>();
 
@@ -65,6 +73,7 @@
         this.rules = rules;
         this.hosts = HostTable.of(interference, rules.batch().serviceReservePercent());
         this.quotas = new TeamQuotas(rules.teams());
+        this.running = new RunningJobs(hosts, quotas, history);
         this.health = WorkerHealth.of(rules.batch().quarantinePercent());
     }
 
@@ -91,7 +100,7 @@
     }
 
     /**
-     * Adds a host that runs nothing yet.
+     * Adds a host that runs nothing yet; also after it started anew, which keeps the record of its health.
      *
      * @param host the host
      * @param availabilityZone where it stands
@@ -99,7 +108,7 @@
      * @param capacity what it holds
      */
     public void putHost(HostId host, String availabilityZone, String rack, Resources capacity) {
-        removeHost(host);
+        dropHost(host);
         hosts.add(host, availabilityZone, rack, capacity);
         capacities.put(host, capacity);
         cluster = cluster.plus(capacity);
@@ -107,11 +116,16 @@
     }
 
     /**
-     * Forgets a host. What ran there is reported through {@link #ended}.
+     * Forgets a host that is gone. What ran there is reported through {@link #ended}.
      *
      * @param host the host
      */
     public void removeHost(HostId host) {
+        dropHost(host);
+        health.remove(host);
+    }
+
+    private void dropHost(HostId host) {
         Resources capacity = capacities.remove(host);
         if (capacity != null) {
             hosts.remove(host);
@@ -149,7 +163,7 @@
     public void forget(JobId job, long nowMs) {
         pending.remove(job);
         unhold(job);
-        free(job, nowMs).ifPresent(p -> trials.ended(p.spec.task()));
+        running.free(job, nowMs).ifPresent(r -> trials.ended(r.spec().task()));
         health.forget(job);
     }
 
@@ -182,18 +196,18 @@
      * @param nowMs the current instant
      */
     public void ended(JobId job, AttemptEnd end, long nowMs) {
-        Optional<Placed> found = free(job, nowMs);
+        Optional<RunningJob> found = running.free(job, nowMs);
         if (found.isEmpty()) {
             return;
         }
-        Placed was = found.get();
+        RunningJob was = found.get();
         switch (end) {
             case FINISHED -> {
-                health.succeeded(was.host, job);
-                trials.succeeded(was.spec.task());
+                health.succeeded(was.host(), job);
+                trials.succeeded(was.spec().task());
             }
             case FAILED -> failed(was, nowMs);
-            default -> trials.ended(was.spec.task());
+            default -> trials.ended(was.spec().task());
         }
     }
 
@@ -231,17 +245,7 @@
      * @param nowMs the current instant
      */
     public void setThrottled(JobId job, boolean isThrottled, long nowMs) {
-        Placed was = placed.get(job);
-        if (was == null || isThrottled == throttled.contains(job)) {
-            return;
-        }
-        if (isThrottled) {
-            throttled.add(job);
-        } else {
-            throttled.remove(job);
-        }
-        hosts.setThrottled(was.host, was.spec, isThrottled);
-        history.note(was.host, hosts.batchRates(was.host), nowMs);
+        running.setThrottled(job, isThrottled, nowMs);
     }
 
     /**
@@ -251,8 +255,7 @@
      * @return the share added to the run time of the service that suffers most; 0 when unknown
      */
     public double disturbance(JobId job) {
-        Placed was = placed.get(job);
-        return was == null ? 0 : hosts.disturbance(was.host, was.spec.task());
+        return running.disturbance(job);
     }
 
     /**
@@ -275,6 +278,55 @@
         return decisions;
     }
 
+    /**
+     * Notes that a running job took a checkpoint.
+     *
+     * @param job the job
+     * @param nowMs the current instant
+     */
+    public void checkpointed(JobId job, long nowMs) {
+        running.checkpointed(job, nowMs);
+    }
+
+    /**
+     * Chooses what to evict so that urgent jobs that fit nowhere find room: on the host where least work is lost.
+     *
+     * @param budget the cluster's budget
+     * @param nowMs the current instant
+     * @return the jobs to checkpoint and evict; each is named once
+     */
+    public List<JobId> makeRoom(EvictionBudget budget, long nowMs) {
+        List<JobId> victims = new ArrayList<>();
+        int searches = 0;
+        for (String team : pending.teams(true)) {
+            for (PendingJob job : pending.first(team, true, LOOK_AHEAD)) {
+                boolean waitsForRoom = !roomFor.containsKey(job.spec().id())
+                        && quotas.allows(team, job.spec().resources())
+                        && hosts.choose(job.spec(), Set.of()).isEmpty();
+                if (waitsForRoom && searches < MAX_SEARCHES) {
+                    searches++;
+                    victims.addAll(makeRoomFor(job.spec(), budget, nowMs));
+                }
+            }
+        }
+        return victims;
+    }
+
+    private List<JobId> makeRoomFor(JobSpec urgent, EvictionBudget budget, long nowMs) {
+        Predicate<HostId> mayGive =
+                host -> !roomFor.containsValue(host) && health.maxAttempts(host, nowMs) == WorkerHealth.UNLIMITED;
+        List<Preemption.Candidate> chosen = Preemption.choose(urgent, running.evictable(mayGive, nowMs), hosts::free);
+        List<JobId> victims = new ArrayList<>();
+        for (Preemption.Candidate victim : chosen) {
+            if (!budget.tryTake(nowMs)) {
+                break;
+            }
+            victims.add(victim.job().id());
+            roomFor.put(urgent.id(), victim.host());
+        }
+        return victims;
+    }
+
     /**
      * Returns how many jobs wait.
      *
@@ -302,12 +354,12 @@
         return health;
     }
 
-    private void failed(Placed was, long nowMs) {
-        health.failed(was.host, was.spec.id(), nowMs);
-        if (health.maxAttempts(was.host, nowMs) == WorkerHealth.UNLIMITED) {
-            trials.failed(was.spec.task());
+    private void failed(RunningJob was, long nowMs) {
+        health.failed(was.host(), was.spec().id(), nowMs);
+        if (health.maxAttempts(was.host(), nowMs) == WorkerHealth.UNLIMITED) {
+            trials.failed(was.spec().task());
         } else {
-            trials.ended(was.spec.task());
+            trials.ended(was.spec().task());
         }
     }
 
@@ -328,6 +380,7 @@
     }
 
     private void unhold(JobId job) {
+        roomFor.remove(job);
         HostId host = held.remove(job);
         if (host != null) {
             hosts.unhold(host);
@@ -336,29 +389,10 @@
 
     private void take(JobSpec job, HostId host, long nowMs) {
         unhold(job.id());
-        placed.put(job.id(), new Placed(job, host));
-        hosts.take(host, job);
-        quotas.take(job.team(), job.resources());
+        running.take(job, host, nowMs);
         trials.started(job.task());
-        history.note(host, hosts.batchRates(host), nowMs);
-    }
-
-    private Optional<Placed> free(JobId job, long nowMs) {
-        Placed was = placed.remove(job);
-        if (was == null) {
-            return Optional.empty();
-        }
-        if (throttled.remove(job)) {
-            hosts.setThrottled(was.host, was.spec, false);
-        }
-        hosts.release(was.host, was.spec);
-        quotas.release(was.spec.team(), was.spec.resources());
-        history.note(was.host, hosts.batchRates(was.host), nowMs);
-        return Optional.of(was);
     }
 
-    private record Placed(JobSpec spec, HostId host) {}
-
     private record TeamTurn(String team, double dominantShare) implements Comparable<TeamTurn> {
         @Override
         public int compareTo(TeamTurn other) {
--- /dev/null
+++ b/policy/src/main/java/org/cornelcove/policy/place/Preemption.java
@@ -0,0 +1,86 @@
+package org.cornelcove.policy.place;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.resource.Resources;
+
+/**
+ * Chooses which batch work is evicted for an urgent job. On each host the attempts with least work since their checkpoint
+ * go first until the job fits, and those that turn out not to be needed stay; the host wins on which least work is lost.
+ */
+final class Preemption {
+    private Preemption() {}
+
+    /** Returns the attempts to evict, all on one host; none when the job fits nowhere even so. */
+    static List<Candidate> choose(JobSpec urgent, List<Candidate> running, Function<HostId, Resources> free) {
+        Map<HostId, List<Candidate>> byHost = new TreeMap<>();
+        for (Candidate candidate : running) {
+            byHost.computeIfAbsent(candidate.host(), h -> new ArrayList<>()).add(candidate);
+        }
+        List<Candidate> best = List.of();
+        for (Map.Entry<HostId, List<Candidate>> host : byHost.entrySet()) {
+            List<Candidate> victims = onHost(urgent, host.getValue(), free.apply(host.getKey()));
+            if (!victims.isEmpty() && (best.isEmpty() || lostWork(victims) < lostWork(best))) {
+                best = victims;
+            }
+        }
+        return best;
+    }
+
+    private static List<Candidate> onHost(JobSpec urgent, List<Candidate> candidates, Resources freeNow) {
+        List<Candidate> cheapestFirst = new ArrayList<>(candidates);
+        cheapestFirst.sort(Comparator.comparingDouble(Candidate::lostWork)
+                .thenComparing(c -> c.job().id()));
+        List<Candidate> victims = new ArrayList<>();
+        Resources room = freeNow;
+        for (Candidate candidate : cheapestFirst) {
+            if (urgent.resources().fitsIn(room)) {
+                break;
+            }
+            victims.add(candidate);
+            room = room.plus(candidate.job().resources());
+        }
+        if (!urgent.resources().fitsIn(room)) {
+            return List.of();
+        }
+        return withoutSpare(urgent, victims, room);
+    }
+
+    /** Leaves out those whose room is not needed, the dearest first. */
+    private static List<Candidate> withoutSpare(JobSpec urgent, List<Candidate> victims, Resources freed) {
+        List<Candidate> needed = new ArrayList<>(victims);
+        Resources room = freed;
+        for (int i = victims.size() - 1; i >= 0; i--) {
+            Resources without = room.minus(victims.get(i).job().resources());
+            if (urgent.resources().fitsIn(without)) {
+                needed.remove(victims.get(i));
+                room = without;
+            }
+        }
+        return needed;
+    }
+
+    private static double lostWork(List<Candidate> victims) {
+        return victims.stream().mapToDouble(Candidate::lostWork).sum();
+    }
+
+    /**
+     * A running attempt that may be evicted.
+     *
+     * @param job the job
+     * @param host where it runs
+     * @param sinceSavedMs the time since its last checkpoint
+     */
+    record Candidate(JobSpec job, HostId host, long sinceSavedMs) {
+        double lostWork() {
+            return (double) job.resources().cpuMillicores() * (1 + sinceSavedMs);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/cornelcove/policy/place/PlacerTest.java
@@ -0,0 +1,275 @@
+package org.cornelcove.policy.place;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobKind;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.resource.Resources;
+import org.cornelcove.model.rule.BatchRule;
+import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.model.rule.TeamRule;
+import org.cornelcove.policy.evict.EvictionBudget;
+import org.cornelcove.policy.learn.InterferenceModel;
+import org.cornelcove.policy.learn.LoadBand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+class PlacerTest {
+    private static final Resources CAPACITY = Resources.of(32_000, 100, 2);
+
+    static HostId host(int i) {
+        return HostId.of("w" + i);
+    }
+
+    static JobSpec job(String id, JobKind kind, String task, Resources amount, boolean urgent) {
+        return new JobSpec(JobId.of(id), "team", kind, task, amount, 0, urgent, "");
+    }
+
+    static JobSpec batch(String id, long millicores) {
+        return job(id, JobKind.BATCH, "cut", Resources.of(millicores, 1, 0), false);
+    }
+
+    static Placer placer(int hosts) {
+        TreeMap<String, TeamRule> teams = new TreeMap<>();
+        teams.put("small", new TeamRule("small", Resources.of(4000, 1000, 0), 1));
+        Placer placer = Placer.of(new RuleSet(new TreeMap<>(), new TreeMap<>(), teams, new BatchRule(10, 60, 3, 10)));
+        for (int i = 0; i < hosts; i++) {
+            placer.putHost(host(i), "zone" + i % 3, "rack" + i % 6, CAPACITY);
+        }
+        return placer;
+    }
+
+    static List<JobId> started(Placer placer, long nowMs) {
+        return placer.decide(nowMs, 1000).stream()
+                .filter(PlacementDecision.Start.class::isInstance)
+                .map(d -> d.job().id())
+                .toList();
+    }
+
+    static Stream<Arguments> fits() {
+        return Stream.of(
+                arguments("leaves the reserve", JobKind.BATCH, Resources.of(28_000, 1, 0), false, true),
+                arguments("would take the reserve", JobKind.BATCH, Resources.of(30_000, 1, 0), false, false),
+                arguments("urgent may take it", JobKind.BATCH, Resources.of(30_000, 1, 0), true, true),
+                arguments("so may a service", JobKind.SERVICE, Resources.of(32_000, 1, 0), false, true),
+                arguments("too much memory", JobKind.BATCH, Resources.of(1000, 101, 0), false, false),
+                arguments("too many accelerators", JobKind.BATCH, Resources.of(1000, 1, 3), false, false),
+                arguments("accelerators", JobKind.BATCH, Resources.of(1000, 1, 2), false, true));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("fits")
+    void placesWhatFits(String name, JobKind kind, Resources amount, boolean urgent, boolean placed) {
+        Placer placer = placer(1);
+        placer.submit(job("j", kind, "cut", amount, urgent), 0);
+        assertThat(started(placer, 0), hasSize(placed ? 1 : 0));
+    }
+
+    @Test
+    void jobThatFitsNoHostGetsItsFinalAnswer() {
+        Placer placer = placer(3);
+        placer.submit(batch("huge", 33_000), 0);
+        PlacementDecision.GiveUp answer =
+                (PlacementDecision.GiveUp) placer.decide(0, 10).get(0);
+        assertThat(answer.reason().kind(), is(ErrorKind.JOB_NEVER_FITS));
+        assertThat(placer.waiting(), is(0));
+    }
+
+    @Test
+    void urgentGoesFirst() {
+        Placer placer = placer(1);
+        placer.submit(batch("a", 1000), 0);
+        placer.submit(job("b", JobKind.BATCH, "cut", Resources.of(1000, 1, 0), true), 0);
+        assertThat(started(placer, 0), contains(JobId.of("b"), JobId.of("a")));
+    }
+
+    @Test
+    void teamStaysWithinItsQuota() {
+        Placer placer = placer(3);
+        for (int i = 0; i < 10; i++) {
+            placer.submit(
+                    new JobSpec(
+                            JobId.of("q" + i), "small", JobKind.BATCH, "cut", Resources.of(1000, 1, 0), 0, false, ""),
+                    0);
+        }
+        assertThat(started(placer, 0), hasSize(4));
+        placer.ended(JobId.of("q0"), AttemptEnd.FINISHED, 1);
+        assertThat(started(placer, 1), hasSize(1));
+    }
+
+    @Test
+    void executorsOfAServiceAreSpreadOverZonesAndRacks() {
+        Placer placer = placer(12);
+        for (int i = 0; i < 6; i++) {
+            placer.submit(job("s" + i, JobKind.SERVICE, "booking", Resources.of(4000, 1, 0), false), 0);
+        }
+        Map<String, Integer> byRack = new HashMap<>();
+        for (PlacementDecision decision : placer.decide(0, 10)) {
+            int index = Integer.parseInt(
+                    ((PlacementDecision.Start) decision).host().value().substring(1));
+            byRack.merge("rack" + index % 6, 1, Integer::sum);
+        }
+        assertThat(byRack.size(), is(6));
+    }
+
+    @Test
+    void hostGathersRoomForAJobThatWaitedLong() {
+        Placer placer = placer(1);
+        for (int i = 0; i < 28; i++) {
+            placer.submit(batch("a" + i, 1000), 0);
+        }
+        assertThat(started(placer, 0), hasSize(28));
+        placer.submit(batch("wide", 8000), 0);
+        placer.decide(130_000, 10);
+        for (int i = 0; i < 8; i++) {
+            placer.ended(JobId.of("a" + i), AttemptEnd.FINISHED, 130_000);
+            placer.submit(batch("b" + i, 1000), 130_000);
+        }
+        assertThat(started(placer, 130_001), contains(JobId.of("wide")));
+    }
+
+    @Test
+    void roomIsMadeForUrgentWorkWhereLeastIsLost() {
+        Placer placer = placer(2);
+        placer.restore(job("s", JobKind.SERVICE, "booking", Resources.of(4000, 1, 0), false), host(0), 0);
+        placer.restore(job("t", JobKind.SERVICE, "booking", Resources.of(4000, 1, 0), false), host(1), 0);
+        placer.restore(batch("old", 28_000), host(0), 0);
+        placer.restore(batch("new", 28_000), host(1), 0);
+        placer.checkpointed(JobId.of("new"), 9000);
+        placer.submit(job("u", JobKind.BATCH, "cut", Resources.of(8000, 1, 0), true), 10_000);
+        assertThat(started(placer, 10_000), is(empty()));
+        EvictionBudget budget = EvictionBudget.of(60);
+        assertThat(placer.makeRoom(budget, 10_000), contains(JobId.of("new")));
+        assertThat("named once", placer.makeRoom(budget, 10_001), is(empty()));
+        placer.ended(JobId.of("new"), AttemptEnd.EVICTED, 11_000);
+        placer.submit(batch("new", 28_000), 11_000);
+        assertThat(started(placer, 11_000), contains(JobId.of("u")));
+    }
+
+    @Test
+    void restoredWorkDoesNotHoldBackItsKindAfterAChangeOfLeader() {
+        Placer placer = placer(12);
+        for (int i = 0; i < 100; i++) {
+            placer.restore(batch("r" + i, 1000), host(i % 12), 0);
+        }
+        for (int i = 0; i < 5; i++) {
+            placer.submit(batch("n" + i, 1000), 0);
+        }
+        assertThat(started(placer, 0), hasSize(5));
+    }
+
+    @ParameterizedTest(name = "{0}, added {1}")
+    @CsvSource({"LOW, -1, true", "HIGH, -1, false", "HIGH, 0.05, true", "HIGH, 0.3, false", "LOW, 0.6, false"})
+    void pairsAreTriedOffTheCrestAndKnownHarmIsAvoided(LoadBand band, double added, boolean placed) {
+        InterferenceModel model = InterferenceModel.create();
+        HostTable table = HostTable.of(model, 10);
+        table.add(host(0), "z", "r", CAPACITY);
+        table.take(host(0), job("s", JobKind.SERVICE, "booking", Resources.of(4000, 1, 0), false));
+        table.setServiceLoad(host(0), band);
+        for (int i = 0; i < 20 && added >= 0; i++) {
+            model.observe("booking", Map.of("cut", 1.0), LoadBand.HIGH, 1 + added);
+        }
+        assertThat(table.choose(batch("j", 1000), Set.of()).isPresent(), is(placed));
+    }
+
+    @Property(seed = "51", tries = 40)
+    void noHostIsOverfilledAndWhatFitsIsFound(@ForAll @IntRange(min = 1, max = 20) int hosts, @ForAll long seed) {
+        Random random = new Random(seed);
+        Placer placer = placer(hosts);
+        Map<HostId, Resources> naive = new HashMap<>();
+        IntStream.range(0, hosts).forEach(i -> naive.put(host(i), CAPACITY));
+        List<PlacementDecision.Start> running = new ArrayList<>();
+        for (int step = 0; step < 200; step++) {
+            Resources amount = Resources.of(1000 * (1 + random.nextInt(8)), random.nextInt(30), random.nextInt(2));
+            JobSpec asked = job("j" + step, JobKind.BATCH, "t" + random.nextInt(3), amount, true);
+            placer.submit(asked, step);
+            boolean fits = naive.values().stream().anyMatch(amount::fitsIn);
+            List<PlacementDecision> decisions = placer.decide(step, 10);
+            assertThat(decisions.size(), is(fits ? 1 : 0));
+            for (PlacementDecision decision : decisions) {
+                PlacementDecision.Start start = (PlacementDecision.Start) decision;
+                naive.merge(start.host(), start.job().resources(), Resources::minus);
+                assertThat(naive.get(start.host()).isNegative(), is(false));
+                running.add(start);
+            }
+            placer.forget(asked.id().equals(last(running)) ? JobId.of("none") : asked.id(), step);
+            if (random.nextBoolean() && !running.isEmpty()) {
+                PlacementDecision.Start over = running.remove(random.nextInt(running.size()));
+                placer.ended(over.job().id(), AttemptEnd.FINISHED, step);
+                naive.merge(over.host(), over.job().resources(), Resources::plus);
+            }
+        }
+    }
+
+    private static JobId last(List<PlacementDecision.Start> running) {
+        return running.isEmpty()
+                ? JobId.of("none")
+                : running.get(running.size() - 1).job().id();
+    }
+
+    @Property(seed = "52", tries = 20)
+    void waveOfCancellationsLeavesNothingBehind(@ForAll @IntRange(min = 1, max = 500) int jobs) {
+        Placer placer = placer(4);
+        for (int i = 0; i < jobs; i++) {
+            placer.submit(batch("j" + i, 1000), 0);
+        }
+        int first = started(placer, 0).size();
+        assertThat(first, lessThanOrEqualTo(4 * 28));
+        for (int i = 0; i < jobs; i++) {
+            placer.forget(JobId.of("j" + i), 1);
+        }
+        assertThat(placer.waiting(), is(0));
+        placer.submit(batch("after", 28_000), 2);
+        assertThat(started(placer, 2), is(not(empty())));
+    }
+
+    @Test
+    void startsArePacedAfterAFaultUrgentFirst() {
+        Placer placer = placer(20);
+        placer.recover(0);
+        for (int i = 0; i < 100; i++) {
+            placer.submit(batch("j" + i, 1000), 0);
+        }
+        placer.submit(job("u", JobKind.BATCH, "cut", Resources.of(1000, 1, 0), true), 0);
+        List<JobId> firstSecond = new ArrayList<>();
+        for (int ms = 0; ms < 1000; ms += 100) {
+            firstSecond.addAll(started(placer, ms));
+        }
+        assertThat(firstSecond.get(0), is(JobId.of("u")));
+        assertThat(firstSecond.size(), lessThanOrEqualTo(6));
+        int later = 0;
+        for (int ms = 1000; ms < 20_000; ms += 100) {
+            later += started(placer, ms).size();
+        }
+        assertThat(later + firstSecond.size(), is(101));
+        assertThat(later, greaterThan(90));
+    }
+}
