Keep the bands of a pair together; placement at three sizes with memory and burst

The four look-ups for each pair of a candidate were most of a decision's time; one look-up gives all bands now.

--- a/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
@@ -38,6 +38,7 @@
     private static final int SECONDS = 60;
     private static final int WARM_SECONDS = 10;
     private static final long TICK_MS = 10;
+    private static final long BURST_MS = 100;
     private static final long PAUSE_FROM_MS = 35_000;
     private static final long PAUSE_MS = 1200;
     private static final long MAX_DECISION_US = 1000;
@@ -55,8 +56,11 @@
 
     @Override
     public boolean run(PrintStream out) {
-        Figures naive = new Run(true).run();
-        Figures ours = new Run(false).run();
+        for (int workers : new int[] {WORKERS / 4, WORKERS / 2}) {
+            out.printf("placement policy, %d workers: %s%n", workers, new Run(false, workers).run());
+        }
+        Figures naive = new Run(true, WORKERS).run();
+        Figures ours = new Run(false, WORKERS).run();
         out.printf("placement baseline (fullest first by scan, order of arrival): %s%n", naive);
         out.printf("placement policy: %s%n", ours);
         out.printf(
@@ -71,6 +75,11 @@
                 && ours.urgentMs.getValueAtPercentile(99) <= MAX_URGENT_MS;
     }
 
+    private static long usedHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
     private record Running(JobSpec job, HostId host, long endsAtMs) {}
 
     private static final class Figures {
@@ -83,11 +92,14 @@
         private final Histogram otherMs = new Histogram(3);
         private long starts;
         private long rebuildMs;
+        private long heapBytes;
+        /** The most starts within a tenth of a second, after the change of leader. */
+        private long burst;
 
         @Override
         public String toString() {
             return String.format(
-                    "%d starts, elapsed p50 %.1f p99 %.1f p99.9 %.1f max %.1f us, urgent p99 %d max %d ms, other p99 %d ms, %d over 1 ms, rebuild %d ms, processor p50 %.1f max %.1f us",
+                    "%d starts, elapsed p50 %.1f p99 %.1f p99.9 %.1f max %.1f us, urgent p99 %d max %d ms, other p99 %d ms, %d over 1 ms, rebuild %d ms, processor mean %.1f p50 %.1f max %.1f us, heap %d KiB, at most %d starts in 100 ms",
                     starts,
                     decisionNs.getValueAtPercentile(50) / 1000.0,
                     decisionNs.getValueAtPercentile(99) / 1000.0,
@@ -98,14 +110,18 @@
                     otherMs.getValueAtPercentile(99),
                     decisionNs.getTotalCount() - decisionNs.getCountBetweenValues(0, MAX_DECISION_US * 1000),
                     rebuildMs,
+                    processorNs.getMean() / 1000.0,
                     processorNs.getValueAtPercentile(50) / 1000.0,
-                    processorNs.getMaxValue() / 1000.0);
+                    processorNs.getMaxValue() / 1000.0,
+                    heapBytes / 1024,
+                    burst);
         }
     }
 
     /** One run of the same arrivals through either side. */
     private static final class Run {
         private final boolean isNaive;
+        private final int workers;
         private final Figures figures = new Figures();
         private final JobStream stream = new JobStream(61, 100, 40);
         private final Map<JobId, Long> submittedMs = new HashMap<>();
@@ -114,9 +130,12 @@
         private final Map<JobId, JobSpec> queued = new LinkedHashMap<>();
         private NaiveHosts naive = new NaiveHosts();
         private Placer placer;
+        private long burstAt;
+        private long inBurst;
 
-        Run(boolean isNaive) {
+        Run(boolean isNaive, int workers) {
             this.isNaive = isNaive;
+            this.workers = workers;
         }
 
         Figures run() {
@@ -124,7 +143,7 @@
             fill();
             double owed = 0;
             for (long nowMs = 0; nowMs < SECONDS * 1000L; nowMs += TICK_MS) {
-                owed += PER_SECOND * TICK_MS / 1000.0;
+                owed += (double) PER_SECOND * workers / WORKERS * TICK_MS / 1000.0;
                 for (; owed >= 1; owed--) {
                     submit(stream.batch(0.1, 0.05), nowMs);
                 }
@@ -138,9 +157,16 @@
                 endDue(nowMs);
                 decide(nowMs);
             }
+            figures.heapBytes = heapOfPlacer();
             return figures;
         }
 
+        private long heapOfPlacer() {
+            long withBytes = usedHeapBytes();
+            placer = null;
+            return withBytes - usedHeapBytes();
+        }
+
         private void changeLeader(long nowMs) {
             if (isNaive) {
                 return;
@@ -156,7 +182,7 @@
         private void newLeader(long nowMs) {
             placer = Placer.of(rules());
             naive = new NaiveHosts();
-            for (int i = 0; i < WORKERS; i++) {
+            for (int i = 0; i < workers; i++) {
                 int accelerators = i % 5 == 0 ? 7 : 0;
                 Resources capacity = Resources.of(32_000, 125 * JobStream.GIB, accelerators);
                 HostId host = HostId.of("w" + i);
@@ -167,10 +193,10 @@
         }
 
         private void fill() {
-            for (int i = 0; i < SERVICES; i++) {
+            for (int i = 0; i < SERVICES * workers / WORKERS; i++) {
                 submit(stream.service("service" + i % 20, 1000, 4 * JobStream.GIB), 0);
             }
-            for (int i = 0; i < BATCH; i++) {
+            for (int i = 0; i < BATCH * workers / WORKERS; i++) {
                 submit(stream.batch(0.1, 0.05), 0);
             }
             decideUpTo(0, SERVICES + BATCH, false);
@@ -239,6 +265,7 @@
             long waitMs = nowMs - submittedMs.remove(job.id());
             if (measured) {
                 figures.starts++;
+                countBurst(nowMs);
                 (job.urgent() ? figures.urgentMs : figures.otherMs).recordValue(waitMs);
             }
             if (!job.team().equals("services")) {
@@ -249,6 +276,15 @@
             }
         }
 
+        private void countBurst(long nowMs) {
+            if (nowMs / BURST_MS != burstAt) {
+                burstAt = nowMs / BURST_MS;
+                inBurst = 0;
+            }
+            inBurst++;
+            figures.burst = Math.max(figures.burst, inBurst);
+        }
+
         private static RuleSet rules() {
             TreeMap<String, TeamRule> teams = new TreeMap<>();
             for (int i = 0; i < 100; i++) {
--- a/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
@@ -1,5 +1,6 @@
 package org.cornelcove.policy.learn;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +22,9 @@
     private static final double MIN_GAIN = 0.1;
     private static final double MAX_WEIGHT = 50;
 
-    private final Map<Pair, Learned> pairs = new HashMap<>();
+    private static final PairEstimate UNKNOWN = new PairEstimate(0, 0);
+
+    private final Map<Pair, Learned[]> pairs = new HashMap<>();
 
     private InterferenceModel() {}
 
@@ -47,13 +50,13 @@
         double predicted = 1;
         double gains = 0;
         for (Map.Entry<String, Double> batch : ordered.entrySet()) {
-            Learned learned = pairs.computeIfAbsent(new Pair(service, batch.getKey(), band), p -> new Learned());
+            Learned learned = learned(service, batch.getKey(), band);
             predicted += batch.getValue() * learned.added;
             gains += batch.getValue() * learned.gain();
         }
         double difference = slowdown - predicted;
         for (Map.Entry<String, Double> batch : ordered.entrySet()) {
-            Learned learned = pairs.get(new Pair(service, batch.getKey(), band));
+            Learned learned = learned(service, batch.getKey(), band);
             double part = batch.getValue() * learned.gain() / gains;
             learned.learn(difference * part, part);
         }
@@ -68,11 +71,8 @@
      * @return the estimate
      */
     public PairEstimate estimate(String service, String batch, LoadBand band) {
-        Learned learned = pairs.get(new Pair(service, batch, band));
-        if (learned == null) {
-            return new PairEstimate(0, 0);
-        }
-        return new PairEstimate(learned.added, learned.weight / (learned.weight + HALF_CONFIDENCE_WEIGHT));
+        Learned[] bands = pairs.get(new Pair(service, batch));
+        return bands == null ? UNKNOWN : bands[band.ordinal()].estimate();
     }
 
     /**
@@ -84,11 +84,14 @@
      * @return the estimate, that of the given load when nothing is known
      */
     public PairEstimate worst(String service, String batch, LoadBand band) {
-        PairEstimate worst = estimate(service, batch, band);
-        for (LoadBand higher : LoadBand.values()) {
-            PairEstimate other = estimate(service, batch, higher);
-            boolean counts = higher.compareTo(band) > 0 && other.isKnown();
-            if (counts && (!worst.isKnown() || other.added() > worst.added())) {
+        Learned[] bands = pairs.get(new Pair(service, batch));
+        if (bands == null) {
+            return UNKNOWN;
+        }
+        PairEstimate worst = bands[band.ordinal()].estimate();
+        for (int higher = band.ordinal() + 1; higher < bands.length; higher++) {
+            PairEstimate other = bands[higher].estimate();
+            if (other.isKnown() && (!worst.isKnown() || other.added() > worst.added())) {
                 worst = other;
             }
         }
@@ -101,10 +104,14 @@
      * @return one line for each pair and band
      */
     public List<PairSummary> summary() {
-        return pairs.entrySet().stream()
-                .map(e -> new PairSummary(
-                        e.getKey().service, e.getKey().batch, e.getKey().band, e.getValue().added, e.getValue().weight))
-                .toList();
+        List<PairSummary> lines = new ArrayList<>();
+        pairs.forEach((pair, bands) -> {
+            for (LoadBand band : LoadBand.values()) {
+                Learned learned = bands[band.ordinal()];
+                lines.add(new PairSummary(pair.service, pair.batch, band, learned.added, learned.weight));
+            }
+        });
+        return lines;
     }
 
     /**
@@ -114,19 +121,34 @@
      */
     public void restore(List<PairSummary> summary) {
         for (PairSummary line : summary) {
-            Learned learned = new Learned();
+            Learned learned = learned(line.service(), line.batch(), line.band());
             learned.added = line.added();
             learned.weight = line.weight();
-            pairs.put(new Pair(line.service(), line.batch(), line.band()), learned);
         }
     }
 
-    private record Pair(String service, String batch, LoadBand band) {}
+    private Learned learned(String service, String batch, LoadBand band) {
+        return pairs.computeIfAbsent(new Pair(service, batch), p -> emptyBands())[band.ordinal()];
+    }
+
+    private static Learned[] emptyBands() {
+        Learned[] bands = new Learned[LoadBand.values().length];
+        for (int i = 0; i < bands.length; i++) {
+            bands[i] = new Learned();
+        }
+        return bands;
+    }
+
+    private record Pair(String service, String batch) {}
 
     private static final class Learned {
         private double added;
         private double weight;
 
+        PairEstimate estimate() {
+            return new PairEstimate(added, weight / (weight + HALF_CONFIDENCE_WEIGHT));
+        }
+
         double gain() {
             return Math.max(MIN_GAIN, 1 / (1 + weight));
         }
--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -42,7 +42,6 @@
     private static final double WAIT_MARGIN = 1.6;
     private static final int PERCENT = 100;
 
-    private final ServiceRule rule;
     private final Function<String, TenantRule> tenants;
     private final RunTimes runTimes;
     private final ReturnSpread returns;
@@ -50,6 +49,7 @@
     private final FairLane<T> longLane;
     private final Deque<Waiting<T>> shortRunning = new ArrayDeque<>();
     private final List<Waiting<T>> displaced = new ArrayList<>();
+    private ServiceRule rule;
     private long sequence;
     private int busyShort;
     private int busyLong;
@@ -78,6 +78,15 @@
         return new RequestQueue<>(rule, tenants, runTimes, seed);
     }
 
+    /**
+     * Takes in a new configuration; what waits stays in its lane.
+     *
+     * @param newRule the service's rule from now on
+     */
+    public void setRule(ServiceRule newRule) {
+        rule = newRule;
+    }
+
     /**
      * Decides on an arriving request and queues it unless refused.
      *
