--- a/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/InterferenceModel.java
@@ -1,10 +1,10 @@
 package org.cornelcove.policy.learn;
 
-import java.util.Collection;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 /**
  * Which kinds of batch work slow which kinds of service down, learned by load band.
@@ -22,7 +22,9 @@
     private static final double MIN_GAIN = 0.1;
     private static final double MAX_WEIGHT = 50;
 
-    private final Map<Pair, Learned> pairs = new HashMap<>();
+    private static final PairEstimate UNKNOWN = new PairEstimate(0, 0);
+
+    private final Map<Pair, Learned[]> pairs = new HashMap<>();
 
     private InterferenceModel() {}
 
@@ -39,25 +41,23 @@
      * Learns from one measurement.
      *
      * @param service the kind of service
-     * @param beside the kinds of batch work on the host when it was measured
+     * @param beside the kinds of batch work on the host when it was measured, each with the rate at which it ran
      * @param band the load of the host's services then
-     * @param slowdown the run time over that of an undisturbed service
+     * @param slowdown the run time over that of an undisturbed service, net of a lack of processors
      */
-    public void observe(String service, Collection<String> beside, LoadBand band, double slowdown) {
-        if (beside.isEmpty()) {
-            return;
-        }
+    public void observe(String service, Map<String, Double> beside, LoadBand band, double slowdown) {
+        Map<String, Double> ordered = new TreeMap<>(beside);
         double predicted = 1;
         double gains = 0;
-        for (String batch : new TreeSet<>(beside)) {
-            Learned learned = pairs.computeIfAbsent(new Pair(service, batch, band), p -> new Learned());
-            predicted += learned.added;
-            gains += learned.gain();
+        for (Map.Entry<String, Double> batch : ordered.entrySet()) {
+            Learned learned = learned(service, batch.getKey(), band);
+            predicted += batch.getValue() * learned.added;
+            gains += batch.getValue() * learned.gain();
         }
         double difference = slowdown - predicted;
-        for (String batch : new TreeSet<>(beside)) {
-            Learned learned = pairs.get(new Pair(service, batch, band));
-            double part = learned.gain() / gains;
+        for (Map.Entry<String, Double> batch : ordered.entrySet()) {
+            Learned learned = learned(service, batch.getKey(), band);
+            double part = batch.getValue() * learned.gain() / gains;
             learned.learn(difference * part, part);
         }
     }
@@ -71,11 +71,31 @@
      * @return the estimate
      */
     public PairEstimate estimate(String service, String batch, LoadBand band) {
-        Learned learned = pairs.get(new Pair(service, batch, band));
-        if (learned == null) {
-            return new PairEstimate(0, 0);
+        Learned[] bands = pairs.get(new Pair(service, batch));
+        return bands == null ? UNKNOWN : bands[band.ordinal()].estimate();
+    }
+
+    /**
+     * Returns the worst that is known of a pair at a load or above it, since the crest comes while the work still runs.
+     *
+     * @param service the kind of service
+     * @param batch the kind of batch work
+     * @param band the load of the host's services now
+     * @return the estimate, that of the given load when nothing is known
+     */
+    public PairEstimate worst(String service, String batch, LoadBand band) {
+        Learned[] bands = pairs.get(new Pair(service, batch));
+        if (bands == null) {
+            return UNKNOWN;
         }
-        return new PairEstimate(learned.added, learned.weight / (learned.weight + HALF_CONFIDENCE_WEIGHT));
+        PairEstimate worst = bands[band.ordinal()].estimate();
+        for (int higher = band.ordinal() + 1; higher < bands.length; higher++) {
+            PairEstimate other = bands[higher].estimate();
+            if (other.isKnown() && (!worst.isKnown() || other.added() > worst.added())) {
+                worst = other;
+            }
+        }
+        return worst;
     }
 
     /**
@@ -84,10 +104,14 @@
      * @return one line for each pair and band
      */
     public List<PairSummary> summary() {
-        return pairs.entrySet().stream()
-                .map(e -> new PairSummary(
-                        e.getKey().service, e.getKey().batch, e.getKey().band, e.getValue().added, e.getValue().weight))
-                .toList();
+        List<PairSummary> lines = new ArrayList<>();
+        pairs.forEach((pair, bands) -> {
+            for (LoadBand band : LoadBand.values()) {
+                Learned learned = bands[band.ordinal()];
+                lines.add(new PairSummary(pair.service, pair.batch, band, learned.added, learned.weight));
+            }
+        });
+        return lines;
     }
 
     /**
@@ -97,19 +121,34 @@
      */
     public void restore(List<PairSummary> summary) {
         for (PairSummary line : summary) {
-            Learned learned = new Learned();
+            Learned learned = learned(line.service(), line.batch(), line.band());
             learned.added = line.added();
             learned.weight = line.weight();
-            pairs.put(new Pair(line.service(), line.batch(), line.band()), learned);
         }
     }
 
-    private record Pair(String service, String batch, LoadBand band) {}
+    private Learned learned(String service, String batch, LoadBand band) {
+        return pairs.computeIfAbsent(new Pair(service, batch), p -> emptyBands())[band.ordinal()];
+    }
+
+    private static Learned[] emptyBands() {
+        Learned[] bands = new Learned[LoadBand.values().length];
+        for (int i = 0; i < bands.length; i++) {
+            bands[i] = new Learned();
+        }
+        return bands;
+    }
+
+    private record Pair(String service, String batch) {}
 
     private static final class Learned {
         private double added;
         private double weight;
 
+        PairEstimate estimate() {
+            return new PairEstimate(added, weight / (weight + HALF_CONFIDENCE_WEIGHT));
+        }
+
         double gain() {
             return Math.max(MIN_GAIN, 1 / (1 + weight));
         }
