Benchmarks commit, recovery and failover

Cause: the targets of the replicated log need figures.

Over TCP and with separate disks: not measured.

--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,9 +2,14 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.replication.CommitBenchmark;
+import org.cornelcove.bench.replication.FailoverBenchmark;
+import org.cornelcove.bench.replication.RecoveryBenchmark;
+
 /** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
 public final class Bench {
-    private static final List<Benchmark> BENCHMARKS = List.of();
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new CommitBenchmark(), new RecoveryBenchmark(), new FailoverBenchmark());
 
     private Bench() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/cornelcove/bench/replication/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the replicated log. */
+package org.cornelcove.bench.replication;
--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -45,12 +45,14 @@
     private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
     private final Queue<CompletableFuture<byte[]>> wantedStates = new ConcurrentLinkedQueue<>();
     private final MemberStorage storage;
+    private final int maxBatch;
     private final Listener listener;
     private final Thread thread;
     private volatile boolean stopped;
 
-    DiskWorker(MemberStorage storage, Listener listener, String name) {
+    DiskWorker(MemberStorage storage, int maxBatch, Listener listener, String name) {
         this.storage = storage;
+        this.maxBatch = maxBatch;
         this.listener = listener;
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
@@ -91,7 +93,7 @@
             while (!stopped) {
                 batch.clear();
                 batch.add(tasks.take());
-                tasks.drainTo(batch);
+                tasks.drainTo(batch, maxBatch - 1);
                 carryOut(batch);
             }
         } catch (IOException | RuntimeException e) {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -46,7 +46,6 @@
  */
 public final class ReplicaNode implements Replica {
     private static final System.Logger LOG = System.getLogger(ReplicaNode.class.getName());
-    private static final int MAX_BATCH = 4096;
     private static final long HAND_OVER_MS = 1000;
 
     private final ReplicaSettings settings;
@@ -87,7 +86,7 @@
         this.core =
                 ReplicaCore.start(settings.coreOptions(), storage.stored(), membershipOf(settings), nowMs.getAsLong());
         String name = "replica-" + settings.selfId();
-        this.disk = new DiskWorker(storage, new DiskReports(), name + "-disk");
+        this.disk = new DiskWorker(storage, settings.maxBatch(), new DiskReports(), name + "-disk");
         this.applier = new Applier(machine, new ApplierReports(), name + "-apply");
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
@@ -260,7 +259,7 @@
                 Runnable first = inbox.poll(waitMs, TimeUnit.MILLISECONDS);
                 if (first != null) {
                     batch.add(first);
-                    inbox.drainTo(batch, MAX_BATCH);
+                    inbox.drainTo(batch, settings.maxBatch() - 1);
                     batch.forEach(Runnable::run);
                     batch.clear();
                 }
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
@@ -19,6 +19,7 @@
  * @param snapshotEveryEntries how many commands are applied between two snapshots
  * @param snapshotEveryBytes how many bytes of commands at most lie between two snapshots
  * @param segmentBytes the size at which a new file of the log is begun
+ * @param maxBatch how many inputs are handled and how many writes share an fsync at most; 1 turns group commit off
  * @param seed for the election timeouts; may be the same on all members
  */
 public record ReplicaSettings(
@@ -33,6 +34,7 @@
         long snapshotEveryEntries,
         long snapshotEveryBytes,
         long segmentBytes,
+        int maxBatch,
         long seed) {
     private static final long TICK_MS = 20;
     private static final long HEARTBEAT_MS = 100;
@@ -43,6 +45,7 @@
     private static final long SNAPSHOT_EVERY_BYTES = 32L << 20;
     private static final long SEGMENT_BYTES = 8L << 20;
     private static final int MAX_APPEND_BYTES = 1 << 20;
+    private static final int MAX_BATCH = 4096;
     private static final int CHUNK_BYTES = 256 << 10;
 
     /**
@@ -66,6 +69,7 @@
                 SNAPSHOT_EVERY_ENTRIES,
                 SNAPSHOT_EVERY_BYTES,
                 SEGMENT_BYTES,
+                MAX_BATCH,
                 selfId);
     }
 
@@ -88,6 +92,30 @@
                 entries,
                 snapshotEveryBytes,
                 segmentBytes,
+                maxBatch,
+                seed);
+    }
+
+    /**
+     * Returns these settings with another bound on batches.
+     *
+     * @param count how many inputs are handled and how many writes share an fsync at most
+     * @return the settings
+     */
+    public ReplicaSettings withMaxBatch(int count) {
+        return new ReplicaSettings(
+                selfId,
+                selfAddress,
+                initialMembers,
+                tickMs,
+                heartbeatMs,
+                electionMinMs,
+                electionMaxMs,
+                clockDriftPercent,
+                snapshotEveryEntries,
+                snapshotEveryBytes,
+                segmentBytes,
+                count,
                 seed);
     }
 
