--- /dev/null
+++ b/replication/src/test/java/org/cornelcove/replication/storage/MemberStorageTest.java
@@ -0,0 +1,167 @@
+package org.cornelcove.replication.storage;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.core.DiskWrite;
+import org.cornelcove.replication.core.EntryKind;
+import org.cornelcove.replication.core.LogEntry;
+import org.cornelcove.replication.core.MemberRecord;
+import org.cornelcove.replication.core.Membership;
+import org.cornelcove.replication.core.MemoryFolder;
+import org.cornelcove.replication.core.SnapshotMeta;
+import org.cornelcove.replication.core.StoredState;
+import org.cornelcove.replication.core.Vote;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class MemberStorageTest {
+    private static final int SEGMENT_BYTES = 400;
+    private static final String FIRST_SEGMENT = "00000000000000000001.segment";
+
+    private final MemoryFolder folder = new MemoryFolder();
+
+    private MemberStorage open() throws IOException {
+        return MemberStorage.open(folder, 7, SEGMENT_BYTES, () -> 99);
+    }
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, EntryKind.COMMAND, ("command " + index).getBytes());
+    }
+
+    private static DiskWrite append(long id, long truncateFrom, List<LogEntry> entries) {
+        return new DiskWrite(
+                id, Optional.of(new Vote(id, 7)), truncateFrom, entries, Optional.empty(), Optional.empty(), 0);
+    }
+
+    private static DiskWrite appendOne(long index) {
+        return append(index, 0, List.of(entry(index, 1)));
+    }
+
+    private static DiskWrite saveSnapshot(long id, long index) {
+        Membership membership = new Membership(List.of(new MemberRecord(7, "a", true, 99)), new TreeSet<>(List.of(3L)));
+        return new DiskWrite(
+                id,
+                Optional.empty(),
+                0,
+                List.of(),
+                Optional.empty(),
+                Optional.of(new DiskWrite.TakenSnapshot(new SnapshotMeta(index, 1, membership), new byte[50])),
+                index);
+    }
+
+    private void fill(int entries) throws IOException {
+        MemberStorage storage = open();
+        for (long index = 1; index <= entries; index++) {
+            storage.write(appendOne(index));
+            storage.sync();
+        }
+    }
+
+    static IntStream operations() {
+        return IntStream.range(0, 150);
+    }
+
+    /** Appends, cuts off, snapshots and compacts until the disk fails, and compares what a restart finds. */
+    @ParameterizedTest
+    @MethodSource("operations")
+    void whatWasSyncedSurvivesAPowerFailureAtAnyOperation(int operations) throws IOException {
+        List<LogEntry> synced = new ArrayList<>();
+        long compacted = 0;
+        folder.failAfter(operations, false);
+        try {
+            MemberStorage storage = open();
+            for (long id = 1; id <= 30; id++) {
+                long next = synced.size() + 1;
+                boolean cut = id % 7 == 0;
+                long from = cut ? next - 2 : next;
+                List<LogEntry> entries = LongStream.range(from, next + 3)
+                        .mapToObj(i -> entry(i, 1))
+                        .toList();
+                storage.write(append(id, cut ? from : 0, entries));
+                storage.sync();
+                synced.subList((int) from - 1, synced.size()).clear();
+                synced.addAll(entries);
+                if (id % 10 == 0) {
+                    compacted = next - 5;
+                    storage.write(saveSnapshot(id, compacted));
+                }
+            }
+        } catch (IOException e) {
+            assertThat(e.getMessage(), is("injected"));
+        }
+        folder.crash(new SplittableRandom(operations));
+        StoredState found = open().stored();
+        long last = found.entries().isEmpty()
+                ? found.snapshot().index()
+                : found.entries().get(found.entries().size() - 1).index();
+        assertThat((long) synced.size() - 2, is(lessThanOrEqualTo(last)));
+        assertThat(found.snapshot().index() >= compacted - 30, is(true));
+        assertThat(found.incarnation(), is(99L));
+    }
+
+    @ParameterizedTest(name = "byte {0} of {1} entries")
+    @CsvSource({"30, 10", "60, 10", "200, 10", "30, 60", "399, 60"})
+    void aDamagedEntryThatWasDurableIsRefused(int position, int entries) throws IOException {
+        fill(entries);
+        folder.damage(FIRST_SEGMENT, position);
+        FailureException thrown = assertThrows(FailureException.class, this::open);
+        assertThat(thrown.failure().kind(), is(ErrorKind.LOG_DAMAGED));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        FIRST_SEGMENT + ", LOG_DAMAGED",
+        "vote, LOG_DAMAGED",
+        "identity, LOG_DAMAGED",
+        "snapshot, SNAPSHOT_DAMAGED"
+    })
+    void aDamagedFileIsRefused(String name, ErrorKind kind) throws IOException {
+        fill(4);
+        open().write(saveSnapshot(9, 2));
+        folder.damage(name, 12);
+        FailureException thrown = assertThrows(FailureException.class, this::open);
+        assertThat(thrown.failure().kind(), is(kind));
+    }
+
+    @ParameterizedTest
+    @CsvSource({FIRST_SEGMENT, "vote"})
+    void aMissingFileIsRefused(String name) throws IOException {
+        fill(60);
+        folder.delete(name);
+        FailureException thrown = assertThrows(FailureException.class, this::open);
+        assertThat(thrown.failure().kind(), is(ErrorKind.LOG_DAMAGED));
+    }
+
+    @Test
+    void theTornEndOfTheLastBatchIsCutOff() throws IOException {
+        fill(3);
+        MemberStorage storage = open();
+        storage.write(append(9, 0, List.of(entry(4, 1), entry(5, 1), entry(6, 1))));
+        folder.damage(FIRST_SEGMENT, 20 + 4 * 42 + 40);
+        assertThat(open().stored().entries().size(), is(4));
+    }
+
+    @Test
+    void theFolderOfAnotherMemberIsRefused() throws IOException {
+        fill(1);
+        FailureException thrown =
+                assertThrows(FailureException.class, () -> MemberStorage.open(folder, 8, SEGMENT_BYTES, () -> 1));
+        assertThat(thrown.failure().kind(), is(ErrorKind.SETTING_INVALID));
+    }
+}
