--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -9,6 +9,9 @@
 import org.cornelcove.bench.policy.PlacementBenchmark;
 import org.cornelcove.bench.policy.RetriesBenchmark;
 import org.cornelcove.bench.policy.SwingBenchmark;
+import org.cornelcove.bench.replication.CommitBenchmark;
+import org.cornelcove.bench.replication.FailoverBenchmark;
+import org.cornelcove.bench.replication.RecoveryBenchmark;
 
 /** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
 public final class Bench {
@@ -19,7 +22,10 @@
             new RetriesBenchmark(),
             new PlacementBenchmark(),
             new BlackHoleBenchmark(),
-            new ColocationBenchmark());
+            new ColocationBenchmark(),
+            new CommitBenchmark(),
+            new RecoveryBenchmark(),
+            new FailoverBenchmark());
 
     private Bench() {}
 
--- a/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.cornelcove.control.state.ControlState;
+import org.cornelcove.control.view.JobCounts;
 import org.cornelcove.model.command.Command;
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.command.SubmitJob;
@@ -29,7 +30,6 @@
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.WorkerHeartbeat;
 import org.cornelcove.model.resource.Resources;
-import org.cornelcove.model.view.JobCounts;
 import org.cornelcove.wire.Codec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
