Quarantine workers that fail distinct jobs

Cause: the leader's quarantine was a stub, so a worker that fails everything at once looked like the emptiest one and kept winning starts.

--- a/control/src/main/java/org/cornelcove/control/leader/JobExplainer.java
+++ b/control/src/main/java/org/cornelcove/control/leader/JobExplainer.java
@@ -68,7 +68,7 @@
         int taking = 0;
         for (WorkerRecord worker : tables.workers().all()) {
             if (!workers.takesWork(worker.host(), worker.incarnation(), nowMs)
-                    || quarantine.isQuarantined(worker.host(), nowMs)) {
+                    || quarantine.mostAttempts(worker.host(), nowMs) == 0) {
                 continue;
             }
             taking++;
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -79,11 +79,12 @@
     private PlacementInput input(Tables tables, long nowMs) {
         Map<HostId, HostRoom> all = new TreeMap<>();
         Map<HostId, HostRoom> open = new TreeMap<>();
+        quarantine.setMaxPercent(tables.configuration().newest().rules().batch().quarantinePercent());
         for (WorkerRecord worker : tables.workers().all()) {
-            HostRoom room = HostRoom.of(worker, tables);
+            int mostAttempts = quarantine.mostAttempts(worker.host(), nowMs);
+            HostRoom room = HostRoom.of(worker, mostAttempts, tables);
             all.put(worker.host(), room);
-            if (workers.takesWork(worker.host(), worker.incarnation(), nowMs)
-                    && !quarantine.isQuarantined(worker.host(), nowMs)) {
+            if (workers.takesWork(worker.host(), worker.incarnation(), nowMs) && room.takesOneMore()) {
                 open.put(worker.host(), room);
             }
         }
--- a/control/src/main/java/org/cornelcove/control/leader/Placer.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Placer.java
@@ -183,6 +183,7 @@
         private Optional<HostId> choose(Job job) {
             JobSpec spec = job.spec();
             List<HostRoom> fitting = rooms.values().stream()
+                    .filter(HostRoom::takesOneMore)
                     .filter(room ->
                             input.kept().getOrDefault(room.host(), job.id()).equals(job.id()))
                     .filter(room -> Fit.fits(
--- a/control/src/main/java/org/cornelcove/control/leader/Policies.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Policies.java
@@ -10,7 +10,13 @@
  */
 public record Policies(
         PlacementPolicy placement, EvictionPolicy eviction, ThrottlePolicy throttle, WorkerQuarantine quarantine) {
-    /** The standard ones. */
-    public static final Policies STANDARD =
-            new Policies(BestFit.INSTANCE, LeastLostWork.INSTANCE, UsageThrottle.INSTANCE, WorkerQuarantine.NONE);
+    /**
+     * Returns the standard ones, with nothing learned yet; each leader's part needs its own.
+     *
+     * @return the policies
+     */
+    public static Policies standard() {
+        return new Policies(
+                BestFit.INSTANCE, LeastLostWork.INSTANCE, UsageThrottle.INSTANCE, HealthQuarantine.create());
+    }
 }
--- a/control/src/main/java/org/cornelcove/control/leader/Queries.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Queries.java
@@ -103,7 +103,7 @@
                 worker.rack(),
                 known.isPresent() && nowMs - known.get().heardMs() <= Leases.WORKER_SILENCE_MS,
                 known.map(LiveWorker::leaving).orElse(false),
-                quarantine.isQuarantined(worker.host(), nowMs),
+                quarantine.mostAttempts(worker.host(), nowMs) == 0,
                 worker.capacity(),
                 tables.jobs().heldOn(worker.host()).total(),
                 tables.jobs().heldOn(worker.host()).attempts());
--- a/control/src/main/java/org/cornelcove/control/leader/WorkerQuarantine.java
+++ b/control/src/main/java/org/cornelcove/control/leader/WorkerQuarantine.java
@@ -4,13 +4,21 @@
 import org.cornelcove.model.job.AttemptEnd;
 import org.cornelcove.model.job.JobSpec;
 
-/** Decides which workers get no new work because of their failures. */
+/** Decides how many attempts a worker may run at once because of its failures. Called under the leader's lock. */
 public interface WorkerQuarantine {
+    /** The limit of a worker in good standing. */
+    int UNLIMITED = Integer.MAX_VALUE;
+
     /** Quarantines nobody. */
     WorkerQuarantine NONE = new WorkerQuarantine() {
         @Override
-        public boolean isQuarantined(HostId host, long nowMs) {
-            return false;
+        public int mostAttempts(HostId host, long nowMs) {
+            return UNLIMITED;
+        }
+
+        @Override
+        public void setMaxPercent(int percent) {
+            // Nobody is quarantined, whatever the share.
         }
 
         @Override
@@ -20,16 +28,23 @@
     };
 
     /**
-     * Tells whether the worker gets no new work.
+     * Tells how many attempts a worker may run at once.
      *
-     * @param host the worker
+     * @param host the worker, which counts as part of the fleet from now on
      * @param nowMs the time on the monotonic clock
-     * @return whether it is quarantined
+     * @return 0 in quarantine, a small number on probation, else {@link #UNLIMITED}
+     */
+    int mostAttempts(HostId host, long nowMs);
+
+    /**
+     * Takes in the rule in force.
+     *
+     * @param percent the largest share of the workers in quarantine at once
      */
-    boolean isQuarantined(HostId host, long nowMs);
+    void setMaxPercent(int percent);
 
     /**
-     * Learns how an attempt ended. Called under the leader's lock, once for each end that was recorded.
+     * Learns how an attempt ended. Called once for each end that was recorded.
      *
      * @param host where it ran
      * @param spec the job
--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -37,7 +37,7 @@
 
     private final ControlState state = ControlState.create();
     private final ControlLeader leader =
-            ControlLeader.create(state, ControlHost::nowMs, this::propose, this::barrier, Policies.STANDARD);
+            ControlLeader.create(state, ControlHost::nowMs, this::propose, this::barrier, Policies.standard());
     private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "control-tick");
         thread.setDaemon(true);
