Benchmark capacity: what the leader costs at three sizes

Change: the real state and leader's part over fakes at the size designed for, at a quarter, a half and the whole.

--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.capacity.CapacityBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
 import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
@@ -25,7 +26,8 @@
             new ColocationBenchmark(),
             new CommitBenchmark(),
             new RecoveryBenchmark(),
-            new FailoverBenchmark());
+            new FailoverBenchmark(),
+            new CapacityBenchmark());
 
     private Bench() {}
 
