--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.entry.ClaimsBenchmark;
+import org.cornelcove.bench.entry.RelayBenchmark;
+
 /** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
 public final class Bench {
-    private static final List<Benchmark> BENCHMARKS = List.of();
+    private static final List<Benchmark> BENCHMARKS = List.of(new RelayBenchmark(), new ClaimsBenchmark());
 
     private Bench() {}
 
--- a/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
+++ b/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
@@ -95,6 +95,9 @@
     }
 
     private void readBody(Request request, Response response, RequestHead head) {
+        // The listener otherwise stops reading when this method returns, which may be after the body's reader asked for
+        // more, or after the answer was written and the connection set to read the next request.
+        request.getContext().getInternalContext().setManualIOEventControl();
         response.suspend();
         long announced = request.getContentLengthLong();
         if (announced <= 0 && !request.getRequest().isChunked()) {
@@ -105,8 +108,6 @@
             resume(response, head.id(), tooLarge(head));
             return;
         }
-        // Without this the listener stops reading when the request is suspended, after the reader asked for more.
-        request.getContext().getInternalContext().setManualIOEventControl();
         BodyReader.read(request.getNIOInputStream(), head.service().maxBodyBytes(), new BodyReader.Result() {
             @Override
             public void whole(byte[] body) {
--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -119,6 +119,7 @@
         listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
         listener.setMaxPendingBytes(-1);
         listener.getFileCache().setEnabled(false);
+        listener.getKeepAlive().setMaxRequestsCount(-1);
         TCPNIOTransport transport = listener.getTransport();
         transport.setIOStrategy(SameThreadIOStrategy.getInstance());
         transport.setSelectorRunnersCount(threads);
--- a/entry/src/test/java/org/cornelcove/entry/RelayTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/RelayTest.java
@@ -1,9 +1,12 @@
 package org.cornelcove.entry;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.Arrays;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -70,4 +73,48 @@
             }
         }
     }
+
+    /** An answer may be there before the handler that suspended the request has returned. */
+    @Test
+    void quickAnswersNeverStallAConnection() throws Exception {
+        byte[] request = "GET /q HTTP/1.1\r\nHost: a\r\n\r\n".getBytes();
+        try (Rig rig = new Rig()
+                .with(
+                        FakeTarget.start("t1", FakeTarget.Behaviour.ECHO),
+                        FakeTarget.start("t2", FakeTarget.Behaviour.ECHO))
+                .open()) {
+            Thread[] clients = new Thread[8];
+            AtomicInteger answered = new AtomicInteger();
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = new Thread(() -> answered.addAndGet(ask(rig.entry.port(), request, 2_000)));
+                clients[i].start();
+            }
+            for (Thread client : clients) {
+                client.join();
+            }
+            assertThat(answered.get(), is(16_000));
+        }
+    }
+
+    private static int ask(int port, byte[] request, int times) {
+        int answered = 0;
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(10_000);
+            byte[] buffer = new byte[4_096];
+            for (; answered < times; answered++) {
+                socket.getOutputStream().write(request);
+                StringBuilder seen = new StringBuilder();
+                while (!seen.toString().endsWith("|")) {
+                    int read = socket.getInputStream().read(buffer);
+                    if (read < 0) {
+                        return answered;
+                    }
+                    seen.append(new String(buffer, 0, read));
+                }
+            }
+        } catch (IOException e) {
+            return answered;
+        }
+        return answered;
+    }
 }
