--- a/bench/src/main/java/org/cornelcove/bench/entry/EchoTarget.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/EchoTarget.java
@@ -13,6 +13,7 @@
 /** A target that answers every request at once with the same small body. */
 final class EchoTarget implements AutoCloseable {
     private static final byte[] BODY = "{\"price\":120,\"currency\":\"INR\",\"minutes\":35}".getBytes();
+    private static final int THREADS = 2;
     private final HttpServer server;
 
     private EchoTarget(HttpServer server) {
@@ -20,26 +21,28 @@
     }
 
     static EchoTarget start() throws IOException {
-        return new EchoTarget(server(new HttpHandler() {
-            @Override
-            public RequestExecutorProvider getRequestExecutorProvider() {
-                return new RequestExecutorProvider.SameThreadProvider();
-            }
-
-            @Override
-            public void service(Request request, Response response) throws IOException {
-                response.setContentType("application/json");
-                response.setContentLength(BODY.length);
-                response.getOutputStream().write(BODY);
-            }
-        }));
+        return new EchoTarget(server(
+                new HttpHandler() {
+                    @Override
+                    public RequestExecutorProvider getRequestExecutorProvider() {
+                        return new RequestExecutorProvider.SameThreadProvider();
+                    }
+
+                    @Override
+                    public void service(Request request, Response response) throws IOException {
+                        response.setContentType("application/json");
+                        response.setContentLength(BODY.length);
+                        response.getOutputStream().write(BODY);
+                    }
+                },
+                THREADS));
     }
 
-    /** Starts a server on a free loopback port. */
-    static HttpServer server(HttpHandler handler) throws IOException {
+    /** Starts a server on a free loopback port with a number of selector threads. */
+    static HttpServer server(HttpHandler handler, int threads) throws IOException {
         NetworkListener listener = new NetworkListener("bench", "127.0.0.1", 0);
         listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
-        listener.getTransport().setSelectorRunnersCount(2);
+        listener.getTransport().setSelectorRunnersCount(threads);
         listener.getTransport().setTcpNoDelay(true);
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getFileCache().setEnabled(false);
--- a/bench/src/main/java/org/cornelcove/bench/entry/PassThrough.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/PassThrough.java
@@ -44,6 +44,9 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("bench.pool");
     private static final int CONNECTIONS = 60;
 
+    /** As many as the entry uses on each side. */
+    private static final int THREADS = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
+
     private final HttpServer server;
     private final TCPNIOTransport client;
     private final List<SingleEndpointPool<SocketAddress>> pools = new ArrayList<>();
@@ -52,7 +55,7 @@
     private PassThrough(int[] ports) throws IOException {
         client = TCPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
-                .setSelectorRunnersCount(2)
+                .setSelectorRunnersCount(THREADS)
                 .setTcpNoDelay(true)
                 .build();
         client.start();
@@ -70,7 +73,7 @@
                     .maxPoolSize(CONNECTIONS)
                     .build());
         }
-        server = EchoTarget.server(new Forth());
+        server = EchoTarget.server(new Forth(), THREADS);
     }
 
     /** Starts a relay that takes the targets in turn. */
