--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.cornelcove.bench.capacity.CapacityBenchmark;
+import org.cornelcove.bench.entry.ClaimsBenchmark;
+import org.cornelcove.bench.entry.RelayBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
 import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
@@ -27,7 +29,9 @@
             new CommitBenchmark(),
             new RecoveryBenchmark(),
             new FailoverBenchmark(),
-            new CapacityBenchmark());
+            new CapacityBenchmark(),
+            new RelayBenchmark(),
+            new ClaimsBenchmark());
 
     private Bench() {}
 
