Entry: an exclusive key is held while its run may go on

Cause: a run may outlive its deadline, since a target only refuses to start late. The key of such a run was freed at the deadline plus drift, so a second run of the same key could overlap it. Shown by a new test, red before: the second request ran (504) where it has to be refused (409).

Change: the key stays held until the target has announced that no run of unknown outcome is left on its slots, at most for the service's longest deadline more.

--- a/entry/src/main/java/org/cornelcove/entry/Answer.java
+++ b/entry/src/main/java/org/cornelcove/entry/Answer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -16,8 +17,15 @@
  * @param headers end-to-end headers
  * @param body the body
  * @param error the kind, present on the system's own answers made here
+ * @param over present where the run may go on at an own target: completes once that target has told that it is over
  */
-record Answer(RunState run, int status, List<Header> headers, byte[] body, Optional<ErrorKind> error) {
+record Answer(
+        RunState run,
+        int status,
+        List<Header> headers,
+        byte[] body,
+        Optional<ErrorKind> error,
+        Optional<CompletableFuture<Void>> over) {
 
     /** Returns the system's own answer for a failure, with a Retry-After when the number of seconds is above 0. */
     static Answer ofFailure(RunState run, Failure failure, int retryAfterS) {
@@ -28,23 +36,22 @@
             headers.add(new Header(Headers.RETRY_AFTER, Integer.toString(retryAfterS)));
         }
         byte[] body = json(failure).getBytes(StandardCharsets.UTF_8);
-        return new Answer(run, Statuses.of(failure.kind()), headers, body, Optional.of(failure.kind()));
+        return new Answer(
+                run, Statuses.of(failure.kind()), headers, body, Optional.of(failure.kind()), Optional.empty());
     }
 
     static Answer ofForwarded(ForwardedAnswer answer) {
-        return new Answer(answer.run(), answer.status(), answer.headers(), answer.body(), Optional.empty());
+        return new Answer(
+                answer.run(), answer.status(), answer.headers(), answer.body(), Optional.empty(), Optional.empty());
     }
 
     ForwardedAnswer toForwarded() {
         return new ForwardedAnswer(run, status, headers, body);
     }
 
-    /** Returns this answer with one more header. */
-    Answer with(String name, String value) {
-        List<Header> more = new ArrayList<>(headers.size() + 1);
-        more.addAll(headers);
-        more.add(new Header(name, value));
-        return new Answer(run, status, more, body, error);
+    /** Returns this answer with the news of when its run is over. */
+    Answer overWhen(CompletableFuture<Void> runOver) {
+        return new Answer(run, status, headers, body, error, Optional.of(runOver));
     }
 
     private static String json(Failure failure) {
--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -453,7 +453,8 @@
             headers.addAll(answer.headers());
             headers.add(new Header(Headers.TARGET, from.value()));
             headers.add(new Header(Headers.ENTRY, settings.entry().value()));
-            return new Answer(RunState.DONE, answer.status(), headers, answer.body(), Optional.empty());
+            return new Answer(
+                    RunState.DONE, answer.status(), headers, answer.body(), Optional.empty(), Optional.empty());
         }
 
         @Override
@@ -471,7 +472,7 @@
         @Override
         public void onUnknown(String why, boolean targetAtFault) {
             long now = nowNs();
-            target.slots().abandon();
+            CompletableFuture<Void> over = target.slots().abandon();
             if (targetAtFault) {
                 noteHealth(true, now);
             }
@@ -479,7 +480,7 @@
             metrics.unknown.inc();
             run.request().trace().add(now, "outcome unknown, target " + target.id(), why);
             ErrorKind kind = targetAtFault ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.DEADLINE_PASSED;
-            run.endStarted(refusals.unknown(Failure.of(kind)));
+            run.endStarted(refusals.unknown(Failure.of(kind)).overWhen(over));
             pump(line);
         }
 
--- a/entry/src/main/java/org/cornelcove/entry/ExclusiveKeys.java
+++ b/entry/src/main/java/org/cornelcove/entry/ExclusiveKeys.java
@@ -14,7 +14,9 @@
  *
  * <p>Every key falls into one of {@value #RANGES} ranges, and each range has one owning entry. The owner holds a key
  * while a request with it runs, and refuses a second one. Where the outcome of a run is unknown the key stays held until
- * the request's deadline and the bound on clock drift have passed. Other entries forward to the owner. A new owner serves
+ * the request's deadline and the bound on clock drift have passed, so that no target starts it any more, and until the
+ * target that may still run it has announced that its slot is free; if it never does, until the service's longest
+ * deadline has passed besides. Other entries forward to the owner. A new owner serves
  * a range only after the time that the leader names, when no run of the previous owner can be left.
  *
  * <p>The alternative, a quorum commit for each key, survives the owner at once but costs every booking a round trip to
@@ -109,8 +111,7 @@
         }
         return dispatcher.submit(request).thenApply(answer -> {
             if (answer.run() == RunState.UNKNOWN) {
-                long overNs = request.deadlineNs() + settings.clockDriftMs() * NANOS_PER_MS;
-                deadlines.at(overNs, () -> held.remove(key, request));
+                release(request, key, answer);
             } else {
                 held.remove(key, request);
             }
@@ -118,6 +119,18 @@
         });
     }
 
+    /** Frees the key of a run of unknown outcome when it is over, by the target's word or by the last instant. */
+    private void release(ServiceRequest request, String key, Answer answer) {
+        long startsEndNs = request.deadlineNs() + settings.clockDriftMs() * NANOS_PER_MS;
+        long longestNs = request.service().maxDeadlineMs() * NANOS_PER_MS;
+        if (answer.over().isEmpty()) {
+            deadlines.at(startsEndNs, () -> held.remove(key, request));
+            return;
+        }
+        deadlines.at(startsEndNs + longestNs, () -> held.remove(key, request));
+        deadlines.at(startsEndNs, () -> answer.over().get().thenRun(() -> held.remove(key, request)));
+    }
+
     private static CompletableFuture<Answer> done(Answer answer) {
         return CompletableFuture.completedFuture(answer);
     }
--- a/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -140,7 +140,8 @@
         List<Header> headers = recorded.contentType().isEmpty()
                 ? List.of()
                 : List.of(new Header(Headers.CONTENT_TYPE, recorded.contentType()));
-        return new Answer(RunState.DONE, recorded.status(), headers, recorded.body(), Optional.empty());
+        return new Answer(
+                RunState.DONE, recorded.status(), headers, recorded.body(), Optional.empty(), Optional.empty());
     }
 
     // A claim that brought no outcome
--- a/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
+++ b/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
@@ -1,5 +1,8 @@
 package org.cornelcove.entry;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -20,6 +23,7 @@
     private final AtomicInteger active = new AtomicInteger();
     private final AtomicInteger lowestActive = new AtomicInteger();
     private final AtomicInteger lingering = new AtomicInteger();
+    private final List<CompletableFuture<Void>> awaitingOver = new ArrayList<>();
     private volatile int total;
     private volatile int heldByOthers;
 
@@ -46,10 +50,19 @@
         lowestActive.accumulateAndGet(now, Math::min);
     }
 
-    /** Turns an active slot into a lingering one: its run may go on unseen. */
-    void abandon() {
-        lingering.incrementAndGet();
+    /**
+     * Turns an active slot into a lingering one: its run may go on unseen.
+     *
+     * @return completes once the target has told that no lingering run is left
+     */
+    CompletableFuture<Void> abandon() {
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        synchronized (awaitingOver) {
+            lingering.incrementAndGet();
+            awaitingOver.add(over);
+        }
         release();
+        return over;
     }
 
     /** Takes in a new announcement; returns the number of runs that still linger. */
@@ -57,7 +70,17 @@
         total = slots;
         int seen = lowestActive.getAndSet(active.get());
         int stillLingering = Math.max(0, busySlots - seen);
-        return lingering.updateAndGet(count -> Math.min(count, stillLingering));
+        List<CompletableFuture<Void>> over = new ArrayList<>();
+        int left;
+        synchronized (awaitingOver) {
+            left = lingering.updateAndGet(count -> Math.min(count, stillLingering));
+            if (left == 0) {
+                over.addAll(awaitingOver);
+                awaitingOver.clear();
+            }
+        }
+        over.forEach(one -> one.complete(null));
+        return left;
     }
 
     /** Leaves a number of slots to runs of a previous owner. */
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -224,4 +224,26 @@
             assertThat(rig.targets.get(0).mostRunning.get(), is(8));
         }
     }
+
+    /** A run may outlive its deadline; its key is not free before the target has told that it is over. */
+    @Test
+    void anExclusiveKeyIsHeldWhileTheTargetMayRunIt() throws Exception {
+        try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.HOLD))) {
+            rig.control.service = FakeControl.rule(150, 1_000, 100);
+            rig.open();
+            CompletableFuture<HttpResponse<String>> first = rig.sendAsync(rig.post("r1", "exclusive", "k", "a"));
+            Rig.await(() -> rig.targets.get(0).running.get() == 1);
+            rig.grantAll(8);
+            assertThat(first.get().statusCode(), is(504));
+            long timedOutNs = System.nanoTime();
+            Rig.await(() -> System.nanoTime() - timedOutNs > 1_000_000_000);
+            HttpResponse<String> second = rig.send(rig.post("r2", "exclusive", "k", "a"));
+            assertThat(Rig.error(second), is(ErrorKind.KEY_IN_FLIGHT.number()));
+            assertThat(rig.targets.get(0).log.size(), is(1));
+            rig.targets.get(0).letGo();
+            Rig.await(() -> rig.targets.get(0).running.get() == 0);
+            rig.entry.announce(rig.targets.get(0).announcement(FakeControl.SERVICE, 8, false));
+            Rig.await(() -> rig.send(rig.post("r3", "exclusive", "k", "a")).statusCode() == 200);
+        }
+    }
 }
