--- a/control/src/test/java/org/cornelcove/control/sim/FaultMatrixTest.java
+++ b/control/src/test/java/org/cornelcove/control/sim/FaultMatrixTest.java
@@ -8,6 +8,8 @@
 
 import org.cornelcove.model.id.TargetId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,6 +25,7 @@
  * Every fault at every step, alone and in pairs, in virtual time with fixed seeds. {@code
  * -Dcornelcove.matrix.whole=true} runs all pairs.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class FaultMatrixTest {
     /** The whole matrix takes minutes; a part of it, the same at each run, belongs to every build. */
     private static final boolean WHOLE = Boolean.getBoolean("cornelcove.matrix.whole");
