--- a/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
@@ -8,6 +8,7 @@
 import org.cornelcove.control.view.EntryStatus;
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
+import org.cornelcove.entry.EntryServer;
 import org.cornelcove.model.command.CancelJob;
 import org.cornelcove.model.command.Command;
 import org.cornelcove.model.command.Done;
@@ -28,6 +29,8 @@
 import org.cornelcove.model.view.ConfigurationProposal;
 import org.cornelcove.model.view.ExplainView;
 import org.cornelcove.model.view.MemberAddition;
+import org.cornelcove.rules.CanonicalRules;
+import org.cornelcove.wire.Call;
 import org.cornelcove.wire.Json;
 
 /**
@@ -103,11 +106,11 @@
         return done(ApiAnswer.failure(failure));
     }
 
-    private <Q, R> CompletableFuture<R> ask(org.cornelcove.wire.Call<Q, R> call, Q request) {
+    private <Q, R> CompletableFuture<R> ask(Call<Q, R> call, Q request) {
         return backend.router().call(call, request, QUERY_TIMEOUT_MS);
     }
 
-    private <Q, R> CompletableFuture<ApiAnswer> query(org.cornelcove.wire.Call<Q, R> call, Q request) {
+    private <Q, R> CompletableFuture<ApiAnswer> query(Call<Q, R> call, Q request) {
         return ask(call, request).thenApply(ApiAnswer::json);
     }
 
@@ -176,13 +179,20 @@
     }
 
     private CompletableFuture<ApiAnswer> propose(ApiRequest request) {
-        return withBody(
-                request,
-                ConfigurationProposal.class,
-                proposal -> execute(
-                        new ProposeConfiguration(
-                                proposal.changeNumber(), proposal.operator(), proposal.digest(), proposal.rules()),
-                        took -> done(ApiAnswer.json(new ConfigurationAccepted(took.version())))));
+        return withBody(request, ConfigurationProposal.class, this::propose);
+    }
+
+    private CompletableFuture<ApiAnswer> propose(ConfigurationProposal proposal) {
+        if (proposal.rules() == null || proposal.operator() == null) {
+            return refused(Failure.of(ErrorKind.ANNOUNCEMENT_INVALID, "a field is missing"));
+        }
+        String digest = CanonicalRules.digest(proposal.rules());
+        if (!digest.equals(proposal.digest())) {
+            return refused(Failure.of(ErrorKind.CONFIGURATION_DIGEST_WRONG, proposal.digest(), digest));
+        }
+        return execute(
+                new ProposeConfiguration(proposal.changeNumber(), proposal.operator(), digest, proposal.rules()),
+                took -> done(ApiAnswer.json(new ConfigurationAccepted(took.version()))));
     }
 
     private CompletableFuture<ApiAnswer> inForce(ApiRequest request) {
@@ -210,7 +220,7 @@
                 .filter(entry -> entry.entry().equals(name) && entry.live())
                 .findFirst()
                 .map(this::drain)
-                .orElseGet(() -> refused(Failure.of(ErrorKind.HOST_UNKNOWN, name))));
+                .orElseGet(() -> refused(Failure.of(ErrorKind.ENTRY_UNKNOWN, name))));
     }
 
     private CompletableFuture<ApiAnswer> drain(EntryStatus entry) {
@@ -220,12 +230,15 @@
     }
 
     private ApiAnswer explainRequest(String requestId) {
-        return ApiAnswer.json(new ExplainView(
-                backend.entry().map(entry -> entry.explain(requestId)).orElse(List.of())));
+        List<String> lines =
+                backend.entry().map(entry -> entry.explain(requestId)).orElse(List.of());
+        return lines.isEmpty()
+                ? ApiAnswer.failure(Failure.of(ErrorKind.REQUEST_UNKNOWN, requestId))
+                : ApiAnswer.json(new ExplainView(lines));
     }
 
     private MetricsReport metrics() {
-        return MetricsReport.of(backend.entry().map(org.cornelcove.entry.EntryServer::metrics));
+        return MetricsReport.of(backend.entry().map(EntryServer::metrics));
     }
 
     private static JobId jobId(ApiRequest request) {
--- a/daemon/src/main/java/org/cornelcove/daemon/api/ApiStatuses.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ApiStatuses.java
@@ -8,7 +8,7 @@
 
     static int of(ErrorKind kind) {
         return switch (kind) {
-            case JOB_UNKNOWN, HOST_UNKNOWN, MEMBER_UNKNOWN, METHOD_UNKNOWN -> 404;
+            case JOB_UNKNOWN, HOST_UNKNOWN, MEMBER_UNKNOWN, METHOD_UNKNOWN, ENTRY_UNKNOWN, REQUEST_UNKNOWN -> 404;
             case CONFIGURATION_CONFLICT,
                     CONFIGURATION_STALE,
                     JOB_CONFLICT,
@@ -16,7 +16,12 @@
                     MEMBERSHIP_CHANGE_PENDING,
                     MEMBER_RETIRED -> 409;
             case BODY_TOO_LARGE, FRAME_TOO_LARGE -> 413;
-            case ANNOUNCEMENT_INVALID, JOB_INVALID, TEAM_UNKNOWN, JOB_NEVER_FITS, HEADER_INVALID -> 400;
+            case CONFIGURATION_DIGEST_WRONG,
+                    ANNOUNCEMENT_INVALID,
+                    JOB_INVALID,
+                    TEAM_UNKNOWN,
+                    JOB_NEVER_FITS,
+                    HEADER_INVALID -> 400;
             case NO_QUORUM, NOT_LEADER, PEER_UNREACHABLE, CALL_NOT_SENT, ENTRY_NOT_READY -> 503;
             case CALL_TIMEOUT, PROPOSAL_OUTCOME_UNKNOWN -> 504;
             default -> 500;
--- a/daemon/src/main/java/org/cornelcove/daemon/api/Route.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Route.java
@@ -1,5 +1,7 @@
 package org.cornelcove.daemon.api;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -32,11 +34,15 @@
         List<String> arguments = new ArrayList<>();
         for (int i = 0; i < path.size(); i++) {
             if (ANY.equals(segments.get(i))) {
-                arguments.add(path.get(i));
+                arguments.add(decode(path.get(i)));
             } else if (!segments.get(i).equals(path.get(i))) {
                 return Optional.empty();
             }
         }
         return Optional.of(arguments);
     }
+
+    private static String decode(String segment) {
+        return URLDecoder.decode(segment.replace("+", "%2B"), StandardCharsets.UTF_8);
+    }
 }
--- a/daemon/src/main/java/org/cornelcove/daemon/call/LeaderRouter.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/LeaderRouter.java
@@ -22,6 +22,15 @@
  */
 public final class LeaderRouter {
     private static final Set<ErrorKind> NOT_TAKEN = EnumSet.of(ErrorKind.NOT_LEADER, ErrorKind.CALL_NOT_SENT);
+    /** Failures after which another host is asked first. */
+    private static final Set<ErrorKind> MOVE_ON = EnumSet.of(
+            ErrorKind.NOT_LEADER,
+            ErrorKind.CALL_NOT_SENT,
+            ErrorKind.CALL_TIMEOUT,
+            ErrorKind.PEER_UNREACHABLE,
+            ErrorKind.PROPOSAL_OUTCOME_UNKNOWN,
+            ErrorKind.NO_QUORUM);
+
     private static final long RETRY_PAUSE_MS = 25;
 
     private final CallClient client;
@@ -75,10 +84,12 @@
                     if (thrown == null) {
                         return CompletableFuture.completedFuture(answer);
                     }
-                    preferred.compareAndSet(position, position + 1);
-                    return wasTaken(thrown)
-                            ? CompletableFuture.<R>failedFuture(cause(thrown))
-                            : later(call, request, deadlineNs);
+                    if (isAmong(MOVE_ON, thrown)) {
+                        preferred.compareAndSet(position, position + 1);
+                    }
+                    return isAmong(NOT_TAKEN, thrown)
+                            ? later(call, request, deadlineNs)
+                            : CompletableFuture.<R>failedFuture(cause(thrown));
                 })
                 .thenCompose(next -> next);
     }
@@ -90,9 +101,9 @@
                 .thenCompose(next -> next);
     }
 
-    private static boolean wasTaken(Throwable thrown) {
-        return !(cause(thrown) instanceof FailureException known
-                && NOT_TAKEN.contains(known.failure().kind()));
+    private static boolean isAmong(Set<ErrorKind> kinds, Throwable thrown) {
+        return cause(thrown) instanceof FailureException known
+                && kinds.contains(known.failure().kind());
     }
 
     private static Throwable cause(Throwable thrown) {
--- /dev/null
+++ b/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
@@ -0,0 +1,89 @@
+package org.cornelcove.daemon.call;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.wire.Call;
+import org.cornelcove.wire.CallClient;
+import org.cornelcove.wire.CallHandlers;
+import org.cornelcove.wire.CallServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class LeaderRouterTest {
+    private static final Call<String, String> CALL = Call.of("call", String.class, String.class);
+    private static final long LONG_MS = 20_000;
+
+    private final List<CallServer> servers = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final AtomicInteger taken = new AtomicInteger();
+    private final CallClient client = CallClient.create();
+    private final LeaderRouter router = LeaderRouter.create(client, () -> addresses);
+
+    @AfterEach
+    void close() {
+        client.close();
+        servers.forEach(CallServer::close);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NOT_LEADER, true", "CALL_NOT_SENT, true", "CALL_TIMEOUT, false", "INTERNAL, false"})
+    void onlyACallThatWasSurelyNotTakenGoesToTheNextHost(ErrorKind first, boolean goesOn) {
+        host(first);
+        host(null);
+        CompletableFuture<String> answer = router.call(CALL, "hello", LONG_MS);
+        if (goesOn) {
+            assertThat(answer.join(), is("hello"));
+        } else {
+            assertThat(kindOf(answer), is(first));
+        }
+        assertThat(taken.get(), is(goesOn ? 1 : 0));
+    }
+
+    @Test
+    void theHostThatAnsweredIsAskedFirstNextTime() {
+        host(ErrorKind.NOT_LEADER);
+        host(null);
+        router.call(CALL, "one", LONG_MS).join();
+        servers.get(0).close();
+        assertThat(router.call(CALL, "two", LONG_MS).join(), is("two"));
+    }
+
+    @Test
+    void withoutAnyHostTheCallIsKnownAsNotTaken() {
+        host(null);
+        servers.get(0).close();
+        assertThat(kindOf(router.call(CALL, "hello", 200)), is(ErrorKind.NO_QUORUM));
+    }
+
+    private void host(ErrorKind failure) {
+        CallHandlers handlers = CallHandlers.create().answer(CALL, text -> {
+            if (failure != null) {
+                throw Failure.of(failure, "x", "y").asException();
+            }
+            taken.incrementAndGet();
+            return CompletableFuture.completedFuture(text);
+        });
+        CallServer server = CallServer.open(new InetSocketAddress("127.0.0.1", 0), handlers);
+        servers.add(server);
+        addresses.add("127.0.0.1:" + server.address().getPort());
+    }
+
+    private static ErrorKind kindOf(CompletableFuture<?> answer) {
+        Throwable thrown = assertThrows(CompletionException.class, answer::join);
+        return ((FailureException) thrown.getCause()).failure().kind();
+    }
+}
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -102,6 +102,10 @@
             524,
             Severity.WARNING,
             "this control host took the lead just now and still gathers announcements; ask again with the next heartbeat"),
+    CONFIGURATION_DIGEST_WRONG(
+            525,
+            Severity.ERROR,
+            "the digest %s does not belong to these rules, theirs is %s; propose with 'cornelcove apply'"),
     // Requests
     SERVICE_UNKNOWN(601, Severity.ERROR, "no service for path %s; add a rule with this path prefix"),
     BODY_TOO_LARGE(602, Severity.ERROR, "the body is over %s bytes; send less or raise maxBodyBytes"),
@@ -124,6 +128,10 @@
     TARGET_ANSWER_TOO_LARGE(
             613, Severity.ERROR, "the target's answer is over %s bytes; raise the limit or answer less"),
     ANNOUNCEMENT_INVALID(614, Severity.ERROR, "announcement not usable: %s; see the protocol page"),
+    REQUEST_UNKNOWN(
+            615,
+            Severity.ERROR,
+            "nothing is known here of request %s; ask the entry that answered it, while it is among its newest"),
     // Command line
     ENDPOINT_UNREACHABLE(701, Severity.ERROR, "can't reach %s: %s; check --endpoint and that the daemon runs"),
     UNEXPECTED_ANSWER(702, Severity.ERROR, "%s does not answer like cornelcoved: %s; check the port"),
--- a/wire/src/main/java/org/cornelcove/wire/Codec.java
+++ b/wire/src/main/java/org/cornelcove/wire/Codec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import org.cornelcove.model.error.ErrorKind;
@@ -17,6 +18,7 @@
 public final class Codec {
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
             .registerModule(new Jdk8Module())
+            .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private Codec() {}
--- a/wire/src/main/java/org/cornelcove/wire/Json.java
+++ b/wire/src/main/java/org/cornelcove/wire/Json.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Either;
@@ -13,6 +14,7 @@
 public final class Json {
     private static final ObjectMapper MAPPER = new ObjectMapper()
             .registerModule(new Jdk8Module())
+            .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private Json() {}
