Daemons learn of control hosts added after their start

Cause: the way to the leader knew only the settings; after every first member was replaced a daemon would have found nobody until a restart with new settings.

--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import org.cornelcove.daemon.api.Api;
 import org.cornelcove.daemon.api.Backend;
 import org.cornelcove.daemon.call.Calls;
+import org.cornelcove.daemon.call.ControlAddresses;
 import org.cornelcove.daemon.call.Empty;
 import org.cornelcove.daemon.call.LeaderLink;
 import org.cornelcove.daemon.call.LeaderRouter;
@@ -65,8 +66,10 @@
 
     private void open() {
         CallClient client = keep(CallClient.create());
-        List<String> controlAddresses = List.copyOf(settings.controlMembers().values());
-        LeaderRouter router = LeaderRouter.create(client, () -> controlAddresses);
+        ControlAddresses addresses =
+                keep(ControlAddresses.of(List.copyOf(settings.controlMembers().values())));
+        LeaderRouter router = LeaderRouter.create(client, addresses);
+        addresses.refreshBy(router);
         CallHandlers handlers = CallHandlers.create();
         if (settings.has(Role.CONTROL)) {
             ControlHost host = ControlHost.create(settings, client);
--- a/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -10,6 +11,8 @@
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.Member;
+import org.cornelcove.replication.ReplicaStatus;
 import org.cornelcove.wire.Call;
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
@@ -69,6 +72,22 @@
         assertThat(kindOf(router.call(CALL, "hello", 200)), is(ErrorKind.NO_QUORUM));
     }
 
+    @Test
+    void controlHostsAddedLaterAreAskedAndTheSettingsStay() {
+        ControlAddresses known = ControlAddresses.of(List.of("127.0.0.1:1", "127.0.0.1:2"));
+        known.learn(new ReplicaStatus(
+                2,
+                Optional.of(2L),
+                true,
+                1,
+                0,
+                0,
+                0,
+                List.of(new Member(2, "127.0.0.1:2", true), new Member(4, "127.0.0.1:4", true))));
+        assertThat(known.get(), is(List.of("127.0.0.1:2", "127.0.0.1:4", "127.0.0.1:1")));
+        known.close();
+    }
+
     private void host(ErrorKind failure) {
         CallHandlers handlers = CallHandlers.create().answer(CALL, text -> {
             if (failure != null) {
