Elections in a class of their own; mutants for the remaining checkers

Change: Election holds who stands, votes and wins. Mutants: appends twice, refuses what it appended, never votes; each is noticed. ReplicaNode publishes its status before it answers: a test of leadership transfer saw the old one (red before, green after). Tests of a failing disk and of a planned stop.

--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -268,8 +268,9 @@
                     core.tick(now);
                     tickDueMs = now + settings.tickMs();
                 }
-                carryOut(core.drain(now));
+                Ready ready = core.drain(now);
                 status = currentStatus();
+                carryOut(ready);
             }
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "member " + settings.selfId() + " failed", e);
--- a/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
@@ -50,7 +50,7 @@
     final ProtocolRules rules;
     final MemberLog log;
     final Outbox outbox;
-    private final long incarnation;
+    final long incarnation;
     private final Election election;
     private Role role = Role.FOLLOWER;
     private long term;
@@ -72,7 +72,7 @@
         this.outbox = new Outbox(options, incarnation);
         boolean alone = log.membership().votes(options.selfId())
                 && log.membership().voters().size() == 1;
-        this.election = new Election(options, rules, alone, nowMs);
+        this.election = new Election(this, alone, nowMs);
     }
 
     /**
@@ -172,7 +172,7 @@
         if (role == Role.LEADER) {
             leadership.tick(nowMs);
         } else if (election.due(nowMs)) {
-            askForPreVotes(nowMs);
+            election.askForPreVotes(nowMs);
         }
     }
 
@@ -259,7 +259,7 @@
             outbox.release(write.held);
             write.snapshot.ifPresent(log::snapshotSaved);
             if (write.ownVoteTerm == term && role == Role.CANDIDATE) {
-                countVote(nowMs, options.selfId(), incarnation);
+                election.count(nowMs, options.selfId(), incarnation);
             }
         }
     }
@@ -354,7 +354,7 @@
         if (body instanceof Message.PreVoteResponse answer && answer.granted()) {
             return role == Role.PRE_CANDIDATE && message.term() == term + 1;
         }
-        if (body instanceof Message.VoteRequest request && !request.transfer() && leaderIsNear(nowMs)) {
+        if (body instanceof Message.VoteRequest request && !request.transfer() && election.leaderIsNear(nowMs)) {
             return false;
         }
         if (message.term() > term) {
@@ -376,10 +376,6 @@
         }
     }
 
-    private boolean leaderIsNear(long nowMs) {
-        return role == Role.LEADER || election.leaderIsNear(nowMs);
-    }
-
     private void dispatch(long nowMs, Envelope message) {
         Message body = message.body();
         if (body instanceof Message.AppendRequest request) {
@@ -393,15 +389,15 @@
                 log.take(chunk).ifPresent(answer -> outbox.answerOnceDurable(message, term, answer));
             }
         } else if (body instanceof Message.PreVoteRequest request) {
-            answerPreVote(nowMs, message, request);
+            election.answerPreVote(nowMs, message, request);
         } else if (body instanceof Message.VoteRequest request) {
-            answerVote(nowMs, message, request);
+            election.answerVote(nowMs, message, request);
         } else if (body instanceof Message.PreVoteResponse answer) {
-            takePreVote(nowMs, message, answer);
+            election.takePreVote(nowMs, message, answer);
         } else if (body instanceof Message.VoteResponse answer) {
-            takeVote(nowMs, message, answer);
+            election.takeVote(nowMs, message, answer);
         } else if (body instanceof Message.TransferLeadership) {
-            takeTransfer(nowMs, message);
+            election.takeTransfer(nowMs, message);
         } else if (role == Role.LEADER) {
             leadership.receive(message);
         }
@@ -441,85 +437,29 @@
 
     // Elections
 
-    private boolean mayCampaign() {
-        boolean votes = log.membership()
-                .find(options.selfId())
-                .filter(m -> m.voting() && rules.admits(m, incarnation))
-                .isPresent();
-        return votes && !log.installing();
-    }
-
-    private void askForPreVotes(long nowMs) {
-        election.postpone(nowMs);
-        if (!mayCampaign()) {
-            return;
-        }
+    void standForPreVote() {
         role = Role.PRE_CANDIDATE;
         leaderId = 0;
-        election.begin();
-        election.count(options.selfId(), incarnation);
-        if (election.won(log.membership())) {
-            campaign(nowMs, false);
-            return;
-        }
-        Message request = new Message.PreVoteRequest(log.tail.lastIndex(), log.tail.lastTerm());
-        otherVoters().forEach(m -> outbox.send(m, m.incarnation(), term + 1, request));
-    }
-
-    private void answerPreVote(long nowMs, Envelope message, Message.PreVoteRequest request) {
-        boolean granted = message.term() > term
-                && !leaderIsNear(nowMs)
-                && log.isCoveredBy(request.lastIndex(), request.lastTerm());
-        outbox.answer(message, granted ? message.term() : term, new Message.PreVoteResponse(granted));
     }
 
-    private void takePreVote(long nowMs, Envelope message, Message.PreVoteResponse answer) {
-        if (role != Role.PRE_CANDIDATE || !answer.granted()) {
-            return;
-        }
-        election.count(message.from(), message.fromIncarnation());
-        if (election.won(log.membership())) {
-            campaign(nowMs, false);
-        }
-    }
-
-    private void campaign(long nowMs, boolean transfer) {
+    void standForElection() {
         role = Role.CANDIDATE;
         term++;
         votedFor = options.selfId();
         ownVoteTerm = term;
         leaderId = 0;
-        election.begin();
-        election.postpone(nowMs);
-        Message request = new Message.VoteRequest(log.tail.lastIndex(), log.tail.lastTerm(), transfer);
-        otherVoters().forEach(m -> outbox.sendOnceDurable(m, term, request));
-    }
-
-    private void answerVote(long nowMs, Envelope message, Message.VoteRequest request) {
-        boolean granted = (votedFor == 0 || votedFor == message.from())
-                && role == Role.FOLLOWER
-                && log.isCoveredBy(request.lastIndex(), request.lastTerm());
-        if (granted) {
-            votedFor = message.from();
-            election.postpone(nowMs);
-        }
-        outbox.answerOnceDurable(message, term, new Message.VoteResponse(granted));
-    }
-
-    private void takeVote(long nowMs, Envelope message, Message.VoteResponse answer) {
-        if (role == Role.CANDIDATE && answer.granted()) {
-            countVote(nowMs, message.from(), message.fromIncarnation());
-        }
     }
 
-    private void countVote(long nowMs, long from, long fromIncarnation) {
-        election.count(from, fromIncarnation);
-        if (election.countsOwn() && election.won(log.membership())) {
-            lead(nowMs);
+    /** Gives the vote of this term unless it was given to somebody else. */
+    boolean giveVote(long to) {
+        boolean free = role == Role.FOLLOWER && (votedFor == 0 || votedFor == to);
+        if (free) {
+            votedFor = to;
         }
+        return free;
     }
 
-    private void lead(long nowMs) {
+    void lead(long nowMs) {
         role = Role.LEADER;
         leaderId = options.selfId();
         leadership = new Leadership(this, nowMs);
@@ -533,18 +473,6 @@
         leadership.begin(nowMs);
     }
 
-    private void takeTransfer(long nowMs, Envelope message) {
-        if (role == Role.FOLLOWER && leaderId == message.from() && mayCampaign()) {
-            campaign(nowMs, true);
-        }
-    }
-
-    private List<MemberRecord> otherVoters() {
-        return log.membership().voters().stream()
-                .filter(m -> m.id() != options.selfId())
-                .toList();
-    }
-
     private Optional<Leadership> leaderOr(long token) {
         if (leadership == null) {
             String hint = log.membership()
--- a/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
@@ -43,6 +43,14 @@
         }
     }
 
+    static final LeadershipListener UNHEARD = new LeadershipListener() {
+        @Override
+        public void leadershipGained(long term) {}
+
+        @Override
+        public void leadershipLost(long term) {}
+    };
+
     final Map<Long, ReplicaNode> nodes = new ConcurrentHashMap<>();
     final Map<Long, TextMachine> machines = new ConcurrentHashMap<>();
     private final Path root;
@@ -72,13 +80,7 @@
                 DiskFolder.open(root.resolve("member" + id)),
                 this::deliver,
                 machine,
-                new LeadershipListener() {
-                    @Override
-                    public void leadershipGained(long term) {}
-
-                    @Override
-                    public void leadershipLost(long term) {}
-                });
+                UNHEARD);
         machines.put(id, machine);
         nodes.put(id, node);
         return node;
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -3,16 +3,22 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 
 import org.awaitility.Awaitility;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.core.MemoryFolder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class ReplicaNodeTest {
     @TempDir
@@ -69,4 +75,38 @@
             Awaitility.await().until(() -> group.machines.get(4L).commands.size() == 31);
         }
     }
+
+    @ParameterizedTest(name = "only syncs fail: {0}")
+    @ValueSource(booleans = {true, false})
+    void aMemberWhoseDiskFailsStopsAndAcknowledgesNothing(boolean onlySyncs) throws Exception {
+        MemoryFolder disk = new MemoryFolder();
+        ReplicaNode node = ReplicaNode.open(
+                ReplicaSettings.of(1, LocalGroup.addressOf(1), LocalGroup.members(1)),
+                disk,
+                (address, message) -> {},
+                new LocalGroup.TextMachine(),
+                LocalGroup.UNHEARD);
+        Awaitility.await().until(() -> node.status().leading());
+        node.propose(new byte[1]).get();
+        disk.failAfter(0, onlySyncs);
+        ExecutionException thrown = assertThrows(
+                ExecutionException.class, () -> node.propose(new byte[1]).get());
+        assertThat(((FailureException) thrown.getCause()).failure().kind(), is(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN));
+        assertThat(node.stopped().get().get().kind(), is(ErrorKind.STORAGE_FAILED));
+    }
+
+    @Test
+    void aPlannedStopHandsLeadershipOver() throws Exception {
+        try (LocalGroup group = new LocalGroup(folder, 1000)) {
+            for (long id = 1; id <= 3; id++) {
+                group.start(id, LocalGroup.members(3));
+            }
+            group.propose("a");
+            ReplicaNode old = group.leader();
+            old.transferLeadership().get();
+            assertThat(old.status().leading(), is(false));
+            group.nodes.remove(old.status().self()).close();
+            group.propose("b");
+        }
+    }
 }
--- a/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
@@ -15,7 +15,10 @@
     ADDITION_DONE_EARLY,
     LOST_DISK_UNNOTICED,
     CHANGES_OVERLAP,
-    SNAPSHOT_NOT_RESTORED;
+    SNAPSHOT_NOT_RESTORED,
+    APPENDS_TWICE,
+    REFUSES_WHAT_IT_APPENDED,
+    NEVER_VOTES;
 
     /** The protocol's rules with this mutant's fault. */
     ProtocolRules rules() {
@@ -27,7 +30,8 @@
 
             @Override
             boolean refusesVotes(long sinceHeardMs, CoreOptions options) {
-                return Mutant.this != VOTES_AT_ANY_TIME && super.refusesVotes(sinceHeardMs, options);
+                return Mutant.this == NEVER_VOTES
+                        || Mutant.this != VOTES_AT_ANY_TIME && super.refusesVotes(sinceHeardMs, options);
             }
 
             @Override
--- a/replication/src/test/java/org/cornelcove/replication/core/SimulatedGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedGroup.java
@@ -178,6 +178,9 @@
     }
 
     void propose(String command) {
+        if (mutant == Mutant.APPENDS_TWICE) {
+            ask(Kind.OPERATOR, "", (core, token) -> core.propose(token, command.getBytes()));
+        }
         ask(Kind.PROPOSAL, command, (core, token) -> core.propose(token, command.getBytes()));
     }
 
@@ -218,7 +221,9 @@
             }
         } else if (event instanceof CoreEvent.RequestFailed failed) {
             Request request = requests.remove(failed.token());
-            ErrorKind kind = failed.failure().kind();
+            ErrorKind kind = mutant == Mutant.REFUSES_WHAT_IT_APPENDED
+                    ? ErrorKind.NOT_LEADER
+                    : failed.failure().kind();
             if (request != null && request.kind() == Kind.PROPOSAL && kind == ErrorKind.NOT_LEADER) {
                 history.refused(request.command());
             } else if (request != null && request.kind() == Kind.OPERATOR) {
