A member stops on any failure of its threads, and releases its folder

Cause: an Error in the state machine would have left a member that answers nothing and does not stop; a folder that could not be opened stayed locked; a transport that throws would have stopped the member.

Change: uncaught failures stop the member with INTERNAL, the folder is closed when opening fails, messages that the transport refuses are counted as lost. ReplicaNodeTest green, with a state machine that fails.

--- a/replication/src/main/java/org/cornelcove/replication/Applier.java
+++ b/replication/src/main/java/org/cornelcove/replication/Applier.java
@@ -18,7 +18,7 @@
 
         void snapshotTaken(long index, byte[] state);
 
-        void failed(Exception cause);
+        void failed(Throwable cause);
     }
 
     private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
@@ -33,6 +33,7 @@
         this.listener = listener;
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
+        thread.setUncaughtExceptionHandler((t, cause) -> listener.failed(cause));
     }
 
     void start() {
--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -29,7 +29,7 @@
 
         void send(Outgoing message);
 
-        void failed(Exception cause);
+        void failed(Throwable cause);
     }
 
     private sealed interface Task {}
@@ -56,6 +56,7 @@
         this.listener = listener;
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
+        thread.setUncaughtExceptionHandler((t, cause) -> listener.failed(cause));
     }
 
     void start() {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -60,6 +60,7 @@
     private final Map<Long, CompletableFuture<Long>> requests = new ConcurrentHashMap<>();
     private final AtomicLong lastToken = new AtomicLong();
     private final AtomicLong malformedCount = new AtomicLong();
+    private final AtomicLong unsentCount = new AtomicLong();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CompletableFuture<Optional<Failure>> stopped = new CompletableFuture<>();
     private final DiskWorker disk;
@@ -90,6 +91,7 @@
         this.applier = new Applier(machine, new ApplierReports(), name + "-apply");
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
+        thread.setUncaughtExceptionHandler((t, cause) -> stop(Optional.of(Failure.of(ErrorKind.INTERNAL, cause))));
         this.status = currentStatus();
     }
 
@@ -139,7 +141,19 @@
             node.start();
             return node;
         } catch (IOException e) {
+            closeQuietly(folder);
             throw Failure.of(ErrorKind.STORAGE_FAILED, e.getMessage()).asException();
+        } catch (FailureException e) {
+            closeQuietly(folder);
+            throw e;
+        }
+    }
+
+    private static void closeQuietly(DataFolder folder) {
+        try {
+            folder.close();
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "the data folder did not close: {0}", e.getMessage());
         }
     }
 
@@ -207,6 +221,15 @@
         return malformedCount.get();
     }
 
+    /**
+     * Returns how many messages the transport refused by an exception; they count as lost.
+     *
+     * @return the count since the start
+     */
+    public long unsentCount() {
+        return unsentCount.get();
+    }
+
     /**
      * Tells when and why this member stopped.
      *
@@ -295,7 +318,11 @@
     }
 
     private void send(Outgoing message) {
-        transport.send(message.address(), MessageCodec.encode(message.envelope()));
+        try {
+            transport.send(message.address(), MessageCodec.encode(message.envelope()));
+        } catch (RuntimeException e) {
+            unsentCount.incrementAndGet();
+        }
     }
 
     private void report(CoreEvent event) {
@@ -427,7 +454,7 @@
         }
 
         @Override
-        public void failed(Exception cause) {
+        public void failed(Throwable cause) {
             stop(Optional.of(Failure.of(ErrorKind.STORAGE_FAILED, cause)));
         }
     }
@@ -449,7 +476,7 @@
         }
 
         @Override
-        public void failed(Exception cause) {
+        public void failed(Throwable cause) {
             stop(Optional.of(Failure.of(ErrorKind.INTERNAL, cause)));
         }
     }
--- a/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
@@ -22,7 +22,7 @@
 /** Members in one process, on real disks and threads, that hand messages to each other directly. */
 final class LocalGroup implements AutoCloseable {
     /** Joins all commands into one text. */
-    static final class TextMachine implements StateMachine {
+    static class TextMachine implements StateMachine {
         final List<String> commands = new CopyOnWriteArrayList<>();
 
         @Override
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -95,6 +95,24 @@
         assertThat(node.stopped().get().get().kind(), is(ErrorKind.STORAGE_FAILED));
     }
 
+    @Test
+    void aStateMachineThatFailsStopsTheMember() throws Exception {
+        ReplicaNode node = ReplicaNode.open(
+                ReplicaSettings.of(1, LocalGroup.addressOf(1), LocalGroup.members(1)),
+                new MemoryFolder(),
+                (address, message) -> {},
+                new LocalGroup.TextMachine() {
+                    @Override
+                    public byte[] apply(long index, byte[] command) {
+                        throw new StackOverflowError();
+                    }
+                },
+                LocalGroup.UNHEARD);
+        Awaitility.await().until(() -> node.status().leading());
+        assertThrows(ExecutionException.class, () -> node.propose(new byte[1]).get());
+        assertThat(node.stopped().get().get().kind(), is(ErrorKind.INTERNAL));
+    }
+
     @Test
     void aPlannedStopHandsLeadershipOver() throws Exception {
         try (LocalGroup group = new LocalGroup(folder, 1000)) {
