--- a/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
@@ -22,7 +22,7 @@
 /** Members in one process, on real disks and threads, that hand messages to each other directly. */
 final class LocalGroup implements AutoCloseable {
     /** Joins all commands into one text. */
-    static final class TextMachine implements StateMachine {
+    static class TextMachine implements StateMachine {
         final List<String> commands = new CopyOnWriteArrayList<>();
 
         @Override
@@ -43,6 +43,14 @@
         }
     }
 
+    static final LeadershipListener UNHEARD = new LeadershipListener() {
+        @Override
+        public void leadershipGained(long term) {}
+
+        @Override
+        public void leadershipLost(long term) {}
+    };
+
     final Map<Long, ReplicaNode> nodes = new ConcurrentHashMap<>();
     final Map<Long, TextMachine> machines = new ConcurrentHashMap<>();
     private final Path root;
@@ -72,13 +80,7 @@
                 DiskFolder.open(root.resolve("member" + id)),
                 this::deliver,
                 machine,
-                new LeadershipListener() {
-                    @Override
-                    public void leadershipGained(long term) {}
-
-                    @Override
-                    public void leadershipLost(long term) {}
-                });
+                UNHEARD);
         machines.put(id, machine);
         nodes.put(id, node);
         return node;
--- a/replication/src/test/java/org/cornelcove/replication/core/ScenarioTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/ScenarioTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -54,13 +55,17 @@
     @CsvSource({
         "FORGETS_ITS_VOTE, ALL_KILLED, DRAINED, ONE_LEADER_PER_TERM",
         "READS_WITHOUT_LEASE, CUT_BOTH_WAYS, ELECTED, READS_SEE_ACKNOWLEDGED",
+        "APPENDS_TWICE, KILLED, DRAINED, AT_MOST_ONCE",
+        "REFUSES_WHAT_IT_APPENDED, LEADER_CUT, DRAINED, REFUSED_IS_NOT_RUN",
+        "REFUSES_WHAT_IT_APPENDED, LEADERSHIP_MOVED, DRAINED, REFUSED_IS_NOT_RUN",
+        "NEVER_VOTES, LEADER_KILLED, DRAINED, SERVES_AGAIN",
         "SNAPSHOT_NOT_RESTORED, LEADER_KILLED, DRAINED, NO_ACKNOWLEDGED_COMMAND_LOST",
     })
     void theCheckerNoticesTheMutantInACell(Mutant mutant, Fault fault, Step step, History.Guarantee guarantee) {
         assertThat(
                 Stream.of(0, 1, 2)
-                        .flatMap(seed ->
-                                new FaultCell(fault, step, seed).run(mutant).history().violations().keySet().stream())
+                        .flatMap(seed -> new FaultCell(fault, Optional.empty(), step, seed)
+                                .run(mutant).history().violations().keySet().stream())
                         .toList(),
                 hasItem(guarantee));
     }
