--- a/bench/src/main/java/org/cornelcove/bench/policy/CrestBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/CrestBenchmark.java
@@ -29,6 +29,11 @@
 
     @Override
     public boolean run(PrintStream out) {
+        for (int waiting : new int[] {100, 1000, 10_000}) {
+            out.printf(
+                    "crest: processor time of the decisions on a request, %d waiting: %.2f us%n",
+                    waiting, RequestCost.measureUs(waiting));
+        }
         boolean met = true;
         for (Site site : Site.ALL) {
             met &= run(site, out);
