An entry without a lease refuses announcements, so that targets tell another one

Cause: an entry that can't reach the leader took announcements and could not relay them; the target then looked silent although other entries would have heard it.

--- a/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
@@ -144,8 +145,11 @@
 
     private CompletableFuture<ApiAnswer> announce(ApiRequest request) {
         return withBody(request, TargetAnnouncement.class, announcement -> {
-            if (backend.entry().isEmpty()) {
-                return refused(Failure.of(ErrorKind.ENTRY_NOT_READY, "it has no entry role", 1));
+            Optional<String> whyNot = backend.entry().isEmpty()
+                    ? Optional.of("it has no entry role")
+                    : backend.whyUnready().get();
+            if (whyNot.isPresent()) {
+                return refused(Failure.of(ErrorKind.ENTRY_NOT_READY, whyNot.get(), 1));
             }
             if (!AnnouncementCheck.isUsable(announcement)) {
                 return refused(Failure.of(ErrorKind.ANNOUNCEMENT_INVALID, "a field is missing or out of range"));
