--- a/bench/src/main/java/org/cornelcove/bench/policy/HeadOfLineBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/HeadOfLineBenchmark.java
@@ -10,7 +10,7 @@
 /** Short work beside more long work than there is room for, with declared sizes wrong by ten times both ways. */
 public final class HeadOfLineBenchmark implements Benchmark {
     private static final long SECOND_US = 1_000_000;
-    private static final long END_US = 600 * SECOND_US;
+    private static final long END_US = 120 * SECOND_US;
     private static final long SHORT_RUN_MS = 500;
     private static final double[] SHORT_LOADS = {0.15, 0.3, 0.5};
     private static final double LONG_LOAD = 1.2;
@@ -63,11 +63,6 @@
 
     private static List<Call> calls(Site site, CallMix mix, double load, long seed) {
         double perSecond = load * site.slots() * 1e6 / mix.meanRunUs();
-        boolean swell = mix.kind().equals("quick-list");
-        return mix.arrivals(
-                t -> swell && t % (60 * SECOND_US) < 40 * SECOND_US ? perSecond / 10 : perSecond,
-                perSecond,
-                END_US,
-                seed);
+        return mix.arrivals(t -> perSecond, perSecond, END_US, seed);
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/queue/ShortDemand.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/ShortDemand.java
@@ -9,11 +9,10 @@
  * <p>Example: 240 requests a second of 60 ms need 14.4 slots on average; 22 are kept.
  */
 final class ShortDemand {
-    private static final double DECAY_US = 5_000_000;
+    private static final double DECAY_US = 20_000_000;
     /** The time over which the very first arrivals are averaged. */
     private static final double FIRST_US = 500_000;
 
-    private static final double PEAK_DECAY_US = 600_000_000;
     private static final double BURST_FACTOR = 2;
 
     /** Run time not yet decayed, over the decay time. */
@@ -21,9 +20,6 @@
     /** The share of the decay time that was observed, below 1 soon after the start; keeps the first mean unbiased. */
     private double observed;
 
-    /** The highest mean of the recent past, decaying slowly. */
-    private double peakSlots;
-
     private long updatedUs;
     private boolean started;
 
@@ -43,15 +39,13 @@
         }
         decay(nowUs);
         double meanSlots = noted / observed;
-        peakSlots = Math.max(meanSlots, peakSlots);
-        return (int) Math.ceil(peakSlots + BURST_FACTOR * Math.sqrt(peakSlots));
+        return (int) Math.ceil(meanSlots + BURST_FACTOR * Math.sqrt(meanSlots));
     }
 
     private void decay(long nowUs) {
         if (nowUs > updatedUs) {
             double kept = Math.exp((updatedUs - nowUs) / DECAY_US);
             noted *= kept;
-            peakSlots *= Math.exp((updatedUs - nowUs) / PEAK_DECAY_US);
             observed = 1 - (1 - observed) * kept;
             updatedUs = nowUs;
         }
