Entry: queued requests follow targets that are handed over; guards on links that throw

A request that waited for targets which were all given away waited for its deadline; it now goes to another entry, or back to the caller as not run. A control link that throws left the request unanswered and the drain waiting for ever, and would have stopped the heartbeats: both are caught. Histograms replace Dropwizard's timers, whose rates nobody reads.

--- a/bench/src/main/java/org/cornelcove/bench/entry/ClaimsBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/ClaimsBenchmark.java
@@ -44,6 +44,7 @@
                 EntrySettings.of(EntryId.of("entry-1"), 1, "zone-a", "127.0.0.1", 0, "127.0.0.1:1", 1),
                 new BenchControl(ports, COMMAND_MS),
                 (address, request) -> new CompletableFuture<>())) {
+            ClosedLoop.awaitReady(entry);
             ClosedLoop.run(entry.port(), CLIENTS, WARM_UP_MS, head(ONE_IN));
             ClosedLoop.Figures all = ClosedLoop.run(entry.port(), CLIENTS, RUN_MS, head(1));
             ClosedLoop.Figures few = ClosedLoop.run(entry.port(), CLIENTS, RUN_MS, head(ONE_IN));
--- a/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
@@ -16,6 +16,7 @@
 import java.util.function.LongFunction;
 
 import org.HdrHistogram.Histogram;
+import org.cornelcove.entry.EntryServer;
 
 /** Clients that each send the next request once they have the answer to the last, over one connection each. */
 final class ClosedLoop {
@@ -72,6 +73,13 @@
                 failed);
     }
 
+    /** Waits until an entry serves. */
+    static void awaitReady(EntryServer entry) throws InterruptedException {
+        while (entry.whyUnready().isPresent()) {
+            Thread.sleep(10);
+        }
+    }
+
     private static Part client(int port, long endNs, long first, LongFunction<String> head) throws IOException {
         Histogram latencies = new Histogram(DIGITS);
         long failed = 0;
--- a/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
@@ -48,6 +48,7 @@
                         EntrySettings.of(EntryId.of("entry-1"), 1, "zone-a", "127.0.0.1", 0, "127.0.0.1:1", 1),
                         new BenchControl(ports, 0),
                         (address, request) -> new CompletableFuture<>())) {
+            ClosedLoop.awaitReady(entry);
             ClosedLoop.run(bare.port(), CLIENTS, WARM_UP_MS, HEAD);
             ClosedLoop.run(entry.port(), CLIENTS, WARM_UP_MS, HEAD);
             return compare(out, bare.port(), entry.port());
--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -346,11 +346,26 @@
                 return;
             }
             if (!startNext(line, now)) {
+                handOn(line, now);
                 return;
             }
         }
     }
 
+    /** Passes on what waits for targets that are all gone: to another entry, or back to the caller as not run. */
+    private void handOn(Waiting line, EntryView now) {
+        Optional<Run> first;
+        synchronized (line) {
+            first = line.queue.next(true);
+        }
+        if (first.isEmpty() || hasUsableTargets(first.get().request(), now)) {
+            return;
+        }
+        for (Run run : takeAll(line)) {
+            overflow(run, line, now);
+        }
+    }
+
     private boolean startNext(Waiting line, EntryView now) {
         Run run;
         Optional<OwnedTarget> target;
@@ -381,17 +396,21 @@
     }
 
     private void refuseAll(Waiting line) {
-        List<Run> refused = new ArrayList<>();
+        for (Run run : takeAll(line)) {
+            metrics.fenced.inc();
+            run.endWaiting(refusals.notReady("its lease has lapsed"));
+        }
+    }
+
+    private static List<Run> takeAll(Waiting line) {
+        List<Run> taken = new ArrayList<>();
         synchronized (line) {
             for (Optional<Run> next = line.queue.next(true); next.isPresent(); next = line.queue.next(true)) {
                 line.queue.remove(next.get());
-                refused.add(next.get());
+                taken.add(next.get());
             }
         }
-        for (Run run : refused) {
-            metrics.fenced.inc();
-            run.endWaiting(refusals.notReady("its lease has lapsed"));
-        }
+        return taken;
     }
 
     private void expire(Run run) {
--- a/entry/src/main/java/org/cornelcove/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryMetrics.java
@@ -3,20 +3,22 @@
 import java.util.Locale;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Timer;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.request.RequestClass;
 
 /**
- * Histograms of latency, queueing and run time by tenant and by class, and a counter for each kind of decision. A
- * tenant that the rules don't name counts as {@code other}, so that callers can't make names without bound.
+ * Histograms of latency, queueing and run time by tenant and by class, and a counter for each kind of decision. Beyond
+ * a number of tenants further ones count together as {@code other}, so that callers can't make names without bound.
+ * Histograms instead of Dropwizard's timers: the rates that a timer keeps besides are not asked for.
  */
 final class EntryMetrics {
     static final String OTHER = "other";
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final int MAX_TENANTS = 256;
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Group[] byClass = new Group[RequestClass.values().length];
@@ -29,7 +31,7 @@
     final Counter ejected = registry.counter("targets.ejected");
     final Counter unknown = registry.counter("requests.unknown");
 
-    private record Group(Timer latency, Timer queueing, Timer running) {}
+    private record Group(Histogram latency, Histogram queueing, Histogram running) {}
 
     EntryMetrics() {
         for (RequestClass one : RequestClass.values()) {
@@ -45,30 +47,36 @@
     }
 
     private Group group(String name) {
-        return new Group(timer(name + ".latency"), timer(name + ".queueing"), timer(name + ".running"));
+        return new Group(
+                histogram(name + ".latencyUs"), histogram(name + ".queueingUs"), histogram(name + ".runningUs"));
     }
 
-    private Timer timer(String name) {
-        return registry.timer(name, () -> new Timer(new HdrReservoir()));
+    private Histogram histogram(String name) {
+        return registry.histogram(name, () -> new Histogram(new HdrReservoir()));
     }
 
     private Group tenant(String name) {
-        return byTenant.computeIfAbsent(name, one -> group("tenant." + one));
+        Group group = byTenant.get(name);
+        if (group != null) {
+            return group;
+        }
+        String kept = byTenant.size() < MAX_TENANTS ? name : OTHER;
+        return byTenant.computeIfAbsent(kept, one -> group("tenant." + one));
     }
 
     void latency(String tenant, RequestClass requestClass, long ns) {
-        tenant(tenant).latency.update(ns, TimeUnit.NANOSECONDS);
-        byClass[requestClass.ordinal()].latency.update(ns, TimeUnit.NANOSECONDS);
+        tenant(tenant).latency.update(ns / NANOS_PER_MICRO);
+        byClass[requestClass.ordinal()].latency.update(ns / NANOS_PER_MICRO);
     }
 
     void queueing(String tenant, RequestClass requestClass, long ns) {
-        tenant(tenant).queueing.update(ns, TimeUnit.NANOSECONDS);
-        byClass[requestClass.ordinal()].queueing.update(ns, TimeUnit.NANOSECONDS);
+        tenant(tenant).queueing.update(ns / NANOS_PER_MICRO);
+        byClass[requestClass.ordinal()].queueing.update(ns / NANOS_PER_MICRO);
     }
 
     void running(String tenant, RequestClass requestClass, long ns) {
-        tenant(tenant).running.update(ns, TimeUnit.NANOSECONDS);
-        byClass[requestClass.ordinal()].running.update(ns, TimeUnit.NANOSECONDS);
+        tenant(tenant).running.update(ns / NANOS_PER_MICRO);
+        byClass[requestClass.ordinal()].running.update(ns / NANOS_PER_MICRO);
     }
 
     /** Counts an answer of the system's own by its kind; a kind shows up once it was counted. */
--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -157,9 +157,11 @@
      */
     public CompletableFuture<ForwardedAnswer> handleForwarded(ForwardedRequest message) {
         ServiceRule service = lease.view().rules().services().get(message.service());
-        if (service == null) {
-            Answer answer = refusals.notRun("this entry does not know the service " + message.service());
-            return CompletableFuture.completedFuture(answer.toForwarded());
+        Optional<String> closed =
+                service == null ? Optional.of("it does not know the service " + message.service()) : whyClosed();
+        if (closed.isPresent()) {
+            return CompletableFuture.completedFuture(
+                    refusals.notReady(closed.get()).toForwarded());
         }
         long now = clock.nowNs().getAsLong();
         ServiceRequest request = new ServiceRequest(
--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -116,10 +117,11 @@
 
     private void send() {
         long sentNs = nowNs.getAsLong();
+        List<Heard> told = List.copyOf(heard.values());
+        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
         long number = ++sequence;
         waiting = true;
-        List<Heard> told = List.copyOf(heard.values());
-        control.heartbeat(heartbeat(told, sentNs))
+        answer.copy()
                 .orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                 .whenComplete((lease, error) -> answered(number, sentNs, told, Optional.ofNullable(lease)));
     }
--- a/entry/src/main/java/org/cornelcove/entry/RequestFlow.java
+++ b/entry/src/main/java/org/cornelcove/entry/RequestFlow.java
@@ -40,7 +40,7 @@
     CompletableFuture<Answer> run(ServiceRequest request, boolean claimed) {
         inFlight.incrementAndGet();
         recent.add(request.trace());
-        return route(request, claimed).handle((answer, error) -> {
+        return guarded(request, claimed).handle((answer, error) -> {
             Answer told = error == null
                     ? answer
                     : refusals.unknown(Failure.of(ErrorKind.INTERNAL, String.valueOf(error.getMessage())));
@@ -49,6 +49,15 @@
         });
     }
 
+    /** Turns an exception on the way into a failed future, so that the request is answered and counted all the same. */
+    private CompletableFuture<Answer> guarded(ServiceRequest request, boolean claimed) {
+        try {
+            return route(request, claimed);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private CompletableFuture<Answer> route(ServiceRequest request, boolean claimed) {
         return switch (request.requestClass()) {
             case SAFE -> dispatcher.submit(request);
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -246,4 +246,49 @@
             Rig.await(() -> rig.send(rig.post("r3", "exclusive", "k", "a")).statusCode() == 200);
         }
     }
+
+    @ParameterizedTest
+    @CsvSource({"true, 200", "false, 503"})
+    void whatWaitsGoesOnWhenTheTargetsAreHandedOver(boolean peer, int status) throws Exception {
+        try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.HOLD));
+                Rig other =
+                        new Rig().with(FakeTarget.start("t2", Behaviour.ECHO)).open()) {
+            rig.control.service = FakeControl.rule(20_000, 1_000, 100);
+            rig.peers = (address, request) -> other.entry.handleForwarded(request);
+            rig.grantAll(1);
+            rig.open();
+            CompletableFuture<HttpResponse<String>> running = rig.sendAsync(rig.post("r1", "safe", "k", "a"));
+            Rig.await(() -> rig.targets.get(0).running.get() == 1);
+            CompletableFuture<HttpResponse<String>> queued = rig.sendAsync(rig.post("r2", "safe", "k", "b"));
+            Rig.await(() -> rig.entry.explain("r2").toString().contains("waits"));
+            rig.control.peers = peer
+                    ? List.of(new PeerEntry(
+                            EntryId.of("entry-2"),
+                            "zone-a",
+                            "peer",
+                            new TreeMap<>(java.util.Map.of("booking", 1)),
+                            List.of()))
+                    : List.of();
+            rig.control.targets = List.of();
+            assertThat(queued.get().body(), queued.get().statusCode(), is(status));
+            assertThat(Rig.run(queued.get()), is(peer ? "done" : "not-run"));
+            rig.targets.get(0).letGo();
+            assertThat(running.get().body(), is("r1|a"));
+        }
+    }
+
+    @Test
+    void aLinkThatThrowsLeavesNothingHanging() throws Exception {
+        try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.ECHO)).open()) {
+            rig.control.onExecute = outcome -> {
+                throw new IllegalStateException("broken link");
+            };
+            HttpResponse<String> answer = rig.send(rig.post("r1", "once", "k", "a"));
+            assertThat(answer.statusCode(), is(500));
+            assertThat(Rig.run(answer), is("unknown"));
+            assertThat(rig.targets.get(0).log.size(), is(0));
+            rig.control.onExecute = outcome -> outcome;
+            rig.entry.drain().get(20, java.util.concurrent.TimeUnit.SECONDS);
+        }
+    }
 }
