Entry: slots and lines of a service split from the dispatcher

The dispatcher had grown to 542 lines. Finding a slot among the owned targets, and what one service has waiting and running, are classes of their own now; nothing else changes.

Run: mvn -o -q -B -ntp verify -pl entry -am, green.

--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -15,7 +14,6 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.PeerEntry;
 import org.cornelcove.model.request.RequestClass;
-import org.cornelcove.model.rule.ServiceRule;
 import org.cornelcove.model.rule.TenantRule;
 
 /**
@@ -32,7 +30,6 @@
 final class Dispatcher {
     private static final double NANOS_PER_MS = 1_000_000;
     private static final int MAX_ATTEMPTS = 3;
-    private static final int PERCENT = 100;
     private static final int SERVER_ERROR = 500;
     private static final int DEFAULT_WEIGHT = 1;
 
@@ -44,20 +41,13 @@
     private final DeadlineWheel deadlines;
     private final EntryMetrics metrics;
     private final Refusals refusals;
-    private final TargetChoice choice = TargetChoice.LEAST_LOADED;
+    private final OpenTargets targets;
     private final AdmissionRule admission = AdmissionRule.PREDICTED_WAIT;
     private final RunTimes runTimes = new RunTimes();
     private final RetryBudget[] retryBudgets = new RetryBudget[RequestClass.values().length];
-    private final ConcurrentMap<String, Waiting> waiting = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, ServiceLine> lines = new ConcurrentHashMap<>();
     private final AtomicLong runNumbers = new AtomicLong();
 
-    /** What a service has waiting, and how many slots its long work takes. */
-    private static final class Waiting {
-        private final ServiceQueue queue = new ServiceQueue();
-        private final AtomicInteger longActive = new AtomicInteger();
-        private final AtomicLong activeExpectedNs = new AtomicLong();
-    }
-
     Dispatcher(Parts parts) {
         settings = parts.settings();
         clock = parts.clock();
@@ -67,6 +57,7 @@
         deadlines = parts.deadlines();
         metrics = parts.metrics();
         refusals = parts.refusals();
+        targets = new OpenTargets(settings, clock, TargetChoice.LEAST_LOADED);
         for (int i = 0; i < retryBudgets.length; i++) {
             retryBudgets[i] = new RetryBudget();
         }
@@ -107,8 +98,8 @@
         Run run = newRun(request);
         retryBudgets[request.requestClass().ordinal()].earn();
         run.watch(deadlines.at(request.deadlineNs(), () -> expire(run)));
-        Waiting line = waitingFor(request.service().name());
-        if (line.queue.size() > 0 || !tryStart(run, line, now)) {
+        ServiceLine line = lineOf(request.service().name());
+        if (line.queue().size() > 0 || !tryStart(run, line, now)) {
             overflow(run, line, now);
         }
         return run.answer();
@@ -130,88 +121,38 @@
         return new Run(request, runNumbers.incrementAndGet(), expectedNs, longWork);
     }
 
-    private Waiting waitingFor(String service) {
-        Waiting line = waiting.get(service);
-        return line != null ? line : waiting.computeIfAbsent(service, name -> new Waiting());
+    private ServiceLine lineOf(String service) {
+        ServiceLine line = lines.get(service);
+        return line != null ? line : lines.computeIfAbsent(service, name -> new ServiceLine());
     }
 
     // Starting
 
-    private boolean tryStart(Run run, Waiting line, EntryView now) {
-        if (run.isLong() && !takeLongSlot(run.request().service(), line, now)) {
+    private boolean tryStart(Run run, ServiceLine line, EntryView now) {
+        if (!line.takeLongSlot(run, longSlots(run, now))) {
             return false;
         }
-        Optional<OwnedTarget> target = takeSlot(run, now);
+        Optional<OwnedTarget> target = targets.takeSlot(run, now);
         if (target.isEmpty()) {
-            giveLongSlot(run, line);
+            line.giveLongSlot(run);
             return false;
         }
         dispatch(run, line, target.get());
         return true;
     }
 
-    private boolean takeLongSlot(ServiceRule service, Waiting line, EntryView now) {
-        int most = longSlots(service, now);
-        while (true) {
-            int taken = line.longActive.get();
-            if (taken >= most) {
-                return false;
-            }
-            if (line.longActive.compareAndSet(taken, taken + 1)) {
-                return true;
-            }
-        }
-    }
-
-    private static void giveLongSlot(Run run, Waiting line) {
-        if (run.isLong()) {
-            line.longActive.decrementAndGet();
-        }
-    }
-
-    private int longSlots(ServiceRule service, EntryView now) {
-        int all = 0;
-        for (OwnedTarget target : now.targetsOf(service.name())) {
-            all += target.slots().total();
-        }
-        int kept = (all * service.shortSlotsPercent() + PERCENT - 1) / PERCENT;
-        return Math.max(Math.min(1, all), all - kept);
-    }
-
-    private Optional<OwnedTarget> takeSlot(Run run, EntryView now) {
-        List<OwnedTarget> open = openTargets(run, now);
-        while (true) {
-            Optional<OwnedTarget> target = choice.choose(open, settings.availabilityZone());
-            if (target.isEmpty() || target.get().slots().tryTake()) {
-                return target;
-            }
-        }
+    private int longSlots(Run run, EntryView now) {
+        return targets.longSlots(run.request().service(), now);
     }
 
-    private List<OwnedTarget> openTargets(Run run, EntryView now) {
-        List<OwnedTarget> owned = now.targetsOf(run.request().service().name());
-        long silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
-        long nowNs = nowNs();
-        List<OwnedTarget> open = new ArrayList<>(owned.size());
-        for (OwnedTarget target : owned) {
-            if (target.isOpen(nowNs, silenceNs)) {
-                open.add(target);
-            }
-        }
-        if (open.size() > 1) {
-            run.lastFailed().ifPresent(open::remove);
-        }
-        return open;
-    }
-
-    private void dispatch(Run run, Waiting line, OwnedTarget target) {
+    private void dispatch(Run run, ServiceLine line, OwnedTarget target) {
         long now = nowNs();
         if (!run.start(now)) {
             target.slots().release();
-            giveLongSlot(run, line);
+            line.giveLongSlot(run);
             return;
         }
-        line.activeExpectedNs.addAndGet(run.expectedNs());
+        line.started(run);
         ServiceRequest request = run.request();
         if (run.attempts() == 0) {
             metrics.admitted.inc();
@@ -239,8 +180,8 @@
 
     // Overflow
 
-    private void overflow(Run run, Waiting line, EntryView now) {
-        boolean own = hasUsableTargets(run.request(), now);
+    private void overflow(Run run, ServiceLine line, EntryView now) {
+        boolean own = targets.anyUsable(run.request(), now);
         if (!run.request().isForwarded()) {
             Optional<PeerEntry> peer = peers.peerFor(run.request().service().name(), now.peers(), !own);
             if (peer.isPresent() && run.start(nowNs())) {
@@ -251,18 +192,7 @@
         enqueue(run, line, now, own);
     }
 
-    private boolean hasUsableTargets(ServiceRequest request, EntryView now) {
-        long silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
-        long nowNs = nowNs();
-        for (OwnedTarget target : now.targetsOf(request.service().name())) {
-            if (target.mayOpen(nowNs, silenceNs)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private void forward(Run run, Waiting line, PeerEntry peer, boolean own) {
+    private void forward(Run run, ServiceLine line, PeerEntry peer, boolean own) {
         ServiceRequest request = run.request();
         metrics.forwarded.inc();
         request.trace().add(nowNs(), "forwarded to entry", peer.entry());
@@ -276,7 +206,7 @@
         });
     }
 
-    private void enqueue(Run run, Waiting line, EntryView now, boolean own) {
+    private void enqueue(Run run, ServiceLine line, EntryView now, boolean own) {
         ServiceRequest request = run.request();
         if (!own) {
             run.endWaiting(refusals.noTarget(request.service().name()));
@@ -293,12 +223,12 @@
         pump(line);
     }
 
-    private Optional<AdmissionRule.Refusal> addToQueue(Run run, Waiting line, EntryView now) {
+    private Optional<AdmissionRule.Refusal> addToQueue(Run run, ServiceLine line, EntryView now) {
         TenantRule tenant = tenantRule(run.request(), now);
         synchronized (line) {
             Optional<AdmissionRule.Refusal> refusal = admission.refuse(situation(run, line, tenant, now));
             if (refusal.isEmpty() && !run.hasEnded()) {
-                line.queue.add(run, tenant.weight());
+                line.queue().add(run, tenant.weight());
             }
             return refusal;
         }
@@ -312,21 +242,15 @@
                         request.tenant(), DEFAULT_WEIGHT, request.service().maxQueued());
     }
 
-    private AdmissionRule.Situation situation(Run run, Waiting line, TenantRule tenant, EntryView now) {
+    private AdmissionRule.Situation situation(Run run, ServiceLine line, TenantRule tenant, EntryView now) {
         ServiceRequest request = run.request();
-        int slots = 0;
-        for (OwnedTarget target : now.targetsOf(request.service().name())) {
-            slots += Math.max(0, target.slots().limit());
-        }
-        int usable = run.isLong() ? Math.min(slots, longSlots(request.service(), now)) : slots;
-        double aheadMs = line.queue.expectedMs() + line.activeExpectedNs.get() / NANOS_PER_MS / 2;
         return new AdmissionRule.Situation(
-                line.queue.size(),
+                line.queue().size(),
                 request.service().maxQueued(),
-                line.queue.size(request.tenant()),
+                line.queue().size(request.tenant()),
                 tenant.maxQueued(),
-                usable,
-                aheadMs,
+                targets.slotsFor(run, now),
+                line.aheadMs(),
                 run.expectedNs() / NANOS_PER_MS,
                 (request.deadlineNs() - nowNs()) / NANOS_PER_MS);
     }
@@ -335,11 +259,11 @@
 
     /** Starts or refuses what waits, after a change of the view. */
     void pumpAll() {
-        waiting.values().forEach(this::pump);
+        lines.values().forEach(this::pump);
     }
 
-    private void pump(Waiting line) {
-        while (line.queue.size() > 0) {
+    private void pump(ServiceLine line) {
+        while (line.queue().size() > 0) {
             EntryView now = view.get();
             if (!now.isLeased(nowNs())) {
                 refuseAll(line);
@@ -353,20 +277,20 @@
     }
 
     /** Passes on what waits for targets that are all gone: to another entry, or back to the caller as not run. */
-    private void handOn(Waiting line, EntryView now) {
+    private void handOn(ServiceLine line, EntryView now) {
         Optional<Run> first;
         synchronized (line) {
-            first = line.queue.next(true);
+            first = line.queue().next(true);
         }
-        if (first.isEmpty() || hasUsableTargets(first.get().request(), now)) {
+        if (first.isEmpty() || targets.anyUsable(first.get().request(), now)) {
             return;
         }
-        for (Run run : takeAll(line)) {
+        for (Run run : line.takeAll()) {
             overflow(run, line, now);
         }
     }
 
-    private boolean startNext(Waiting line, EntryView now) {
+    private boolean startNext(ServiceLine line, EntryView now) {
         Run run;
         Optional<OwnedTarget> target;
         synchronized (line) {
@@ -375,48 +299,37 @@
                 return false;
             }
             run = next.get();
-            target = takeSlot(run, now);
+            target = targets.takeSlot(run, now);
             if (target.isEmpty()) {
-                giveLongSlot(run, line);
+                line.giveLongSlot(run);
                 return false;
             }
-            line.queue.take(run);
+            line.queue().take(run);
         }
         dispatch(run, line, target.get());
         return true;
     }
 
     /** Returns what is next; for long work its share of the slots is taken already. */
-    private Optional<Run> nextWithSlot(Waiting line, EntryView now) {
-        Optional<Run> next = line.queue.next(true);
-        if (next.isEmpty() || !next.get().isLong()) {
+    private Optional<Run> nextWithSlot(ServiceLine line, EntryView now) {
+        Optional<Run> next = line.queue().next(true);
+        if (next.isEmpty() || line.takeLongSlot(next.get(), longSlots(next.get(), now))) {
             return next;
         }
-        return takeLongSlot(next.get().request().service(), line, now) ? next : line.queue.next(false);
+        return line.queue().next(false);
     }
 
-    private void refuseAll(Waiting line) {
-        for (Run run : takeAll(line)) {
+    private void refuseAll(ServiceLine line) {
+        for (Run run : line.takeAll()) {
             metrics.fenced.inc();
             run.endWaiting(refusals.notReady("its lease has lapsed"));
         }
     }
 
-    private static List<Run> takeAll(Waiting line) {
-        List<Run> taken = new ArrayList<>();
-        synchronized (line) {
-            for (Optional<Run> next = line.queue.next(true); next.isPresent(); next = line.queue.next(true)) {
-                line.queue.remove(next.get());
-                taken.add(next.get());
-            }
-        }
-        return taken;
-    }
-
     private void expire(Run run) {
-        Waiting line = waitingFor(run.request().service().name());
+        ServiceLine line = lineOf(run.request().service().name());
         synchronized (line) {
-            line.queue.remove(run);
+            line.queue().remove(run);
         }
         if (run.endWaiting(refusals.notRun("its deadline passed while it waited"))) {
             return;
@@ -436,10 +349,10 @@
     /** Hears how an attempt at a target ended. */
     private final class Ending implements TargetCallListener {
         private final Run run;
-        private final Waiting line;
+        private final ServiceLine line;
         private final OwnedTarget target;
 
-        private Ending(Run run, Waiting line, OwnedTarget target) {
+        private Ending(Run run, ServiceLine line, OwnedTarget target) {
             this.run = run;
             this.line = line;
             this.target = target;
@@ -504,8 +417,7 @@
         }
 
         private void leave() {
-            line.activeExpectedNs.addAndGet(-run.expectedNs());
-            giveLongSlot(run, line);
+            line.ended(run);
         }
 
         private void noteHealth(boolean failed, long now) {
@@ -535,7 +447,7 @@
             if (!now.isLeased(nowNs())) {
                 run.endWaiting(refusals.notReady("its lease has lapsed"));
             } else if (!tryStart(run, line, now)) {
-                enqueue(run, line, now, hasUsableTargets(run.request(), now));
+                enqueue(run, line, now, targets.anyUsable(run.request(), now));
             }
         }
     }
