--- a/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
+++ b/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
@@ -24,6 +24,7 @@
     private static final String OWN_PATHS = "/-/";
     private static final int OK = 200;
     private static final byte[] NO_BODY = {};
+    private static final byte[] OK_BODY = "ok\n".getBytes(StandardCharsets.US_ASCII);
 
     private final EntryClock clock;
     private final Supplier<EntryView> view;
@@ -85,7 +86,8 @@
         } else {
             response.setStatus(OK);
             response.setContentType("text/plain");
-            writeBody(response, "ok\n".getBytes(StandardCharsets.US_ASCII));
+            response.setContentLengthLong(OK_BODY.length);
+            writeBody(response, OK_BODY);
         }
     }
 
@@ -148,8 +150,13 @@
 
     private static void write(Response response, String id, Answer answer) {
         response.setStatus(answer.status());
+        response.setContentLengthLong(answer.body().length);
         for (Header header : answer.headers()) {
-            response.addHeader(header.name(), header.value());
+            if (header.name().equals(Headers.CONTENT_LENGTH)) {
+                response.setContentLengthLong(Long.parseLong(header.value()));
+            } else {
+                response.addHeader(header.name(), header.value());
+            }
         }
         if (!id.isEmpty()) {
             response.setHeader(Headers.REQUEST_ID, id);
@@ -167,7 +174,6 @@
     }
 
     private static void writeBody(Response response, byte[] body) {
-        response.setContentLengthLong(body.length);
         try {
             response.getNIOOutputStream().write(body);
         } catch (IOException e) {
--- a/entry/src/main/java/org/cornelcove/entry/Headers.java
+++ b/entry/src/main/java/org/cornelcove/entry/Headers.java
@@ -18,6 +18,9 @@
     static final String EPOCH = "Cornelcove-Epoch";
     static final String NOT_AFTER = "Cornelcove-Not-After";
     static final String RETRY_AFTER = "Retry-After";
+    /** Passed on only for HEAD, where it tells the length of a body that is not sent. */
+    static final String CONTENT_LENGTH = "Content-Length";
+
     static final String CONTENT_TYPE = "Content-Type";
 
     /** Headers that concern one connection, those that this hop sets itself, and those that only the system may set. */
--- a/entry/src/main/java/org/cornelcove/entry/TargetCall.java
+++ b/entry/src/main/java/org/cornelcove/entry/TargetCall.java
@@ -157,7 +157,7 @@
         return "HEAD".equals(request.method()) || head.getStatus() == 204 || head.getStatus() == 304;
     }
 
-    private static List<Header> headersOf(HttpResponsePacket head) {
+    private List<Header> headersOf(HttpResponsePacket head) {
         MimeHeaders all = head.getHeaders();
         String options = head.getHeader("Connection");
         List<Header> passed = new ArrayList<>(all.size());
@@ -167,6 +167,9 @@
                 passed.add(new Header(name, all.getValue(i).toString()));
             }
         }
+        if ("HEAD".equals(request.method()) && head.getContentLength() >= 0) {
+            passed.add(new Header(Headers.CONTENT_LENGTH, Long.toString(head.getContentLength())));
+        }
         return passed;
     }
 }
--- a/entry/src/test/java/org/cornelcove/entry/RelayTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/RelayTest.java
@@ -43,6 +43,11 @@
                 HttpResponse<byte[]> answer = Rig.HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
                 assertThat(new String(answer.body()), answer.statusCode(), is(200));
                 assertThat(Rig.run(answer), is("done"));
+                if (behaviour == FakeTarget.Behaviour.ECHO) {
+                    String length =
+                            answer.headers().firstValue("content-length").orElse("");
+                    assertThat(length, is(Integer.toString(bodyBytes + 3)));
+                }
                 FakeTarget.Received seen = rig.targets.get(0).log.get(0);
                 assertThat(seen.uri, is(path));
                 assertThat(seen.method, is(method));
