Claims carry a number, so that one whose answer was lost can be given back

Cause: a release named the log index of its grant, which an entry that lost the answer does not know; its request was told 'unknown' although it surely had not run, and the key was spent. Ruled out: a release without a name of the claim; a delayed copy of it could free a later grant. Change: the entry numbers its claims; a release names the number and stays as a mark until it expires, so that a claim arriving after its own release is refused instead of held open by nobody.

--- a/control/src/main/java/org/cornelcove/control/state/Claim.java
+++ b/control/src/main/java/org/cornelcove/control/state/Claim.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.command.ReleaseClaim;
 import org.cornelcove.model.id.EntryId;
 import org.cornelcove.model.request.RecordedAnswer;
 
@@ -14,7 +16,7 @@
  * @param incarnation the start of the holder
  * @param state where it stands
  * @param answer the recorded answer
- * @param claimedIndex the log index at which it was granted
+ * @param claimNumber the number that the holder gave it
  * @param decidedIndex the log index at which it left {@code OPEN}, 0 before
  */
 public record Claim(
@@ -24,20 +26,40 @@
         long incarnation,
         ClaimState state,
         Optional<RecordedAnswer> answer,
-        long claimedIndex,
+        long claimNumber,
         long decidedIndex) {
     private static final long FIXED_BYTES = 256;
 
-    static Claim open(String key, String digest, EntryId entry, long incarnation, long index) {
-        return new Claim(key, digest, entry, incarnation, ClaimState.OPEN, Optional.empty(), index, 0);
+    static Claim open(ClaimOnce command) {
+        return new Claim(
+                command.key(),
+                command.digest(),
+                command.entry(),
+                command.incarnation(),
+                ClaimState.OPEN,
+                Optional.empty(),
+                command.claimNumber(),
+                0);
+    }
+
+    static Claim released(ReleaseClaim command, long index) {
+        return new Claim(
+                command.key(),
+                "",
+                command.entry(),
+                command.incarnation(),
+                ClaimState.RELEASED,
+                Optional.empty(),
+                command.claimNumber(),
+                index);
     }
 
     Claim recorded(RecordedAnswer whole, long index) {
-        return new Claim(key, digest, entry, incarnation, ClaimState.RECORDED, Optional.of(whole), claimedIndex, index);
+        return new Claim(key, digest, entry, incarnation, ClaimState.RECORDED, Optional.of(whole), claimNumber, index);
     }
 
     Claim unknown(long index) {
-        return new Claim(key, digest, entry, incarnation, ClaimState.UNKNOWN, Optional.empty(), claimedIndex, index);
+        return new Claim(key, digest, entry, incarnation, ClaimState.UNKNOWN, Optional.empty(), claimNumber, index);
     }
 
     /** Returns about how much memory the claim takes. */
--- a/control/src/main/java/org/cornelcove/control/state/ClaimLedger.java
+++ b/control/src/main/java/org/cornelcove/control/state/ClaimLedger.java
@@ -31,14 +31,14 @@
  * <p>A grant is given only by {@code ClaimOnce} on a key without a claim. The same {@code ClaimOnce} again, also by the
  * same holder, finds the claim open and gets {@link ClaimInProgress}: the ledger can't tell a resend whose first answer
  * was lost from a second caller, and a second grant to the first holder could be a second run. An entry that lost the
- * answer to its claim therefore never dispatches; it releases nothing, because it knows no claim index, and records the
- * outcome as unknown. That errs on the safe side: the request has not run, and the caller is told that it may have.
+ * answer to its claim therefore never dispatches, and gives the claim back by its number.
  *
- * <p>A release names the index of its grant. Without it a delayed copy of an earlier release could free the key while
- * a later grant is being dispatched.
+ * <p>A claim's number is given by its entry to no other claim, and a release names it. Without it a delayed copy of an
+ * earlier release could free the key while a later grant is being dispatched. A released claim stays for a while, so
+ * that a claim which arrives after its own release is refused instead of held open by nobody.
  *
- * <p>Example: grant at index 7, target refuses, release(7), grant at index 9 is dispatched, late copy of release(7):
- * refused, since the claim is that of index 9.
+ * <p>Example: claim 7 is granted, the target refuses, release 7, claim 9 is granted and dispatched, late copy of
+ * release 7: refused, since the claim is number 9.
  *
  * <p>Bounds: a full ledger refuses new claims, because dropping a decided claim before its time to live would let the
  * key run again. An answer that doesn't fit is not kept; its claim becomes unknown.
@@ -74,11 +74,14 @@
             return fenced.get();
         }
         Claim known = claims.get(command.key());
-        if (known != null) {
+        if (known != null && known.state() != ClaimState.RELEASED) {
             return answerKnown(known, command);
         }
-        Claim claim = Claim.open(command.key(), command.digest(), command.entry(), command.incarnation(), at);
-        if (claims.size() >= limits.maxClaims() || bytes + claim.sizeBytes() > limits.maxBytes()) {
+        if (known != null && isClaim(known, command.entry(), command.incarnation(), command.claimNumber())) {
+            return notHeld(command.key(), command.entry());
+        }
+        Claim claim = Claim.open(command);
+        if (known == null && claims.size() >= limits.maxClaims() || bytes + claim.sizeBytes() > limits.maxBytes()) {
             return new Refused(Failure.of(ErrorKind.LEDGER_FULL, claims.size()));
         }
         put(claim);
@@ -101,15 +104,21 @@
     }
 
     Outcome release(long at, ReleaseClaim command) {
+        Optional<Refused> fenced = entries.fenced(command.entry(), command.incarnation());
+        if (fenced.isPresent()) {
+            return fenced.get();
+        }
         Claim known = claims.get(command.key());
-        boolean held = known != null
-                && known.state() == ClaimState.OPEN
-                && known.claimedIndex() == command.claimIndex()
-                && heldBy(known, command.entry(), command.incarnation());
-        if (!held) {
+        if (known != null && !isClaim(known, command.entry(), command.incarnation(), command.claimNumber())) {
             return notHeld(command.key(), command.entry());
         }
-        remove(known);
+        if (known != null && known.state() == ClaimState.RELEASED) {
+            return new Done(known.decidedIndex());
+        }
+        if (known != null && known.state() != ClaimState.OPEN) {
+            return notHeld(command.key(), command.entry());
+        }
+        put(Claim.released(command, at));
         return new Done(at);
     }
 
@@ -123,7 +132,9 @@
             return fenced.get();
         }
         Claim known = claims.get(command.key());
-        if (known == null || !heldBy(known, command.entry(), command.incarnation())) {
+        if (known == null
+                || known.state() == ClaimState.RELEASED
+                || !heldBy(known, command.entry(), command.incarnation())) {
             return notHeld(command.key(), command.entry());
         }
         if (known.state() == ClaimState.RECORDED) {
@@ -209,6 +220,10 @@
         return claim.entry().equals(entry) && claim.incarnation() == incarnation;
     }
 
+    private static boolean isClaim(Claim claim, EntryId entry, long incarnation, long number) {
+        return heldBy(claim, entry, incarnation) && claim.claimNumber() == number;
+    }
+
     private static Refused notHeld(String key, EntryId entry) {
         return new Refused(Failure.of(ErrorKind.CLAIM_NOT_HELD, key, entry));
     }
--- a/control/src/main/java/org/cornelcove/control/state/ClaimState.java
+++ b/control/src/main/java/org/cornelcove/control/state/ClaimState.java
@@ -7,5 +7,7 @@
     /** The request ran; the answer is kept. */
     RECORDED,
     /** The request may or may not have run. */
-    UNKNOWN
+    UNKNOWN,
+    /** Given back unrun; refuses a late copy of the same claim and is free for any other. */
+    RELEASED
 }
--- a/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -143,7 +143,12 @@
     private Command mutate(Command command) {
         if (mutant == Mutant.NO_CLAIM && command instanceof ClaimOnce) {
             ClaimOnce claim = (ClaimOnce) command;
-            return new ClaimOnce(claim.key() + "." + log.size(), claim.digest(), claim.entry(), claim.incarnation());
+            return new ClaimOnce(
+                    claim.key() + "." + log.size(),
+                    claim.digest(),
+                    claim.entry(),
+                    claim.incarnation(),
+                    claim.claimNumber());
         }
         if (mutant == Mutant.RELEASE_OF_ANY_GRANT && command instanceof ReleaseClaim) {
             return releaseOfAnyGrant((ReleaseClaim) command);
@@ -167,9 +172,9 @@
     private Command releaseOfAnyGrant(ReleaseClaim release) {
         long index = nodes.get(lastLeading).state.read(tables -> tables.ledger().all()).stream()
                 .filter(claim -> claim.key().equals(release.key()))
-                .mapToLong(Claim::claimedIndex)
+                .mapToLong(Claim::claimNumber)
                 .findFirst()
-                .orElse(release.claimIndex());
+                .orElse(release.claimNumber());
         return new ReleaseClaim(release.key(), release.entry(), release.incarnation(), index);
     }
 
--- a/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
@@ -22,6 +22,7 @@
 
 /** An entry that follows the protocol, on a clock that runs a little fast or slow. */
 final class FakeEntry {
+    private long lastClaim;
     private static final long SAMPLE_MS = 25;
 
     final EntryId id;
@@ -130,7 +131,7 @@
         if (frozen) {
             return;
         }
-        ClaimOnce command = new ClaimOnce(key, "digest", id, incarnation);
+        ClaimOnce command = new ClaimOnce(key, "digest", id, incarnation, ++lastClaim);
         boolean[] answered = {false};
         link.call(() -> sim.group.node(contact).execute(command), (outcome, fault) -> {
             if (answered[0] || !(outcome instanceof ClaimGranted)) {
@@ -139,7 +140,7 @@
             answered[0] = true;
             long index = ((ClaimGranted) outcome).index();
             if (sim.time.random().nextInt(3) == 0) {
-                release(new ReleaseClaim(key, id, command.incarnation(), index));
+                release(new ReleaseClaim(key, id, command.incarnation(), command.claimNumber()));
             } else {
                 sim.history.dispatches.add(new History.Dispatch(key, id, index));
             }
--- a/control/src/test/java/org/cornelcove/control/state/ApplyTest.java
+++ b/control/src/test/java/org/cornelcove/control/state/ApplyTest.java
@@ -193,14 +193,20 @@
                 claimed("an unknown outcome is never granted again, but may become known")
                         .then(record("k", "e", 1, 0), "unknown 3")
                         .then(claim("k", "d", "e", 1), "unknown 3")
-                        .then(release("k", "e", 1, 2), "CLAIM_NOT_HELD")
+                        .then(release("k", "e", 1, 1), "CLAIM_NOT_HELD")
                         .then(record("k", "e", 1, 200), "done 6")
                         .then(claim("k", "d", "e", 1), "replayed 200"),
                 claimed("a delayed release doesn't free a later grant")
-                        .then(release("k", "e", 1, 2), "done 3")
-                        .then(claim("k", "d", "e", 1), "granted 4")
-                        .then(release("k", "e", 1, 2), "CLAIM_NOT_HELD")
-                        .then(claim("k", "d", "e", 1), "in progress e"),
+                        .then(release("k", "e", 1, 1), "done 3")
+                        .then(claim("k", "d", "e", 1, 2), "granted 4")
+                        .then(release("k", "e", 1, 1), "CLAIM_NOT_HELD")
+                        .then(claim("k", "d", "e", 1, 2), "in progress e"),
+                claimed("a claim that arrives after its own release is refused, another is granted")
+                        .then(release("l", "e", 1, 5), "done 3")
+                        .then(release("l", "e", 1, 5), "done 3")
+                        .then(claim("l", "d", "e", 1, 5), "CLAIM_NOT_HELD")
+                        .then(record("l", "e", 1, 200), "CLAIM_NOT_HELD")
+                        .then(claim("l", "d", "e", 1, 6), "granted 7"),
                 claimed("a newer start fences the older, whose open claims become unknown")
                         .then(entry("e", 2), "done 3")
                         .then(entry("e", 1), "ENTRY_FENCED")
--- a/control/src/test/java/org/cornelcove/control/state/Commands.java
+++ b/control/src/test/java/org/cornelcove/control/state/Commands.java
@@ -78,11 +78,15 @@
     }
 
     static Command claim(String key, String digest, String entry, long incarnation) {
-        return new ClaimOnce(key, digest, EntryId.of(entry), incarnation);
+        return claim(key, digest, entry, incarnation, 1);
     }
 
-    static Command release(String key, String entry, long incarnation, long claimIndex) {
-        return new ReleaseClaim(key, EntryId.of(entry), incarnation, claimIndex);
+    static Command claim(String key, String digest, String entry, long incarnation, long claimNumber) {
+        return new ClaimOnce(key, digest, EntryId.of(entry), incarnation, claimNumber);
+    }
+
+    static Command release(String key, String entry, long incarnation, long claimNumber) {
+        return new ReleaseClaim(key, EntryId.of(entry), incarnation, claimNumber);
     }
 
     static Command record(String key, String entry, long incarnation, int status) {
--- a/control/src/test/java/org/cornelcove/control/state/DifferentialTest.java
+++ b/control/src/test/java/org/cornelcove/control/state/DifferentialTest.java
@@ -74,8 +74,11 @@
         Arbitrary<Long> indexes = Arbitraries.longs().between(1, 60);
         return Arbitraries.frequencyOf(List.of(
                 tuple(2, Combinators.combine(ENTRIES, SMALL).as(Commands::entry)),
-                tuple(4, Combinators.combine(KEYS, digests, ENTRIES, SMALL).as(Commands::claim)),
-                tuple(2, Combinators.combine(KEYS, ENTRIES, SMALL, indexes).as(Commands::release)),
+                tuple(
+                        4,
+                        Combinators.combine(KEYS, digests, ENTRIES, SMALL, SMALL)
+                                .as(Commands::claim)),
+                tuple(2, Combinators.combine(KEYS, ENTRIES, SMALL, SMALL).as(Commands::release)),
                 tuple(
                         2,
                         Combinators.combine(KEYS, ENTRIES, SMALL, Arbitraries.of(0, 200))
--- a/control/src/test/java/org/cornelcove/control/state/NaiveState.java
+++ b/control/src/test/java/org/cornelcove/control/state/NaiveState.java
@@ -42,7 +42,7 @@
     private static final class NaiveClaim {
         private String digest;
         private String holder;
-        private long granted;
+        private long number;
         private long decided;
         private String state = "open";
     }
@@ -111,16 +111,7 @@
         }
         if (command instanceof ReleaseClaim) {
             ReleaseClaim release = (ReleaseClaim) command;
-            NaiveClaim claim = claims.get(release.key());
-            boolean mine = claim != null
-                    && claim.state.equals("open")
-                    && claim.holder.equals(release.entry() + "#" + release.incarnation())
-                    && claim.granted == release.claimIndex();
-            if (!mine) {
-                return "CLAIM_NOT_HELD";
-            }
-            claims.remove(release.key());
-            return "done " + at;
+            return release(at, release);
         }
         if (command instanceof RecordOutcome) {
             return record(at, (RecordOutcome) command);
@@ -282,30 +273,60 @@
         if (!fenced.isEmpty()) {
             return fenced;
         }
-        if (known != null && !known.digest.equals(command.digest())) {
+        boolean free = known == null || known.state.equals("released");
+        if (!free && !known.digest.equals(command.digest())) {
             return "KEY_REUSED";
         }
         if (known != null && known.state.equals("open")) {
             return "in progress " + known.holder.split("#")[0];
         }
-        if (known != null) {
+        if (!free) {
             return known.state.equals("unknown") ? "unknown " + known.decided : "replayed " + known.state;
         }
+        String holder = command.entry() + "#" + command.incarnation();
+        if (known != null && known.holder.equals(holder) && known.number == command.claimNumber()) {
+            return "CLAIM_NOT_HELD";
+        }
         NaiveClaim claim = new NaiveClaim();
         claim.digest = command.digest();
-        claim.holder = command.entry() + "#" + command.incarnation();
-        claim.granted = at;
+        claim.holder = holder;
+        claim.number = command.claimNumber();
         claims.put(command.key(), claim);
         return "granted " + at;
     }
 
+    private String release(long at, ReleaseClaim command) {
+        String fenced = fenced(command.entry().value(), command.incarnation());
+        if (!fenced.isEmpty()) {
+            return fenced;
+        }
+        String holder = command.entry() + "#" + command.incarnation();
+        NaiveClaim known = claims.get(command.key());
+        if (known == null
+                || known.state.equals("open") && known.holder.equals(holder) && known.number == command.claimNumber()) {
+            NaiveClaim released = new NaiveClaim();
+            released.digest = "";
+            released.holder = holder;
+            released.number = command.claimNumber();
+            released.state = "released";
+            released.decided = at;
+            claims.put(command.key(), released);
+            return "done " + at;
+        }
+        boolean again =
+                known.state.equals("released") && known.holder.equals(holder) && known.number == command.claimNumber();
+        return again ? "done " + known.decided : "CLAIM_NOT_HELD";
+    }
+
     private String record(long at, RecordOutcome command) {
         String fenced = fenced(command.entry().value(), command.incarnation());
         NaiveClaim known = claims.get(command.key());
         if (!fenced.isEmpty()) {
             return fenced;
         }
-        if (known == null || !known.holder.equals(command.entry() + "#" + command.incarnation())) {
+        if (known == null
+                || known.state.equals("released")
+                || !known.holder.equals(command.entry() + "#" + command.incarnation())) {
             return "CLAIM_NOT_HELD";
         }
         boolean recorded = !known.state.equals("open") && !known.state.equals("unknown");
--- a/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 import org.cornelcove.model.command.ClaimGranted;
@@ -18,6 +19,7 @@
 import org.cornelcove.model.command.ClaimReplayed;
 import org.cornelcove.model.command.ClaimUnknown;
 import org.cornelcove.model.command.Command;
+import org.cornelcove.model.command.Done;
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.command.RecordOutcome;
 import org.cornelcove.model.command.Refused;
@@ -62,6 +64,7 @@
     private final Settler settler;
     private final Refusals refusals;
     private final Set<String> open = ConcurrentHashMap.newKeySet();
+    private final AtomicLong lastClaim = new AtomicLong();
 
     OnceRequests(Dispatcher.Parts parts, Dispatcher dispatcher, ControlLink control, Settler settler) {
         settings = parts.settings();
@@ -83,14 +86,15 @@
             return done(refusals.keyInFlight(request.key(), IN_PROGRESS_MS, RunState.UNKNOWN));
         }
         request.trace().add(clock.nowNs().getAsLong(), "claims key", key);
-        return claim(request, key)
+        ClaimOnce claim = new ClaimOnce(
+                key, digestOf(request), settings.entry(), settings.incarnation(), lastClaim.incrementAndGet());
+        return execute(request, claim)
                 .handle((outcome, error) ->
-                        error == null ? claimed(request, key, outcome) : claimFailed(request, key, error))
+                        error == null ? claimed(request, claim, outcome) : claimFailed(request, claim, error))
                 .thenCompose(answer -> answer);
     }
 
-    private CompletableFuture<Outcome> claim(ServiceRequest request, String key) {
-        ClaimOnce claim = new ClaimOnce(key, digestOf(request), settings.entry(), settings.incarnation());
+    private CompletableFuture<Outcome> execute(ServiceRequest request, ClaimOnce claim) {
         return control.execute(claim).copy().orTimeout(remainingMs(request), TimeUnit.MILLISECONDS);
     }
 
@@ -108,12 +112,12 @@
         }
     }
 
-    private CompletableFuture<Answer> claimed(ServiceRequest request, String key, Outcome outcome) {
-        if (outcome instanceof ClaimGranted granted) {
-            request.trace().add(clock.nowNs().getAsLong(), "holds the claim on", key);
-            return dispatcher.submit(request).thenCompose(answer -> settle(request, key, granted.index(), answer));
+    private CompletableFuture<Answer> claimed(ServiceRequest request, ClaimOnce claim, Outcome outcome) {
+        if (outcome instanceof ClaimGranted) {
+            request.trace().add(clock.nowNs().getAsLong(), "holds the claim on", claim.key());
+            return dispatcher.submit(request).thenCompose(answer -> settle(request, claim, answer));
         }
-        open.remove(key);
+        open.remove(claim.key());
         return done(withoutClaim(request, outcome));
     }
 
@@ -145,31 +149,37 @@
 
     // A claim that brought no outcome
 
-    private CompletableFuture<Answer> claimFailed(ServiceRequest request, String key, Throwable error) {
+    private CompletableFuture<Answer> claimFailed(ServiceRequest request, ClaimOnce claim, Throwable error) {
         Throwable cause = error.getCause() == null ? error : error.getCause();
         if (cause instanceof FailureException failed
                 && WITHOUT_EFFECT.contains(failed.failure().kind())) {
-            open.remove(key);
+            open.remove(claim.key());
             return done(refusals.notRun(
                     "no claim could be made: " + failed.failure().message()));
         }
         request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", cause.getMessage());
-        settler.settle(record(key, Optional.empty())).whenComplete((outcome, failure) -> open.remove(key));
-        return done(refusals.unknown(Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
+        return settler.settle(release(claim))
+                .whenComplete((outcome, failure) -> open.remove(claim.key()))
+                .copy()
+                .orTimeout(RELEASE_WAIT_MS, TimeUnit.MILLISECONDS)
+                .handle((outcome, failure) -> outcome instanceof Done
+                        ? refusals.notRun("its claim could not be confirmed and was given back")
+                        : refusals.unknown(
+                                Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
     }
 
     // Settling
 
-    private CompletableFuture<Answer> settle(ServiceRequest request, String key, long claimIndex, Answer answer) {
+    private CompletableFuture<Answer> settle(ServiceRequest request, ClaimOnce claim, Answer answer) {
         Command command =
                 switch (answer.run()) {
-                    case DONE -> record(key, Optional.of(recorded(answer)));
-                    case UNKNOWN -> record(key, Optional.empty());
-                    case NOT_RUN -> release(key, claimIndex);
+                    case DONE -> record(claim.key(), Optional.of(recorded(answer)));
+                    case UNKNOWN -> record(claim.key(), Optional.empty());
+                    case NOT_RUN -> release(claim);
                 };
         long waitMs = answer.run() == RunState.DONE ? remainingMs(request) : RELEASE_WAIT_MS;
         CompletableFuture<Outcome> settled =
-                settler.settle(command).whenComplete((outcome, failure) -> open.remove(key));
+                settler.settle(command).whenComplete((outcome, failure) -> open.remove(claim.key()));
         if (answer.run() == RunState.UNKNOWN) {
             return done(answer);
         }
@@ -180,8 +190,8 @@
         return new RecordOutcome(key, settings.entry(), settings.incarnation(), answer);
     }
 
-    private Command release(String key, long claimIndex) {
-        return new ReleaseClaim(key, settings.entry(), settings.incarnation(), claimIndex);
+    private static Command release(ClaimOnce claim) {
+        return new ReleaseClaim(claim.key(), claim.entry(), claim.incarnation(), claim.claimNumber());
     }
 
     private static RecordedAnswer recorded(Answer answer) {
--- a/model/src/main/java/org/cornelcove/model/command/ClaimOnce.java
+++ b/model/src/main/java/org/cornelcove/model/command/ClaimOnce.java
@@ -9,5 +9,7 @@
  * @param digest hex SHA-256 of method, path and body
  * @param entry who may dispatch it
  * @param incarnation the start of that entry
+ * @param claimNumber given by that start to no other claim
  */
-public record ClaimOnce(String key, String digest, EntryId entry, long incarnation) implements Command {}
+public record ClaimOnce(String key, String digest, EntryId entry, long incarnation, long claimNumber)
+        implements Command {}
