Entry: requests start, wait and are refused by the policy's queue

Change: ServiceLine holds the policy's RequestQueue, RunTimes, RetryBudget and RetryDecision and takes targets' slots under one lock per service; the entry's AdmissionRule, ServiceQueue, RunTimes, RetryBudget and long-slot count are gone. RequestQueue.startNow starts a request without a place in the queue. Unlearned kinds count as short work.

--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -6,33 +6,29 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.PeerEntry;
-import org.cornelcove.model.request.RequestClass;
-import org.cornelcove.model.rule.ServiceRule;
 import org.cornelcove.model.rule.TenantRule;
+import org.cornelcove.policy.admission.Verdict;
+import org.cornelcove.policy.learn.RunTimes;
 
 /**
  * Brings requests to targets.
  *
  * <p>A request starts at once when nothing waits and a target has a free slot. Otherwise another entry that may have one
- * is asked once; otherwise the request waits, if the admission rule lets it. Every slot given back, and every change of
- * the view, starts what waits. A request whose deadline passes is answered at that moment: not run if it still waited or
+ * is asked once; otherwise the request is offered to the queue of its service, which admits or refuses it; see
+ * {@link ServiceLine}. Every slot given back, and every change of the view, starts what waits. A request whose deadline passes is answered at that moment: not run if it still waited or
  * no byte had left, unknown otherwise.
  *
  * <p>Only an attempt that is proved not run is tried again, on another target if there is one, within the retry budget
- * of its class. Nothing here knows of idempotency keys; those are settled before a request comes here.
+ * of its service and class. Nothing here knows of idempotency keys; those are settled before a request comes here.
  */
 final class Dispatcher {
     private static final double NANOS_PER_MS = 1_000_000;
-    private static final int MAX_ATTEMPTS = 3;
-    private static final int PERCENT = 100;
     private static final int SERVER_ERROR = 500;
     private static final int DEFAULT_WEIGHT = 1;
 
@@ -44,19 +40,9 @@
     private final DeadlineWheel deadlines;
     private final EntryMetrics metrics;
     private final Refusals refusals;
-    private final TargetChoice choice = TargetChoice.LEAST_LOADED;
-    private final AdmissionRule admission = AdmissionRule.PREDICTED_WAIT;
-    private final RunTimes runTimes = new RunTimes();
-    private final RetryBudget[] retryBudgets = new RetryBudget[RequestClass.values().length];
-    private final ConcurrentMap<String, Waiting> waiting = new ConcurrentHashMap<>();
-    private final AtomicLong runNumbers = new AtomicLong();
-
-    /** What a service has waiting, and how many slots its long work takes. */
-    private static final class Waiting {
-        private final ServiceQueue queue = new ServiceQueue();
-        private final AtomicInteger longActive = new AtomicInteger();
-        private final AtomicLong activeExpectedNs = new AtomicLong();
-    }
+    private final RunTimes runTimes = RunTimes.create();
+    private final ConcurrentMap<String, ServiceLine> lines = new ConcurrentHashMap<>();
+    private final long silenceNs;
 
     Dispatcher(Parts parts) {
         settings = parts.settings();
@@ -67,9 +53,7 @@
         deadlines = parts.deadlines();
         metrics = parts.metrics();
         refusals = parts.refusals();
-        for (int i = 0; i < retryBudgets.length; i++) {
-            retryBudgets[i] = new RetryBudget();
-        }
+        silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
     }
 
     /**
@@ -104,11 +88,10 @@
         if (request.deadlineNs() - nowNs() <= 0) {
             return CompletableFuture.completedFuture(refusals.notRun("its deadline passed before it could start"));
         }
-        Run run = newRun(request);
-        retryBudgets[request.requestClass().ordinal()].earn();
+        Run run = new Run(request);
         run.watch(deadlines.at(request.deadlineNs(), () -> expire(run)));
-        Waiting line = waitingFor(request.service().name());
-        if (line.queue.size() > 0 || !tryStart(run, line, now)) {
+        ServiceLine line = lineOf(request);
+        if (!tryStart(run, line, now)) {
             overflow(run, line, now);
         }
         return run.answer();
@@ -116,7 +99,7 @@
 
     /** Hands a request to the one entry that may run it; the answer comes by the deadline at the latest. */
     CompletableFuture<Answer> forwardOnly(ServiceRequest request, PeerEntry peer) {
-        Run run = newRun(request);
+        Run run = new Run(request);
         run.start(nowNs());
         run.watch(deadlines.at(request.deadlineNs(), () -> expire(run)));
         metrics.forwarded.inc();
@@ -124,102 +107,49 @@
         return run.answer();
     }
 
-    private Run newRun(ServiceRequest request) {
-        long expectedNs = runTimes.expectedNs(request.workKind());
-        boolean longWork = expectedNs / NANOS_PER_MS > request.service().shortRunMs();
-        return new Run(request, runNumbers.incrementAndGet(), expectedNs, longWork);
-    }
-
-    private Waiting waitingFor(String service) {
-        Waiting line = waiting.get(service);
-        return line != null ? line : waiting.computeIfAbsent(service, name -> new Waiting());
+    private ServiceLine lineOf(ServiceRequest request) {
+        ServiceLine line = lines.get(request.service().name());
+        return line != null ? line : lines.computeIfAbsent(request.service().name(), name -> openLine(request));
     }
 
-    // Starting
-
-    private boolean tryStart(Run run, Waiting line, EntryView now) {
-        if (run.isLong() && !takeLongSlot(run.request().service(), line, now)) {
-            return false;
-        }
-        Optional<OwnedTarget> target = takeSlot(run, now);
-        if (target.isEmpty()) {
-            giveLongSlot(run, line);
-            return false;
-        }
-        dispatch(run, line, target.get());
-        return true;
+    private ServiceLine openLine(ServiceRequest request) {
+        return new ServiceLine(
+                request.service(),
+                tenant -> view.get().rules().tenants().getOrDefault(tenant, defaultRule(tenant, request)),
+                runTimes,
+                settings,
+                nowNs());
     }
 
-    private boolean takeLongSlot(ServiceRule service, Waiting line, EntryView now) {
-        int most = longSlots(service, now);
-        while (true) {
-            int taken = line.longActive.get();
-            if (taken >= most) {
-                return false;
-            }
-            if (line.longActive.compareAndSet(taken, taken + 1)) {
-                return true;
-            }
-        }
+    private static TenantRule defaultRule(String tenant, ServiceRequest request) {
+        return new TenantRule(tenant, DEFAULT_WEIGHT, request.service().maxQueued());
     }
 
-    private static void giveLongSlot(Run run, Waiting line) {
-        if (run.isLong()) {
-            line.longActive.decrementAndGet();
-        }
-    }
-
-    private int longSlots(ServiceRule service, EntryView now) {
-        int all = 0;
-        for (OwnedTarget target : now.targetsOf(service.name())) {
-            all += target.slots().total();
-        }
-        int kept = (all * service.shortSlotsPercent() + PERCENT - 1) / PERCENT;
-        return Math.max(Math.min(1, all), all - kept);
-    }
-
-    private Optional<OwnedTarget> takeSlot(Run run, EntryView now) {
-        List<OwnedTarget> open = openTargets(run, now);
-        while (true) {
-            Optional<OwnedTarget> target = choice.choose(open, settings.availabilityZone());
-            if (target.isEmpty() || target.get().slots().tryTake()) {
-                return target;
-            }
-        }
-    }
+    // Starting
 
-    private List<OwnedTarget> openTargets(Run run, EntryView now) {
-        List<OwnedTarget> owned = now.targetsOf(run.request().service().name());
-        long silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
-        long nowNs = nowNs();
-        List<OwnedTarget> open = new ArrayList<>(owned.size());
-        for (OwnedTarget target : owned) {
-            if (target.isOpen(nowNs, silenceNs)) {
-                open.add(target);
-            }
-        }
-        if (open.size() > 1) {
-            run.lastFailed().ifPresent(open::remove);
-        }
-        return open;
+    private boolean tryStart(Run run, ServiceLine line, EntryView now) {
+        Optional<ServiceLine.Start> start = line.startNow(run, now.targetsOf(line.service()), nowNs());
+        start.ifPresent(one -> dispatch(one, line));
+        return start.isPresent();
     }
 
-    private void dispatch(Run run, Waiting line, OwnedTarget target) {
+    private void dispatch(ServiceLine.Start start, ServiceLine line) {
+        Run run = start.run();
+        OwnedTarget target = start.target();
         long now = nowNs();
         if (!run.start(now)) {
-            target.slots().release();
-            giveLongSlot(run, line);
+            line.finished(start, ServiceLine.End.NOT_RUN, now);
             return;
         }
-        line.activeExpectedNs.addAndGet(run.expectedNs());
         ServiceRequest request = run.request();
         if (run.attempts() == 0) {
+            line.retries(request.requestClass()).noteFirstSend();
             metrics.admitted.inc();
             metrics.queueing(request.tenant(), request.requestClass(), now - request.arrivedNs());
         }
         request.trace().add(now, "sent to target", target.id());
         TargetCall call = new TargetCall(
-                request, headersFor(request, target, now), settings.maxAnswerBytes(), new Ending(run, line, target));
+                request, headersFor(request, target, now), settings.maxAnswerBytes(), new Ending(start, line));
         run.calling(call);
         if (run.hasEnded()) {
             call.giveUp("its deadline passed");
@@ -239,7 +169,7 @@
 
     // Overflow
 
-    private void overflow(Run run, Waiting line, EntryView now) {
+    private void overflow(Run run, ServiceLine line, EntryView now) {
         boolean own = hasUsableTargets(run.request(), now);
         if (!run.request().isForwarded()) {
             Optional<PeerEntry> peer = peers.peerFor(run.request().service().name(), now.peers(), !own);
@@ -252,7 +182,6 @@
     }
 
     private boolean hasUsableTargets(ServiceRequest request, EntryView now) {
-        long silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
         long nowNs = nowNs();
         for (OwnedTarget target : now.targetsOf(request.service().name())) {
             if (target.mayOpen(nowNs, silenceNs)) {
@@ -262,7 +191,7 @@
         return false;
     }
 
-    private void forward(Run run, Waiting line, PeerEntry peer, boolean own) {
+    private void forward(Run run, ServiceLine line, PeerEntry peer, boolean own) {
         ServiceRequest request = run.request();
         metrics.forwarded.inc();
         request.trace().add(nowNs(), "forwarded to entry", peer.entry());
@@ -276,129 +205,56 @@
         });
     }
 
-    private void enqueue(Run run, Waiting line, EntryView now, boolean own) {
+    private void enqueue(Run run, ServiceLine line, EntryView now, boolean own) {
         ServiceRequest request = run.request();
         if (!own) {
             run.endWaiting(refusals.noTarget(request.service().name()));
             return;
         }
-        Optional<AdmissionRule.Refusal> refusal = request.origin() == ServiceRequest.Origin.PEER_START_NOW
-                ? Optional.of(new AdmissionRule.Refusal(ErrorKind.QUEUE_FULL, 0))
-                : addToQueue(run, line, now);
-        if (refusal.isPresent()) {
-            run.endWaiting(refusals.refused(refusal.get(), request.service().name()));
-            return;
+        Verdict verdict = request.origin() == ServiceRequest.Origin.PEER_START_NOW
+                ? Verdict.refused(ErrorKind.QUEUE_FULL, 0, 0)
+                : line.offer(run, now.targetsOf(line.service()), nowNs());
+        if (verdict.isAdmitted()) {
+            request.trace().add(nowNs(), "waits in the queue of", line.service());
+        } else {
+            run.endWaiting(refusals.refused(verdict, line.service()));
         }
-        request.trace().add(nowNs(), "waits in the queue of", request.service().name());
         pump(line);
     }
 
-    private Optional<AdmissionRule.Refusal> addToQueue(Run run, Waiting line, EntryView now) {
-        TenantRule tenant = tenantRule(run.request(), now);
-        synchronized (line) {
-            Optional<AdmissionRule.Refusal> refusal = admission.refuse(situation(run, line, tenant, now));
-            if (refusal.isEmpty() && !run.hasEnded()) {
-                line.queue.add(run, tenant.weight());
-            }
-            return refusal;
-        }
-    }
-
-    private static TenantRule tenantRule(ServiceRequest request, EntryView now) {
-        TenantRule rule = now.rules().tenants().get(request.tenant());
-        return rule != null
-                ? rule
-                : new TenantRule(
-                        request.tenant(), DEFAULT_WEIGHT, request.service().maxQueued());
-    }
-
-    private AdmissionRule.Situation situation(Run run, Waiting line, TenantRule tenant, EntryView now) {
-        ServiceRequest request = run.request();
-        int slots = 0;
-        for (OwnedTarget target : now.targetsOf(request.service().name())) {
-            slots += Math.max(0, target.slots().limit());
-        }
-        int usable = run.isLong() ? Math.min(slots, longSlots(request.service(), now)) : slots;
-        double aheadMs = line.queue.expectedMs() + line.activeExpectedNs.get() / NANOS_PER_MS / 2;
-        return new AdmissionRule.Situation(
-                line.queue.size(),
-                request.service().maxQueued(),
-                line.queue.size(request.tenant()),
-                tenant.maxQueued(),
-                usable,
-                aheadMs,
-                run.expectedNs() / NANOS_PER_MS,
-                (request.deadlineNs() - nowNs()) / NANOS_PER_MS);
-    }
-
     // Waiting
 
     /** Starts or refuses what waits, after a change of the view. */
     void pumpAll() {
-        waiting.values().forEach(this::pump);
+        lines.values().forEach(this::pump);
     }
 
-    private void pump(Waiting line) {
-        while (line.queue.size() > 0) {
+    private void pump(ServiceLine line) {
+        boolean more = line.hasWork();
+        while (more) {
             EntryView now = view.get();
             if (!now.isLeased(nowNs())) {
                 refuseAll(line);
                 return;
             }
-            if (!startNext(line, now)) {
-                return;
-            }
-        }
-    }
-
-    private boolean startNext(Waiting line, EntryView now) {
-        Run run;
-        Optional<OwnedTarget> target;
-        synchronized (line) {
-            Optional<Run> next = nextWithSlot(line, now);
-            if (next.isEmpty()) {
-                return false;
+            Optional<ServiceLine.Start> next = line.startNext(now.targetsOf(line.service()), nowNs());
+            for (Run late : line.takeExpired(nowNs())) {
+                late.endWaiting(refusals.notRun("it could no longer be answered in time"));
             }
-            run = next.get();
-            target = takeSlot(run, now);
-            if (target.isEmpty()) {
-                giveLongSlot(run, line);
-                return false;
-            }
-            line.queue.take(run);
+            next.ifPresent(start -> dispatch(start, line));
+            more = next.isPresent() && line.hasWork();
         }
-        dispatch(run, line, target.get());
-        return true;
     }
 
-    /** Returns what is next; for long work its share of the slots is taken already. */
-    private Optional<Run> nextWithSlot(Waiting line, EntryView now) {
-        Optional<Run> next = line.queue.next(true);
-        if (next.isEmpty() || !next.get().isLong()) {
-            return next;
-        }
-        return takeLongSlot(next.get().request().service(), line, now) ? next : line.queue.next(false);
-    }
-
-    private void refuseAll(Waiting line) {
-        List<Run> refused = new ArrayList<>();
-        synchronized (line) {
-            for (Optional<Run> next = line.queue.next(true); next.isPresent(); next = line.queue.next(true)) {
-                line.queue.remove(next.get());
-                refused.add(next.get());
-            }
-        }
-        for (Run run : refused) {
+    private void refuseAll(ServiceLine line) {
+        for (Run run : line.takeAll()) {
             metrics.fenced.inc();
             run.endWaiting(refusals.notReady("its lease has lapsed"));
         }
     }
 
     private void expire(Run run) {
-        Waiting line = waitingFor(run.request().service().name());
-        synchronized (line) {
-            line.queue.remove(run);
-        }
+        lineOf(run.request()).cancel(run);
         if (run.endWaiting(refusals.notRun("its deadline passed while it waited"))) {
             return;
         }
@@ -416,22 +272,23 @@
 
     /** Hears how an attempt at a target ended. */
     private final class Ending implements TargetCallListener {
+        private final ServiceLine.Start start;
         private final Run run;
-        private final Waiting line;
+        private final ServiceLine line;
         private final OwnedTarget target;
 
-        private Ending(Run run, Waiting line, OwnedTarget target) {
-            this.run = run;
+        private Ending(ServiceLine.Start start, ServiceLine line) {
+            this.start = start;
             this.line = line;
-            this.target = target;
+            run = start.run();
+            target = start.target();
         }
 
         @Override
         public void onAnswer(TargetAnswer answer) {
             long now = nowNs();
-            target.slots().release();
             noteHealth(answer.status() >= SERVER_ERROR, now);
-            leave();
+            line.finished(start, answer.refusedUnrun() ? ServiceLine.End.NOT_RUN : ServiceLine.End.RAN, now);
             if (answer.refusedUnrun()) {
                 notRun("target " + target.id() + " refused it", now);
             } else {
@@ -442,7 +299,6 @@
 
         private void whole(TargetAnswer answer, long now) {
             ServiceRequest request = run.request();
-            runTimes.record(request.workKind(), now - run.startedNs());
             metrics.running(request.tenant(), request.requestClass(), now - run.startedNs());
             request.trace().add(now, "answered by target", target.id());
             run.endStarted(answerOf(answer, target.id()));
@@ -459,11 +315,10 @@
         @Override
         public void onNotWritten(String why, boolean targetAtFault) {
             long now = nowNs();
-            target.slots().release();
             if (targetAtFault) {
                 noteHealth(true, now);
             }
-            leave();
+            line.finished(start, ServiceLine.End.NOT_RUN, now);
             notRun("target " + target.id() + ": " + why, now);
             pump(line);
         }
@@ -471,11 +326,10 @@
         @Override
         public void onUnknown(String why, boolean targetAtFault) {
             long now = nowNs();
-            target.slots().abandon();
             if (targetAtFault) {
                 noteHealth(true, now);
             }
-            leave();
+            line.finished(start, ServiceLine.End.UNKNOWN, now);
             metrics.unknown.inc();
             run.request().trace().add(now, "outcome unknown, target " + target.id(), why);
             ErrorKind kind = targetAtFault ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.DEADLINE_PASSED;
@@ -483,11 +337,6 @@
             pump(line);
         }
 
-        private void leave() {
-            line.activeExpectedNs.addAndGet(-run.expectedNs());
-            giveLongSlot(run, line);
-        }
-
         private void noteHealth(boolean failed, long now) {
             if (!failed) {
                 target.health().succeeded();
@@ -499,10 +348,7 @@
         private void notRun(String why, long now) {
             ServiceRequest request = run.request();
             request.trace().add(now, "not run,", why);
-            boolean again = run.attempts() < MAX_ATTEMPTS
-                    && now - request.deadlineNs() < 0
-                    && retryBudgets[request.requestClass().ordinal()].trySpend();
-            if (again && run.waitAgain(target)) {
+            if (line.mayRetry(run, now) && run.waitAgain(target)) {
                 metrics.retried.inc();
                 retry();
             } else {
--- a/entry/src/main/java/org/cornelcove/entry/Refusals.java
+++ b/entry/src/main/java/org/cornelcove/entry/Refusals.java
@@ -2,10 +2,12 @@
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.policy.admission.Verdict;
 
 /** Makes the system's own answers to requests. */
 final class Refusals {
     private static final long BRIEF_MS = 1_000;
+    private static final long MICROS_PER_MS = 1_000;
 
     private final RetryAfter retryAfter;
 
@@ -23,10 +25,12 @@
         return notRun(Failure.of(ErrorKind.NO_TARGET, service, seconds), seconds);
     }
 
-    Answer refused(AdmissionRule.Refusal refusal, String service) {
-        int seconds = retryAfter.seconds(refusal.waitMs());
-        Object first = refusal.kind() == ErrorKind.QUEUE_FULL ? service : refusal.waitMs();
-        return notRun(Failure.of(refusal.kind(), first, seconds), seconds);
+    /** Returns the queue's refusal, with the instant of return that the queue booked. */
+    Answer refused(Verdict verdict, String service) {
+        ErrorKind kind = verdict.refusal().orElseThrow();
+        int seconds = (int) Math.max(1, verdict.retryAfterSeconds());
+        Object first = kind == ErrorKind.DEADLINE_UNREACHABLE ? verdict.predictedWaitUs() / MICROS_PER_MS : service;
+        return notRun(Failure.of(kind, first, seconds), seconds);
     }
 
     Answer notRun(String why) {
--- a/entry/src/main/java/org/cornelcove/entry/Run.java
+++ b/entry/src/main/java/org/cornelcove/entry/Run.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.cornelcove.policy.queue.Waiting;
+
 /**
  * One request on its way through the dispatcher: it waits, is with a target or another entry, and ends once.
  *
@@ -13,9 +15,6 @@
  */
 final class Run {
     private final ServiceRequest request;
-    private final long number;
-    private final long expectedNs;
-    private final boolean longWork;
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
     private volatile DeadlineWheel.Timer timer;
@@ -23,6 +22,7 @@
     private volatile OwnedTarget lastFailed;
     private volatile int attempts;
     private volatile long startedNs;
+    private Waiting<Run> place;
 
     private enum Stage {
         WAITING,
@@ -30,31 +30,21 @@
         ENDED
     }
 
-    Run(ServiceRequest request, long number, long expectedNs, boolean longWork) {
+    Run(ServiceRequest request) {
         this.request = request;
-        this.number = number;
-        this.expectedNs = expectedNs;
-        this.longWork = longWork;
     }
 
     ServiceRequest request() {
         return request;
     }
 
-    long number() {
-        return number;
-    }
-
-    long expectedNs() {
-        return expectedNs;
-    }
-
-    boolean isLong() {
-        return longWork;
+    /** Returns its place in the queue of its service; guarded by the lock of the {@link ServiceLine}. */
+    Waiting<Run> place() {
+        return place;
     }
 
-    long latestStartNs() {
-        return request.deadlineNs() - expectedNs;
+    void queuedAt(Waiting<Run> newPlace) {
+        place = newPlace;
     }
 
     CompletableFuture<Answer> answer() {
--- /dev/null
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -0,0 +1,265 @@
+package org.cornelcove.entry;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.cornelcove.model.request.RequestClass;
+import org.cornelcove.model.rule.ServiceRule;
+import org.cornelcove.model.rule.TenantRule;
+import org.cornelcove.policy.admission.Verdict;
+import org.cornelcove.policy.learn.RunTimes;
+import org.cornelcove.policy.queue.Arrival;
+import org.cornelcove.policy.queue.Offer;
+import org.cornelcove.policy.queue.RequestQueue;
+import org.cornelcove.policy.queue.Waiting;
+import org.cornelcove.policy.retry.RetryBudget;
+import org.cornelcove.policy.retry.RetryDecision;
+
+/**
+ * The requests of one service at this entry: the policy's queue and the slots of the owned targets under one lock.
+ *
+ * <p>A start takes a target's slot and a place among the queue's running requests in one step, an ending gives both
+ * back in one step. So the queue's count of running requests is at any moment the sum of the active slots, those of
+ * targets that left included. Nothing is sent, answered or logged under the lock.
+ *
+ * <p>What may start now is what runs plus what is free at open targets: runs at a target that was closed take no slot
+ * away from the others. What an arriving request is measured against are the slots of the open targets; while there are
+ * only targets that may open later, it counts on one.
+ */
+final class ServiceLine {
+    private static final int RETRY_PERCENT = 5;
+    private static final int RETRY_BURST = 10;
+    private static final int MIN_RUNS_TO_DEADLINE = 4;
+    private static final long NANOS_PER_US = 1_000;
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final long MICROS_PER_MS = 1_000;
+
+    private final String service;
+    private final RunTimes runTimes;
+    private final RequestQueue<Run> queue;
+    private final Map<RequestClass, RetryBudget> retries = new EnumMap<>(RequestClass.class);
+    private final String availabilityZone;
+    private final long silenceNs;
+    /** The queue's clock counts from here. */
+    private final long originNs;
+
+    private volatile boolean working;
+
+    /**
+     * A request that holds a target's slot.
+     *
+     * @param place its place among the queue's running requests
+     * @param target the target
+     */
+    record Start(Waiting<Run> place, OwnedTarget target) {
+        Run run() {
+            return place.payload();
+        }
+    }
+
+    /** How a run at a target ended. */
+    enum End {
+        /** It is over, and its run time is worth learning. */
+        RAN,
+        /** Nothing of it was run. */
+        NOT_RUN,
+        /** It may go on at the target. */
+        UNKNOWN
+    }
+
+    ServiceLine(
+            ServiceRule rule,
+            Function<String, TenantRule> tenants,
+            RunTimes runTimes,
+            EntrySettings settings,
+            long originNs) {
+        this.service = rule.name();
+        this.runTimes = runTimes;
+        this.queue = RequestQueue.of(
+                rule, tenants, runTimes, settings.seed() ^ rule.name().hashCode());
+        this.availabilityZone = settings.availabilityZone();
+        this.silenceNs = settings.targetSilenceMs() * NANOS_PER_MS;
+        this.originNs = originNs;
+        for (RequestClass one : RequestClass.values()) {
+            retries.put(one, RetryBudget.of(RETRY_PERCENT, RETRY_BURST));
+        }
+    }
+
+    String service() {
+        return service;
+    }
+
+    RetryBudget retries(RequestClass requestClass) {
+        return retries.get(requestClass);
+    }
+
+    /** Tells whether something waits, or is to be given back; needs no lock. */
+    boolean hasWork() {
+        return working;
+    }
+
+    /** Starts a request without waiting, if a slot is free that nothing waiting may take. */
+    synchronized Optional<Start> startNow(Run run, List<OwnedTarget> owned, long nowNs) {
+        Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
+        if (target.isEmpty()) {
+            return Optional.empty();
+        }
+        queue.setRule(run.request().service());
+        // The slot taken above is no longer free, and not yet the queue's.
+        int slots = queue.busy() + 1 + free(owned, nowNs);
+        Optional<Waiting<Run>> place = queue.startNow(arrival(run, nowNs), slots, micros(nowNs));
+        if (place.isEmpty()) {
+            target.get().slots().release();
+        }
+        return place.map(one -> new Start(one, target.get()));
+    }
+
+    /** Lets a request wait, or refuses it. */
+    synchronized Verdict offer(Run run, List<OwnedTarget> owned, long nowNs) {
+        queue.setRule(run.request().service());
+        int slots = Math.max(1, usable(owned, nowNs));
+        Offer<Run> offer = queue.offer(arrival(run, nowNs), slots, micros(nowNs));
+        offer.request().ifPresent(run::queuedAt);
+        noteWork();
+        return offer.verdict();
+    }
+
+    /** Starts the request that is next, if there is one and a slot for it. */
+    synchronized Optional<Start> startNext(List<OwnedTarget> owned, long nowNs) {
+        Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
+        int slots = queue.busy() + free(owned, nowNs) + (target.isPresent() ? 1 : 0);
+        Optional<Waiting<Run>> next = queue.poll(target.isPresent() ? slots : 0, micros(nowNs));
+        noteWork();
+        if (target.isEmpty()) {
+            return Optional.empty();
+        }
+        if (next.isEmpty()) {
+            target.get().slots().release();
+            return Optional.empty();
+        }
+        return Optional.of(new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
+    }
+
+    /** Notes that a start came to its end. */
+    synchronized void finished(Start start, End end, long nowNs) {
+        if (end == End.UNKNOWN) {
+            start.target().slots().abandon();
+        } else {
+            start.target().slots().release();
+        }
+        queue.finished(start.place(), end == End.RAN, micros(nowNs));
+    }
+
+    /** Takes a request out of the queue if it waits there. */
+    synchronized void cancel(Run run) {
+        if (run.place() != null) {
+            queue.cancel(run.place());
+            noteWork();
+        }
+    }
+
+    /** Takes what can no longer be answered in time, or had to make room. */
+    synchronized List<Run> takeExpired(long nowNs) {
+        return takeBack(micros(nowNs));
+    }
+
+    /** Takes everything that waits. */
+    synchronized List<Run> takeAll() {
+        return takeBack(Long.MAX_VALUE);
+    }
+
+    /** Decides whether a request that was not run is tried again. */
+    boolean mayRetry(Run run, long nowNs) {
+        ServiceRequest request = run.request();
+        long remainingUs = (request.deadlineNs() - nowNs) / NANOS_PER_US;
+        long expectedUs = runTimes.estimate(service, request.workKind(), declaredUs(request, nowNs))
+                .p50Us();
+        return RetryDecision.mayRetry(
+                true, run.attempts(), remainingUs, expectedUs, retries.get(request.requestClass()));
+    }
+
+    private List<Run> takeBack(long nowUs) {
+        List<Run> taken =
+                queue.takeExpired(nowUs).stream().map(Waiting::payload).toList();
+        noteWork();
+        return taken;
+    }
+
+    private void noteWork() {
+        working = queue.size() > 0 || queue.hasDisplaced();
+    }
+
+    private Arrival<Run> arrival(Run run, long nowNs) {
+        ServiceRequest request = run.request();
+        return new Arrival<>(
+                request.tenant(), request.workKind(), micros(request.deadlineNs()), declaredUs(request, nowNs), run);
+    }
+
+    /** A kind of which too little was learned is taken for short work that fits into its deadline. */
+    private static long declaredUs(ServiceRequest request, long nowNs) {
+        long remainingUs = (request.deadlineNs() - nowNs) / NANOS_PER_US;
+        return Math.min(request.service().shortRunMs() * MICROS_PER_MS, remainingUs / MIN_RUNS_TO_DEADLINE);
+    }
+
+    private long micros(long instantNs) {
+        return (instantNs - originNs) / NANOS_PER_US;
+    }
+
+    // Slots
+
+    private Optional<OwnedTarget> take(List<OwnedTarget> owned, Optional<OwnedTarget> avoid, long nowNs) {
+        List<OwnedTarget> open = open(owned, nowNs);
+        if (open.size() > 1) {
+            avoid.ifPresent(open::remove);
+        }
+        while (true) {
+            Optional<OwnedTarget> target = TargetChoice.LEAST_LOADED.choose(open, availabilityZone);
+            if (target.isEmpty() || target.get().slots().tryTake()) {
+                return target;
+            }
+        }
+    }
+
+    /** Swaps the slot for one at another target if the request failed at this one before. */
+    private OwnedTarget otherThanFailed(Run run, OwnedTarget taken, List<OwnedTarget> owned, long nowNs) {
+        if (run.lastFailed().filter(failed -> failed == taken).isEmpty()) {
+            return taken;
+        }
+        Optional<OwnedTarget> other = take(owned, run.lastFailed(), nowNs);
+        if (other.isEmpty()) {
+            return taken;
+        }
+        taken.slots().release();
+        return other.get();
+    }
+
+    private List<OwnedTarget> open(List<OwnedTarget> owned, long nowNs) {
+        List<OwnedTarget> open = new ArrayList<>(owned.size());
+        for (OwnedTarget target : owned) {
+            if (target.isOpen(nowNs, silenceNs)) {
+                open.add(target);
+            }
+        }
+        return open;
+    }
+
+    private int free(List<OwnedTarget> owned, long nowNs) {
+        int sum = 0;
+        for (OwnedTarget target : owned) {
+            sum += target.isOpen(nowNs, silenceNs) ? target.freeSlots() : 0;
+        }
+        return sum;
+    }
+
+    private int usable(List<OwnedTarget> owned, long nowNs) {
+        int sum = 0;
+        for (OwnedTarget target : owned) {
+            sum += target.isOpen(nowNs, silenceNs) ? Math.max(0, target.slots().limit()) : 0;
+        }
+        return sum;
+    }
+}
--- a/entry/src/main/java/org/cornelcove/entry/ServiceRequest.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceRequest.java
@@ -47,10 +47,10 @@
         PEER_MAY_QUEUE
     }
 
-    /** Returns the kind of work, by which run times are learned. */
+    /** Returns the kind of work within its service, by which run times are learned. */
     String workKind() {
         int query = uri.indexOf('?');
-        return service.name() + ' ' + method + ' ' + (query < 0 ? uri : uri.substring(0, query));
+        return method + ' ' + (query < 0 ? uri : uri.substring(0, query));
     }
 
     boolean isForwarded() {
--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -32,7 +32,7 @@
  * <p>One sorted queue for all was the alternative. It lost because a few long requests fill every slot in a quiet
  * moment, after which short ones wait for a whole long run whatever the order of the queue.
  *
- * <p>Use: {@code offer} at arrival; whenever a target has a free slot {@code poll}; {@code finished} when a run ended;
+ * <p>Use: {@code startNow} and else {@code offer} at arrival; whenever a target has a free slot {@code poll}; {@code finished} when a run ended;
  * {@code takeExpired} after each poll. Not thread-safe: the entry guards it by one lock or confines it.
  *
  * @param <T> what the caller attaches to each request
@@ -119,6 +119,33 @@
         return new Offer<>(Verdict.admitted(waitUs), Optional.of(request));
     }
 
+    /**
+     * Starts a request at once, without a place in the queue, when a slot is free that nothing waiting may take. Its
+     * deadline is not weighed against the learned run time: the slot would be idle, and a kind that was slow for a
+     * while would otherwise never be learned anew.
+     *
+     * @param arrival the request
+     * @param slots the slots of all targets that may be used now
+     * @param nowUs the current instant
+     * @return the running request; empty when it must be offered
+     */
+    public Optional<Waiting<T>> startNow(Arrival<T> arrival, int slots, long nowUs) {
+        reclassifyStragglers(nowUs);
+        boolean longAllowed = busyLong < longSlots(slots);
+        boolean othersFirst = shortLane.size() > 0 || longAllowed && longLane.size() > 0;
+        if (othersFirst || busy() >= slots) {
+            return Optional.empty();
+        }
+        RunTimeEstimate estimate = runTimes.estimate(rule.name(), arrival.kind(), arrival.declaredRunUs());
+        boolean isLong = isLong(estimate);
+        if (isLong && !longAllowed) {
+            return Optional.empty();
+        }
+        Waiting<T> request = new Waiting<>(arrival, estimate, isLong, sequence++);
+        start(request, nowUs);
+        return Optional.of(request);
+    }
+
     /**
      * Takes the request that starts now. The caller has chosen a target with a free slot before.
      *
@@ -130,7 +157,7 @@
         reclassifyStragglers(nowUs);
         expire(shortLane, nowUs);
         expire(longLane, nowUs);
-        if (busyShort + busyLong >= slots) {
+        if (busy() >= slots) {
             return Optional.empty();
         }
         Optional<Waiting<T>> next = nextLane(slots).poll();
@@ -197,6 +224,24 @@
         return shortLane.size() + longLane.size();
     }
 
+    /**
+     * Returns how many requests run.
+     *
+     * @return how many
+     */
+    public int busy() {
+        return busyShort + busyLong;
+    }
+
+    /**
+     * Returns whether {@link #takeExpired} has something to give back already.
+     *
+     * @return whether it has
+     */
+    public boolean hasDisplaced() {
+        return !displaced.isEmpty();
+    }
+
     /**
      * Returns how many long requests run, stragglers included.
      *
