--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.entry.ClaimsBenchmark;
+import org.cornelcove.bench.entry.RelayBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
 import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
@@ -25,7 +27,9 @@
             new ColocationBenchmark(),
             new CommitBenchmark(),
             new RecoveryBenchmark(),
-            new FailoverBenchmark());
+            new FailoverBenchmark(),
+            new RelayBenchmark(),
+            new ClaimsBenchmark());
 
     private Bench() {}
 
