Entry: targets are judged and chosen by the policy

Cause: the entry ejected targets by its own rule, which saw failures but not slowness, and chose among them by its own.

Change: the policy's health judgement (TargetHealth, HealthJudge) and choice (LeastLoaded) are split out of TargetChooser, which keeps its slot count for the stand-in; the entry uses both under the lock of the service and keeps TargetSlots as the exact count. A target silent for many times its kind's run time counts as failing; a short deadline does not. TargetHealth and TargetChoice of the entry are gone.

--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -138,7 +138,7 @@
         OwnedTarget target = start.target();
         long now = nowNs();
         if (!run.start(now)) {
-            line.finished(start, ServiceLine.End.NOT_RUN, now);
+            finish(start, line, ServiceLine.End.NOT_SENT, now);
             return;
         }
         ServiceRequest request = run.request();
@@ -158,6 +158,12 @@
         }
     }
 
+    private void finish(ServiceLine.Start start, ServiceLine line, ServiceLine.End end, long now) {
+        if (line.finished(start, end, view.get().targetsOf(line.service()), now)) {
+            metrics.ejected.inc();
+        }
+    }
+
     private List<Header> headersFor(ServiceRequest request, OwnedTarget target, long now) {
         long remainingMs = (long) ((request.deadlineNs() - now) / NANOS_PER_MS);
         long notAfter = clock.unixMs().getAsLong() + remainingMs;
@@ -287,8 +293,7 @@
         @Override
         public void onAnswer(TargetAnswer answer) {
             long now = nowNs();
-            noteHealth(answer.status() >= SERVER_ERROR, now);
-            line.finished(start, answer.refusedUnrun() ? ServiceLine.End.NOT_RUN : ServiceLine.End.RAN, now);
+            finish(start, line, endOf(answer), now);
             if (answer.refusedUnrun()) {
                 notRun("target " + target.id() + " refused it", now);
             } else {
@@ -297,6 +302,13 @@
             pump(line);
         }
 
+        private ServiceLine.End endOf(TargetAnswer answer) {
+            if (answer.refusedUnrun()) {
+                return ServiceLine.End.REFUSED;
+            }
+            return answer.status() >= SERVER_ERROR ? ServiceLine.End.RAN_AND_FAILED : ServiceLine.End.RAN;
+        }
+
         private void whole(TargetAnswer answer, long now) {
             ServiceRequest request = run.request();
             metrics.running(request.tenant(), request.requestClass(), now - run.startedNs());
@@ -315,10 +327,7 @@
         @Override
         public void onNotWritten(String why, boolean targetAtFault) {
             long now = nowNs();
-            if (targetAtFault) {
-                noteHealth(true, now);
-            }
-            line.finished(start, ServiceLine.End.NOT_RUN, now);
+            finish(start, line, targetAtFault ? ServiceLine.End.REFUSED : ServiceLine.End.NOT_SENT, now);
             notRun("target " + target.id() + ": " + why, now);
             pump(line);
         }
@@ -326,10 +335,7 @@
         @Override
         public void onUnknown(String why, boolean targetAtFault) {
             long now = nowNs();
-            if (targetAtFault) {
-                noteHealth(true, now);
-            }
-            line.finished(start, ServiceLine.End.UNKNOWN, now);
+            finish(start, line, targetAtFault ? ServiceLine.End.BROKEN : ServiceLine.End.SILENT, now);
             metrics.unknown.inc();
             run.request().trace().add(now, "outcome unknown, target " + target.id(), why);
             ErrorKind kind = targetAtFault ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.DEADLINE_PASSED;
@@ -337,14 +343,6 @@
             pump(line);
         }
 
-        private void noteHealth(boolean failed, long now) {
-            if (!failed) {
-                target.health().succeeded();
-            } else if (target.health().failed(now)) {
-                metrics.ejected.inc();
-            }
-        }
-
         private void notRun(String why, long now) {
             ServiceRequest request = run.request();
             request.trace().add(now, "not run,", why);
--- a/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
+++ b/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
@@ -6,6 +6,7 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.TargetGrant;
+import org.cornelcove.policy.route.TargetHealth;
 import org.glassfish.grizzly.connectionpool.SingleEndpointPool;
 
 /**
@@ -22,7 +23,9 @@
     private final InetSocketAddress address;
     private final SingleEndpointPool<SocketAddress> connections;
     private final TargetSlots slots;
-    private final TargetHealth health = new TargetHealth();
+    /** Guarded by the lock of the {@link ServiceLine}. */
+    private final TargetHealth health = TargetHealth.create();
+
     private volatile Standing standing;
 
     /**
@@ -121,9 +124,13 @@
         slots.holdForOthers(heardSinceChange ? now.announcement.busySlots() : slots.total());
     }
 
-    /** Tells whether the target may get new work. */
-    boolean isOpen(long nowNs, long silenceNs) {
-        return mayOpen(nowNs, silenceNs) && health.admits(nowNs, slots.active());
+    /** Returns how many slots may be used now, those taken included; none while it is ejected, left or silent. */
+    int usableSlots(long nowNs, long silenceNs) {
+        return mayOpen(nowNs, silenceNs) ? health.usableSlots(Math.max(0, slots.limit()), nowNs / NANOS_PER_MS) : 0;
+    }
+
+    int freeSlots(long nowNs, long silenceNs) {
+        return Math.max(0, usableSlots(nowNs, silenceNs) - slots.active());
     }
 
     /** Tells whether the target may get new work now or after a while. */
@@ -132,10 +139,6 @@
         return !now.announcement.leaving() && nowNs - now.heardNs <= silenceNs;
     }
 
-    int freeSlots() {
-        return slots.free();
-    }
-
     double load() {
         return (double) (slots.active() + slots.lingering()) / Math.max(1, slots.total());
     }
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -11,6 +11,7 @@
 import org.cornelcove.model.rule.ServiceRule;
 import org.cornelcove.model.rule.TenantRule;
 import org.cornelcove.policy.admission.Verdict;
+import org.cornelcove.policy.learn.RunTimeEstimate;
 import org.cornelcove.policy.learn.RunTimes;
 import org.cornelcove.policy.queue.Arrival;
 import org.cornelcove.policy.queue.Offer;
@@ -18,6 +19,10 @@
 import org.cornelcove.policy.queue.Waiting;
 import org.cornelcove.policy.retry.RetryBudget;
 import org.cornelcove.policy.retry.RetryDecision;
+import org.cornelcove.policy.route.HealthJudge;
+import org.cornelcove.policy.route.LeastLoaded;
+import org.cornelcove.policy.route.SendOutcome;
+import org.cornelcove.policy.route.Sent;
 
 /**
  * The requests of one service at this entry: the policy's queue and the slots of the owned targets under one lock.
@@ -48,6 +53,7 @@
     private final long originNs;
 
     private volatile boolean working;
+    private int turn;
 
     /**
      * A request that holds a target's slot.
@@ -65,10 +71,24 @@
     enum End {
         /** It is over, and its run time is worth learning. */
         RAN,
-        /** Nothing of it was run. */
-        NOT_RUN,
-        /** It may go on at the target. */
-        UNKNOWN
+        /** It is over, and the target answered that it failed. */
+        RAN_AND_FAILED,
+        /** Nothing of it was run, and the target is not to blame. */
+        NOT_SENT,
+        /** Nothing of it was run, because the target refused or could not be reached. */
+        REFUSED,
+        /** It may go on at the target, which had not answered in time. */
+        SILENT,
+        /** It may go on at the target, which broke off or answered nonsense. */
+        BROKEN;
+
+        private boolean isOver() {
+            return this != SILENT && this != BROKEN;
+        }
+
+        private boolean ran() {
+            return this == RAN || this == RAN_AND_FAILED;
+        }
     }
 
     ServiceLine(
@@ -144,14 +164,35 @@
         return Optional.of(new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
     }
 
-    /** Notes that a start came to its end. */
-    synchronized void finished(Start start, End end, long nowNs) {
-        if (end == End.UNKNOWN) {
-            start.target().slots().abandon();
+    /** Notes that a start came to its end; returns whether that ejected the target. */
+    synchronized boolean finished(Start start, End end, List<OwnedTarget> owned, long nowNs) {
+        OwnedTarget target = start.target();
+        if (end.isOver()) {
+            target.slots().release();
         } else {
-            start.target().slots().release();
+            target.slots().abandon();
         }
-        queue.finished(start.place(), end == End.RAN, micros(nowNs));
+        Sent sent = sent(start.run(), end, nowNs);
+        queue.finished(start.place(), end.ran(), micros(nowNs));
+        return HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowNs / NANOS_PER_MS);
+    }
+
+    private Sent sent(Run run, End end, long nowNs) {
+        long tookUs = (nowNs - run.startedNs()) / NANOS_PER_US;
+        RunTimeEstimate kind = estimate(run.request(), nowNs);
+        SendOutcome outcome =
+                switch (end) {
+                    case RAN -> SendOutcome.ANSWERED;
+                    case NOT_SENT -> SendOutcome.ABANDONED;
+                    case SILENT -> HealthJudge.silent(tookUs, kind);
+                    default -> SendOutcome.FAILED;
+                };
+        // Without a learned median the run is its own measure.
+        return new Sent(outcome, tookUs, kind.samples() > 0 ? kind.p50Us() : tookUs);
+    }
+
+    private RunTimeEstimate estimate(ServiceRequest request, long nowNs) {
+        return runTimes.estimate(service, request.workKind(), declaredUs(request, nowNs));
     }
 
     /** Takes a request out of the queue if it waits there. */
@@ -176,8 +217,7 @@
     boolean mayRetry(Run run, long nowNs) {
         ServiceRequest request = run.request();
         long remainingUs = (request.deadlineNs() - nowNs) / NANOS_PER_US;
-        long expectedUs = runTimes.estimate(service, request.workKind(), declaredUs(request, nowNs))
-                .p50Us();
+        long expectedUs = estimate(request, nowNs).p50Us();
         return RetryDecision.mayRetry(
                 true, run.attempts(), remainingUs, expectedUs, retries.get(request.requestClass()));
     }
@@ -212,16 +252,36 @@
     // Slots
 
     private Optional<OwnedTarget> take(List<OwnedTarget> owned, Optional<OwnedTarget> avoid, long nowNs) {
-        List<OwnedTarget> open = open(owned, nowNs);
-        if (open.size() > 1) {
-            avoid.ifPresent(open::remove);
-        }
+        List<OwnedTarget> free = withFreeSlot(owned, avoid, nowNs);
+        int from = turn++;
         while (true) {
-            Optional<OwnedTarget> target = TargetChoice.LEAST_LOADED.choose(open, availabilityZone);
+            Optional<OwnedTarget> target = LeastLoaded.choose(free, OwnedTarget::load, this::isNear, from);
             if (target.isEmpty() || target.get().slots().tryTake()) {
                 return target;
             }
+            free.remove(target.get());
+        }
+    }
+
+    private boolean isNear(OwnedTarget target) {
+        return target.availabilityZone().equals(availabilityZone);
+    }
+
+    /** Returns the targets with a free slot, without the one to avoid if any other may be used at all. */
+    private List<OwnedTarget> withFreeSlot(List<OwnedTarget> owned, Optional<OwnedTarget> avoid, long nowNs) {
+        List<OwnedTarget> free = new ArrayList<>(owned.size());
+        boolean others = false;
+        for (OwnedTarget target : owned) {
+            boolean avoided = avoid.isPresent() && avoid.get() == target;
+            others |= !avoided && target.usableSlots(nowNs, silenceNs) > 0;
+            if (target.freeSlots(nowNs, silenceNs) > 0) {
+                free.add(target);
+            }
+        }
+        if (others) {
+            avoid.ifPresent(free::remove);
         }
+        return free;
     }
 
     /** Swaps the slot for one at another target if the request failed at this one before. */
@@ -237,20 +297,10 @@
         return other.get();
     }
 
-    private List<OwnedTarget> open(List<OwnedTarget> owned, long nowNs) {
-        List<OwnedTarget> open = new ArrayList<>(owned.size());
-        for (OwnedTarget target : owned) {
-            if (target.isOpen(nowNs, silenceNs)) {
-                open.add(target);
-            }
-        }
-        return open;
-    }
-
     private int free(List<OwnedTarget> owned, long nowNs) {
         int sum = 0;
         for (OwnedTarget target : owned) {
-            sum += target.isOpen(nowNs, silenceNs) ? target.freeSlots() : 0;
+            sum += target.freeSlots(nowNs, silenceNs);
         }
         return sum;
     }
@@ -258,7 +308,7 @@
     private int usable(List<OwnedTarget> owned, long nowNs) {
         int sum = 0;
         for (OwnedTarget target : owned) {
-            sum += target.isOpen(nowNs, silenceNs) ? Math.max(0, target.slots().limit()) : 0;
+            sum += target.usableSlots(nowNs, silenceNs);
         }
         return sum;
     }
--- a/policy/src/main/java/org/cornelcove/policy/route/TargetChooser.java
+++ b/policy/src/main/java/org/cornelcove/policy/route/TargetChooser.java
@@ -12,25 +12,14 @@
 /**
  * Chooses the target of a request among those that one entry owns for one service.
  *
- * <p>The least loaded target with a free slot wins; targets of the entry's own availability zone count as
- * {@code ZONE_PREFERENCE} less loaded, so that requests leave the zone only when it pays for the way. Slots are counted
- * exactly here, because one owner alone sends to a target.
+ * <p>Slots are counted exactly here, because one owner alone sends to a target.
  *
- * <p>A target is ejected when it fails several times in a row, fails a large share of its requests, or is several times
- * slower than the median of the others, each run measured against the median of its own kind of work. The term doubles with each ejection; afterwards the target is on probation with
- * one request at a time until it has answered a few. At most half of the targets are ejected at once: beyond that the
- * cause is likely common to all, and ejecting more would only move the overload on.
+ * <p>{@link HealthJudge} ejects targets that fail or are slow; {@link LeastLoaded} chooses among the rest.
  *
  * <p>Random choice and round robin lost against least loaded in the benchmark {@code retries}: both keep sending to a
  * failing or slow target. Not thread-safe: guarded together with the request queue.
  */
 public final class TargetChooser {
-    private static final double ZONE_PREFERENCE = 0.25;
-    private static final int FAILURES_IN_ROW = 3;
-    private static final double FAILURE_SHARE = 0.4;
-    private static final double SLOW_FACTOR = 3;
-    private static final int MIN_OUTCOMES = 10;
-
     private final String ownZone;
     private final Map<TargetId, TargetState> targets = new LinkedHashMap<>();
     private int turn;
@@ -95,19 +84,16 @@
      * @return the target; empty when none has a free slot
      */
     public Optional<TargetId> choose(Set<TargetId> avoid, long nowMs) {
-        TargetState best = null;
-        double bestLoad = Double.MAX_VALUE;
-        List<TargetState> all = new ArrayList<>(targets.values());
-        turn++;
-        for (int i = 0; i < all.size(); i++) {
-            TargetState target = all.get((i + turn) % all.size());
-            double load = preferenceLoad(target);
-            if (load < bestLoad && target.hasFreeSlot(nowMs) && !avoid.contains(target.id())) {
-                best = target;
-                bestLoad = load;
+        List<TargetState> free = new ArrayList<>(targets.size());
+        for (TargetState target : targets.values()) {
+            if (target.hasFreeSlot(nowMs) && !avoid.contains(target.id())) {
+                free.add(target);
             }
         }
-        return Optional.ofNullable(best).map(TargetState::id);
+        turn++;
+        return LeastLoaded.choose(
+                        free, TargetState::load, t -> t.availabilityZone().equals(ownZone), turn)
+                .map(TargetState::id);
     }
 
     /**
@@ -136,17 +122,9 @@
         if (target == null) {
             return;
         }
-        boolean probation = target.isOnProbation();
-        switch (outcome) {
-            case ANSWERED -> target.answered(tookUs, expectedUs, nowMs);
-            case FAILED -> target.failed();
-            case ABANDONED -> target.abandon();
-            default -> throw new IllegalArgumentException(outcome.name());
-        }
-        boolean failedProbation = probation && outcome == SendOutcome.FAILED;
-        if ((failedProbation || isUnfit(target)) && mayEject(target, nowMs)) {
-            target.eject(nowMs);
-        }
+        target.end();
+        Sent sent = new Sent(outcome, tookUs, expectedUs);
+        HealthJudge.note(target.health(), targets.values(), TargetState::health, sent, nowMs);
     }
 
     /**
@@ -171,41 +149,8 @@
      */
     public List<TargetId> ejected(long nowMs) {
         return targets.values().stream()
-                .filter(t -> t.isEjected(nowMs))
+                .filter(t -> t.health().isEjected(nowMs))
                 .map(TargetState::id)
                 .toList();
     }
-
-    private double preferenceLoad(TargetState target) {
-        return target.load() + (target.availabilityZone().equals(ownZone) ? 0 : ZONE_PREFERENCE);
-    }
-
-    private boolean isUnfit(TargetState target) {
-        if (target.failuresInRow() >= FAILURES_IN_ROW) {
-            return true;
-        }
-        if (target.outcomes() < MIN_OUTCOMES) {
-            return false;
-        }
-        return target.failureShare() > FAILURE_SHARE || target.slowdown() > SLOW_FACTOR * medianSlowdown();
-    }
-
-    private double medianSlowdown() {
-        double[] slowdowns = targets.values().stream()
-                .filter(t -> t.outcomes() >= MIN_OUTCOMES)
-                .mapToDouble(TargetState::slowdown)
-                .sorted()
-                .toArray();
-        return slowdowns.length < 3 ? Double.MAX_VALUE / SLOW_FACTOR : slowdowns[slowdowns.length / 2];
-    }
-
-    private boolean mayEject(TargetState target, long nowMs) {
-        if (target.isEjected(nowMs)) {
-            return false;
-        }
-        long out = targets.values().stream()
-                .filter(t -> t != target && t.isEjected(nowMs))
-                .count();
-        return (out + 1) * 2 <= targets.size();
-    }
 }
--- a/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
@@ -124,6 +124,32 @@
                 is(true));
     }
 
+    static Stream<Arguments> starts() {
+        return Stream.of(
+                arguments("a free slot", 8, List.of(), List.of(), "quote", true),
+                arguments("no slot at all", 0, List.of(), List.of(), "quote", false),
+                arguments("every slot taken", 2, List.of("quote", "quote"), List.of(), "quote", false),
+                arguments("something waits for the free slot", 8, List.of(), List.of("quote"), "quote", false),
+                arguments("long work at its bound", 2, List.of("report"), List.of(), "report", false),
+                arguments("only long work at its bound waits", 2, List.of("report"), List.of("report"), "quote", true),
+                arguments("long work waits below its bound", 8, List.of(), List.of("report"), "quote", false));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("starts")
+    void startsAtOnceWhatNothingWaitingCouldBeStartedBefore(
+            String name, int slots, List<String> running, List<String> waiting, String kind, boolean starts) {
+        RequestQueue<String> queue = queue(learned());
+        running.forEach(
+                one -> queue.startNow(arrival("t", one, 10_000, "r"), slots, 0).orElseThrow());
+        waiting.forEach(one -> queue.offer(arrival("t", one, 10_000, "w"), slots, 0));
+        Optional<Waiting<String>> started = queue.startNow(arrival("t", kind, 1, "x"), slots, 0);
+        assertThat(started.isPresent(), is(starts));
+        assertThat(queue.busy(), is(running.size() + (starts ? 1 : 0)));
+        started.ifPresent(one -> queue.finished(one, true, 20 * MS));
+        assertThat(queue.busy(), is(running.size()));
+    }
+
     @Test
     void cancelledRequestLeavesTheQueueOnce() {
         RequestQueue<String> queue = queue(learned());
