Entry: learn run times outside the lock of a service

Cause: the learned histograms were refreshed under the lock of the service, and the kind's name was built and hashed there. Change: RequestQueue.finished no longer learns; its callers record the run time. Arrivals and estimates are made before the lock is taken.

--- a/bench/src/main/java/org/cornelcove/bench/policy/PolicyEntry.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/PolicyEntry.java
@@ -86,7 +86,8 @@
             long expectedUs = expectedUs(request.payload());
             chooser.finished(target, outcome, tookUs, expectedUs, loop.nowMs());
             if (!fails) {
-                queue.finished(request, true, loop.nowUs());
+                queue.finished(request, loop.nowUs());
+                runTimes.record(rule.name(), request.kind(), tookUs);
                 tally.answered(request.payload(), loop.nowUs(), rule.shortRunMs() * 1000);
             } else {
                 failedOn.add(target);
@@ -103,7 +104,7 @@
             send(request, other.get(), sends + 1, failedOn);
             return;
         }
-        queue.finished(request, false, loop.nowUs());
+        queue.finished(request, loop.nowUs());
         tally.givenUp(request.payload());
     }
 
--- a/entry/src/main/java/org/cornelcove/entry/Run.java
+++ b/entry/src/main/java/org/cornelcove/entry/Run.java
@@ -15,6 +15,7 @@
  */
 final class Run {
     private final ServiceRequest request;
+    private final String kind;
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
     private volatile DeadlineWheel.Timer timer;
@@ -32,12 +33,18 @@
 
     Run(ServiceRequest request) {
         this.request = request;
+        kind = request.workKind();
     }
 
     ServiceRequest request() {
         return request;
     }
 
+    /** Returns the kind of work, by which run times are learned. */
+    String kind() {
+        return kind;
+    }
+
     /** Returns its place in the queue of its service; guarded by the lock of the {@link ServiceLine}. */
     Waiting<Run> place() {
         return place;
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -123,63 +123,75 @@
     }
 
     /** Starts a request without waiting, if a slot is free that nothing waiting may take. */
-    synchronized Optional<Start> startNow(Run run, List<OwnedTarget> owned, long nowNs) {
-        Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
-        if (target.isEmpty()) {
-            return Optional.empty();
-        }
-        queue.setRule(run.request().service());
-        // The slot taken above is no longer free, and not yet the queue's.
-        int slots = queue.busy() + 1 + free(owned, nowNs);
-        Optional<Waiting<Run>> place = queue.startNow(arrival(run, nowNs), slots, micros(nowNs));
-        if (place.isEmpty()) {
-            target.get().slots().release();
+    Optional<Start> startNow(Run run, List<OwnedTarget> owned, long nowNs) {
+        Arrival<Run> arrival = arrival(run, nowNs);
+        synchronized (queue) {
+            Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
+            if (target.isEmpty()) {
+                return Optional.empty();
+            }
+            queue.setRule(run.request().service());
+            // The slot taken above is no longer free, and not yet the queue's.
+            int slots = queue.busy() + 1 + free(owned, nowNs);
+            Optional<Waiting<Run>> place = queue.startNow(arrival, slots, micros(nowNs));
+            if (place.isEmpty()) {
+                target.get().slots().release();
+            }
+            return place.map(one -> new Start(one, target.get()));
         }
-        return place.map(one -> new Start(one, target.get()));
     }
 
     /** Lets a request wait, or refuses it. */
-    synchronized Verdict offer(Run run, List<OwnedTarget> owned, long nowNs) {
-        queue.setRule(run.request().service());
-        int slots = Math.max(1, usable(owned, nowNs));
-        Offer<Run> offer = queue.offer(arrival(run, nowNs), slots, micros(nowNs));
-        offer.request().ifPresent(run::queuedAt);
-        noteWork();
-        return offer.verdict();
+    Verdict offer(Run run, List<OwnedTarget> owned, long nowNs) {
+        Arrival<Run> arrival = arrival(run, nowNs);
+        synchronized (queue) {
+            queue.setRule(run.request().service());
+            int slots = Math.max(1, usable(owned, nowNs));
+            Offer<Run> offer = queue.offer(arrival, slots, micros(nowNs));
+            offer.request().ifPresent(run::queuedAt);
+            noteWork();
+            return offer.verdict();
+        }
     }
 
     /** Starts the request that is next, if there is one and a slot for it. */
-    synchronized Optional<Start> startNext(List<OwnedTarget> owned, long nowNs) {
-        Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
-        int slots = queue.busy() + free(owned, nowNs) + (target.isPresent() ? 1 : 0);
-        Optional<Waiting<Run>> next = queue.poll(target.isPresent() ? slots : 0, micros(nowNs));
-        noteWork();
-        if (target.isEmpty()) {
-            return Optional.empty();
-        }
-        if (next.isEmpty()) {
-            target.get().slots().release();
-            return Optional.empty();
+    Optional<Start> startNext(List<OwnedTarget> owned, long nowNs) {
+        synchronized (queue) {
+            Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
+            int slots = target.isPresent() ? queue.busy() + 1 + free(owned, nowNs) : 0;
+            Optional<Waiting<Run>> next = queue.poll(slots, micros(nowNs));
+            noteWork();
+            if (next.isEmpty()) {
+                target.ifPresent(one -> one.slots().release());
+                return Optional.empty();
+            }
+            return Optional.of(
+                    new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
         }
-        return Optional.of(new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
     }
 
     /** Notes that a start came to its end; returns whether that ejected the target. */
-    synchronized boolean finished(Start start, End end, List<OwnedTarget> owned, long nowNs) {
+    boolean finished(Start start, End end, List<OwnedTarget> owned, long nowNs) {
+        Run run = start.run();
         OwnedTarget target = start.target();
-        if (end.isOver()) {
-            target.slots().release();
-        } else {
-            target.slots().abandon();
+        Sent sent = sent(run, end, nowNs);
+        if (end.ran()) {
+            runTimes.record(service, run.kind(), sent.tookUs());
+        }
+        synchronized (queue) {
+            if (end.isOver()) {
+                target.slots().release();
+            } else {
+                target.slots().abandon();
+            }
+            queue.finished(start.place(), micros(nowNs));
+            return HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowNs / NANOS_PER_MS);
         }
-        Sent sent = sent(start.run(), end, nowNs);
-        queue.finished(start.place(), end.ran(), micros(nowNs));
-        return HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowNs / NANOS_PER_MS);
     }
 
     private Sent sent(Run run, End end, long nowNs) {
         long tookUs = (nowNs - run.startedNs()) / NANOS_PER_US;
-        RunTimeEstimate kind = estimate(run.request(), nowNs);
+        RunTimeEstimate kind = estimate(run, nowNs);
         SendOutcome outcome =
                 switch (end) {
                     case RAN -> SendOutcome.ANSWERED;
@@ -191,25 +203,27 @@
         return new Sent(outcome, tookUs, kind.samples() > 0 ? kind.p50Us() : tookUs);
     }
 
-    private RunTimeEstimate estimate(ServiceRequest request, long nowNs) {
-        return runTimes.estimate(service, request.workKind(), declaredUs(request, nowNs));
+    private RunTimeEstimate estimate(Run run, long nowNs) {
+        return runTimes.estimate(service, run.kind(), declaredUs(run.request(), nowNs));
     }
 
     /** Takes a request out of the queue if it waits there. */
-    synchronized void cancel(Run run) {
-        if (run.place() != null) {
-            queue.cancel(run.place());
-            noteWork();
+    void cancel(Run run) {
+        synchronized (queue) {
+            if (run.place() != null) {
+                queue.cancel(run.place());
+                noteWork();
+            }
         }
     }
 
     /** Takes what can no longer be answered in time, or had to make room. */
-    synchronized List<Run> takeExpired(long nowNs) {
+    List<Run> takeExpired(long nowNs) {
         return takeBack(micros(nowNs));
     }
 
     /** Takes everything that waits. */
-    synchronized List<Run> takeAll() {
+    List<Run> takeAll() {
         return takeBack(Long.MAX_VALUE);
     }
 
@@ -217,16 +231,18 @@
     boolean mayRetry(Run run, long nowNs) {
         ServiceRequest request = run.request();
         long remainingUs = (request.deadlineNs() - nowNs) / NANOS_PER_US;
-        long expectedUs = estimate(request, nowNs).p50Us();
+        long expectedUs = estimate(run, nowNs).p50Us();
         return RetryDecision.mayRetry(
                 true, run.attempts(), remainingUs, expectedUs, retries.get(request.requestClass()));
     }
 
     private List<Run> takeBack(long nowUs) {
-        List<Run> taken =
-                queue.takeExpired(nowUs).stream().map(Waiting::payload).toList();
-        noteWork();
-        return taken;
+        List<Waiting<Run>> taken;
+        synchronized (queue) {
+            taken = queue.takeExpired(nowUs);
+            noteWork();
+        }
+        return taken.stream().map(Waiting::payload).toList();
     }
 
     private void noteWork() {
@@ -236,7 +252,7 @@
     private Arrival<Run> arrival(Run run, long nowNs) {
         ServiceRequest request = run.request();
         return new Arrival<>(
-                request.tenant(), request.workKind(), micros(request.deadlineNs()), declaredUs(request, nowNs), run);
+                request.tenant(), run.kind(), micros(request.deadlineNs()), declaredUs(request, nowNs), run);
     }
 
     /** A kind of which too little was learned is taken for short work that fits into its deadline. */
--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -166,13 +166,13 @@
     }
 
     /**
-     * Notes that a run ended, whatever its outcome.
+     * Notes that a run ended, whatever its outcome. A run time worth learning is recorded by the caller, who need not
+     * hold the queue's lock for it.
      *
-     * @param request the request as taken by {@link #poll}
-     * @param ran whether the target ran it, so that its run time is worth learning
+     * @param request the request as taken by {@link #startNow} or {@link #poll}
      * @param nowUs the current instant
      */
-    public void finished(Waiting<T> request, boolean ran, long nowUs) {
+    public void finished(Waiting<T> request, long nowUs) {
         if (!request.isRunning()) {
             return;
         }
@@ -186,9 +186,6 @@
         }
         FairLane<T> lane = request.wasQueuedLong() ? longLane : shortLane;
         lane.settle(request.tenant(), runUs - request.expectedUs());
-        if (ran) {
-            runTimes.record(rule.name(), request.kind(), runUs);
-        }
     }
 
     /**
--- a/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
@@ -146,7 +146,7 @@
         Optional<Waiting<String>> started = queue.startNow(arrival("t", kind, 1, "x"), slots, 0);
         assertThat(started.isPresent(), is(starts));
         assertThat(queue.busy(), is(running.size() + (starts ? 1 : 0)));
-        started.ifPresent(one -> queue.finished(one, true, 20 * MS));
+        started.ifPresent(one -> queue.finished(one, 20 * MS));
         assertThat(queue.busy(), is(running.size()));
     }
 
@@ -170,7 +170,7 @@
             String kind = random.nextInt(3) == 0 ? "quote" : "report";
             queue.offer(arrival("t" + random.nextInt(3), kind, 10_000 + random.nextInt(900), "x"), slots, nowUs);
             if (random.nextInt(8) == 0 && !running.isEmpty()) {
-                queue.finished(running.remove(random.nextInt(running.size())), false, nowUs);
+                queue.finished(running.remove(random.nextInt(running.size())), nowUs);
             }
             running.removeIf(w -> finishIfShort(queue, w, nowUs));
             queue.poll(slots, nowUs).ifPresent(running::add);
@@ -183,7 +183,7 @@
         if (request.isLong()) {
             return false;
         }
-        queue.finished(request, false, nowUs);
+        queue.finished(request, nowUs);
         return true;
     }
 
@@ -198,7 +198,7 @@
             queue.offer(arrival("light", "quote", 100_000, "l"), 8, 0);
             Waiting<String> next = queue.poll(8, 0).orElseThrow();
             served[next.tenant().equals("heavy") ? 0 : 1]++;
-            queue.finished(next, false, 20 * MS);
+            queue.finished(next, 20 * MS);
         }
         assertThat(served[0] / 2000.0, closeTo(0.75, 0.05));
     }
