--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -158,10 +158,13 @@
         }
     }
 
-    private void finish(ServiceLine.Start start, ServiceLine line, ServiceLine.End end, long now) {
-        if (line.finished(start, end, view.get().targetsOf(line.service()), now)) {
+    /** Ends a start; returns the news of when nothing of it goes on at the target. */
+    private CompletableFuture<Void> finish(ServiceLine.Start start, ServiceLine line, ServiceLine.End end, long now) {
+        ServiceLine.Ended ended = line.finished(start, end, view.get().targetsOf(line.service()), now);
+        if (ended.ejected()) {
             metrics.ejected.inc();
         }
+        return ended.over();
     }
 
     private List<Header> headersFor(ServiceRequest request, OwnedTarget target, long now) {
@@ -176,7 +179,7 @@
     // Overflow
 
     private void overflow(Run run, ServiceLine line, EntryView now) {
-        boolean own = hasUsableTargets(run.request(), now);
+        boolean own = hasUsableTargets(line.service(), now);
         if (!run.request().isForwarded()) {
             Optional<PeerEntry> peer = peers.peerFor(run.request().service().name(), now.peers(), !own);
             if (peer.isPresent() && run.start(nowNs())) {
@@ -187,9 +190,9 @@
         enqueue(run, line, now, own);
     }
 
-    private boolean hasUsableTargets(ServiceRequest request, EntryView now) {
+    private boolean hasUsableTargets(String service, EntryView now) {
         long nowNs = nowNs();
-        for (OwnedTarget target : now.targetsOf(request.service().name())) {
+        for (OwnedTarget target : now.targetsOf(service)) {
             if (target.mayOpen(nowNs, silenceNs)) {
                 return true;
             }
@@ -249,6 +252,18 @@
             }
             next.ifPresent(start -> dispatch(start, line));
             more = next.isPresent() && line.hasWork();
+            if (next.isEmpty() && line.hasWork()) {
+                handOn(line, now);
+            }
+        }
+    }
+
+    /** Passes on what waits for targets that are all gone: to another entry, or back to the caller as not run. */
+    private void handOn(ServiceLine line, EntryView now) {
+        if (!hasUsableTargets(line.service(), now)) {
+            for (Run run : line.takeAll()) {
+                overflow(run, line, now);
+            }
         }
     }
 
@@ -321,7 +336,8 @@
             headers.addAll(answer.headers());
             headers.add(new Header(Headers.TARGET, from.value()));
             headers.add(new Header(Headers.ENTRY, settings.entry().value()));
-            return new Answer(RunState.DONE, answer.status(), headers, answer.body(), Optional.empty());
+            return new Answer(
+                    RunState.DONE, answer.status(), headers, answer.body(), Optional.empty(), Optional.empty());
         }
 
         @Override
@@ -335,11 +351,12 @@
         @Override
         public void onUnknown(String why, boolean targetAtFault) {
             long now = nowNs();
-            finish(start, line, targetAtFault ? ServiceLine.End.BROKEN : ServiceLine.End.SILENT, now);
+            CompletableFuture<Void> over =
+                    finish(start, line, targetAtFault ? ServiceLine.End.BROKEN : ServiceLine.End.SILENT, now);
             metrics.unknown.inc();
             run.request().trace().add(now, "outcome unknown, target " + target.id(), why);
             ErrorKind kind = targetAtFault ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.DEADLINE_PASSED;
-            run.endStarted(refusals.unknown(Failure.of(kind)));
+            run.endStarted(refusals.unknown(Failure.of(kind)).overWhen(over));
             pump(line);
         }
 
@@ -359,7 +376,7 @@
             if (!now.isLeased(nowNs())) {
                 run.endWaiting(refusals.notReady("its lease has lapsed"));
             } else if (!tryStart(run, line, now)) {
-                enqueue(run, line, now, hasUsableTargets(run.request(), now));
+                enqueue(run, line, now, hasUsableTargets(line.service(), now));
             }
         }
     }
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import org.cornelcove.model.request.RequestClass;
@@ -36,6 +37,7 @@
  * only targets that may open later, it counts on one.
  */
 final class ServiceLine {
+    private static final CompletableFuture<Void> OVER = CompletableFuture.completedFuture(null);
     private static final int RETRY_PERCENT = 5;
     private static final int RETRY_BURST = 10;
     private static final int MIN_RUNS_TO_DEADLINE = 4;
@@ -67,6 +69,14 @@
         }
     }
 
+    /**
+     * What follows from the end of a start.
+     *
+     * @param ejected whether the target gets nothing for a while
+     * @param over completes once nothing of the run goes on at the target
+     */
+    record Ended(boolean ejected, CompletableFuture<Void> over) {}
+
     /** How a run at a target ended. */
     enum End {
         /** It is over, and its run time is worth learning. */
@@ -170,8 +180,8 @@
         }
     }
 
-    /** Notes that a start came to its end; returns whether that ejected the target. */
-    boolean finished(Start start, End end, List<OwnedTarget> owned, long nowNs) {
+    /** Notes that a start came to its end. */
+    Ended finished(Start start, End end, List<OwnedTarget> owned, long nowNs) {
         Run run = start.run();
         OwnedTarget target = start.target();
         Sent sent = sent(run, end, nowNs);
@@ -179,13 +189,15 @@
             runTimes.record(service, run.kind(), sent.tookUs());
         }
         synchronized (queue) {
+            CompletableFuture<Void> over = OVER;
             if (end.isOver()) {
                 target.slots().release();
             } else {
-                target.slots().abandon();
+                over = target.slots().abandon();
             }
             queue.finished(start.place(), micros(nowNs));
-            return HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowNs / NANOS_PER_MS);
+            long nowMs = nowNs / NANOS_PER_MS;
+            return new Ended(HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowMs), over);
         }
     }
 
