--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.capacity.CapacityBenchmark;
 import org.cornelcove.bench.entry.ClaimsBenchmark;
 import org.cornelcove.bench.entry.RelayBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
@@ -28,6 +29,7 @@
             new CommitBenchmark(),
             new RecoveryBenchmark(),
             new FailoverBenchmark(),
+            new CapacityBenchmark(),
             new RelayBenchmark(),
             new ClaimsBenchmark());
 
--- a/policy/src/main/java/org/cornelcove/policy/route/TargetChooser.java
+++ b/policy/src/main/java/org/cornelcove/policy/route/TargetChooser.java
@@ -16,8 +16,8 @@
  *
  * <p>{@link HealthJudge} ejects targets that fail or are slow; {@link LeastLoaded} chooses among the rest.
  *
- * <p>Random choice and round robin lost against least loaded in the benchmark {@code retries}: both keep sending to a
- * failing or slow target. Not thread-safe: guarded together with the request queue.
+ * <p>Round robin lost against this in the benchmark {@code retries}: it keeps sending to a failing target. Not
+ * thread-safe: guarded together with the request queue.
  */
 public final class TargetChooser {
     private final String ownZone;
