Entry: fewer takings of the lock of a service

Change: no lock is taken when no slot is free or nothing is to be given back, and settled estimates are made anew every 64 runs.

--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -55,6 +55,7 @@
     private final long originNs;
 
     private volatile boolean working;
+    private volatile boolean givesBack;
     private int turn;
 
     /**
@@ -134,6 +135,9 @@
 
     /** Starts a request without waiting, if a slot is free that nothing waiting may take. */
     Optional<Start> startNow(Run run, List<OwnedTarget> owned, long nowNs) {
+        if (!anySlotFree(owned)) {
+            return Optional.empty();
+        }
         Arrival<Run> arrival = arrival(run, nowNs);
         synchronized (queue) {
             Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
@@ -164,8 +168,14 @@
         }
     }
 
-    /** Starts the request that is next, if there is one and a slot for it. */
+    /**
+     * Starts the request that is next, if there is one and a slot for it. Whoever gives a slot back calls this after it,
+     * so that nothing is missed when no slot is free yet.
+     */
     Optional<Start> startNext(List<OwnedTarget> owned, long nowNs) {
+        if (!anySlotFree(owned)) {
+            return Optional.empty();
+        }
         synchronized (queue) {
             Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
             int slots = target.isPresent() ? queue.busy() + 1 + free(owned, nowNs) : 0;
@@ -231,7 +241,7 @@
 
     /** Takes what can no longer be answered in time, or had to make room. */
     List<Run> takeExpired(long nowNs) {
-        return takeBack(micros(nowNs));
+        return givesBack ? takeBack(micros(nowNs)) : List.of();
     }
 
     /** Takes everything that waits. */
@@ -258,7 +268,8 @@
     }
 
     private void noteWork() {
-        working = queue.size() > 0 || queue.hasDisplaced();
+        givesBack = queue.hasDisplaced();
+        working = givesBack || queue.size() > 0;
     }
 
     private Arrival<Run> arrival(Run run, long nowNs) {
@@ -325,6 +336,16 @@
         return other.get();
     }
 
+    /** A glance without the lock, so that it isn't taken in vain. */
+    private static boolean anySlotFree(List<OwnedTarget> owned) {
+        for (OwnedTarget target : owned) {
+            if (target.slots().free() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private int free(List<OwnedTarget> owned, long nowNs) {
         int sum = 0;
         for (OwnedTarget target : owned) {
--- a/policy/src/main/java/org/cornelcove/policy/learn/RunTimes.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/RunTimes.java
@@ -80,6 +80,8 @@
     private static final class KindTimes {
         private static final int WINDOW_SAMPLES = 512;
         private static final int REFRESH_SAMPLES = 16;
+        /** Once a window was filled, an estimate is made anew less often. */
+        private static final int SETTLED_SAMPLES = 64;
 
         private Histogram filling = new Histogram(2);
         private Histogram before = new Histogram(2);
@@ -88,7 +90,8 @@
         synchronized void record(long runUs) {
             filling.recordValue(runUs);
             long count = filling.getTotalCount();
-            if (before.getTotalCount() == 0 && count <= REFRESH_SAMPLES || count % REFRESH_SAMPLES == 0) {
+            boolean first = before.getTotalCount() == 0;
+            if (first && count <= REFRESH_SAMPLES || count % (first ? REFRESH_SAMPLES : SETTLED_SAMPLES) == 0) {
                 refresh();
             }
             if (count >= WINDOW_SAMPLES) {
