--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -210,6 +210,19 @@
         }
     }
 
+    @Test
+    void aFailingTargetIsEjectedAndTheRestServes() throws Exception {
+        FakeTarget failing = FakeTarget.start("t1", Behaviour.REFUSE);
+        FakeTarget good = FakeTarget.start("t2", Behaviour.ECHO);
+        try (Rig rig = new Rig().with(failing, good).open()) {
+            for (int i = 0; i < 20; i++) {
+                assertThat(rig.send(rig.post("r" + i, "safe", "k", "b")).statusCode(), is(200));
+            }
+            assertThat(failing.log.size(), is(3));
+            assertThat(rig.entry.metrics().counter("targets.ejected").getCount(), is(1L));
+        }
+    }
+
     @Test
     void aFullQueueRefusesAtOnceAndSpreadsTheReturn() throws Exception {
         try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.HOLD))) {
