--- a/bench/src/main/java/org/cornelcove/bench/policy/RequestCost.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/RequestCost.java
@@ -26,6 +26,7 @@
     private static final long HOUR_US = 3_600_000_000L;
     private static final long RUN_US = 100_000;
 
+    private final RunTimes runTimes = RunTimes.create();
     private final RequestQueue<String> queue;
     private final TargetChooser chooser = TargetChooser.inZone("a");
     private long nowUs;
@@ -33,7 +34,7 @@
     private RequestCost(int waiting) {
         ServiceRule rule =
                 new ServiceRule("s", "/", RequestClass.SAFE, 1000, 600_000, 1 << 20, 2 * waiting + 1, 400, 25);
-        queue = RequestQueue.of(rule, t -> new TenantRule(t, 1, 2 * waiting + 1), RunTimes.create(), 3);
+        queue = RequestQueue.of(rule, t -> new TenantRule(t, 1, 2 * waiting + 1), runTimes, 3);
         for (int i = 0; i < TARGETS; i++) {
             chooser.put(TargetId.of("t" + i), "a", Site.SLOTS);
         }
@@ -60,7 +61,8 @@
             chooser.started(target.orElseThrow());
             nowUs += RUN_US;
             chooser.finished(target.get(), SendOutcome.ANSWERED, RUN_US, RUN_US, nowUs / 1000);
-            queue.finished(next, true, nowUs);
+            queue.finished(next, nowUs);
+            runTimes.record("s", next.kind(), RUN_US);
             queue.takeExpired(nowUs);
         }
     }
--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -6,30 +6,29 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.PeerEntry;
-import org.cornelcove.model.request.RequestClass;
 import org.cornelcove.model.rule.TenantRule;
+import org.cornelcove.policy.admission.Verdict;
+import org.cornelcove.policy.learn.RunTimes;
 
 /**
  * Brings requests to targets.
  *
  * <p>A request starts at once when nothing waits and a target has a free slot. Otherwise another entry that may have one
- * is asked once; otherwise the request waits, if the admission rule lets it. Every slot given back, and every change of
- * the view, starts what waits. A request whose deadline passes is answered at that moment: not run if it still waited or
+ * is asked once; otherwise the request is offered to the queue of its service, which admits or refuses it; see
+ * {@link ServiceLine}. Every slot given back, and every change of the view, starts what waits. A request whose deadline passes is answered at that moment: not run if it still waited or
  * no byte had left, unknown otherwise.
  *
  * <p>Only an attempt that is proved not run is tried again, on another target if there is one, within the retry budget
- * of its class. Nothing here knows of idempotency keys; those are settled before a request comes here.
+ * of its service and class. Nothing here knows of idempotency keys; those are settled before a request comes here.
  */
 final class Dispatcher {
     private static final double NANOS_PER_MS = 1_000_000;
-    private static final int MAX_ATTEMPTS = 3;
     private static final int SERVER_ERROR = 500;
     private static final int DEFAULT_WEIGHT = 1;
 
@@ -41,12 +40,9 @@
     private final DeadlineWheel deadlines;
     private final EntryMetrics metrics;
     private final Refusals refusals;
-    private final OpenTargets targets;
-    private final AdmissionRule admission = AdmissionRule.PREDICTED_WAIT;
-    private final RunTimes runTimes = new RunTimes();
-    private final RetryBudget[] retryBudgets = new RetryBudget[RequestClass.values().length];
+    private final RunTimes runTimes = RunTimes.create();
     private final ConcurrentMap<String, ServiceLine> lines = new ConcurrentHashMap<>();
-    private final AtomicLong runNumbers = new AtomicLong();
+    private final long silenceNs;
 
     Dispatcher(Parts parts) {
         settings = parts.settings();
@@ -57,10 +53,7 @@
         deadlines = parts.deadlines();
         metrics = parts.metrics();
         refusals = parts.refusals();
-        targets = new OpenTargets(settings, clock, TargetChoice.LEAST_LOADED);
-        for (int i = 0; i < retryBudgets.length; i++) {
-            retryBudgets[i] = new RetryBudget();
-        }
+        silenceNs = (long) (settings.targetSilenceMs() * NANOS_PER_MS);
     }
 
     /**
@@ -95,11 +88,10 @@
         if (request.deadlineNs() - nowNs() <= 0) {
             return CompletableFuture.completedFuture(refusals.notRun("its deadline passed before it could start"));
         }
-        Run run = newRun(request);
-        retryBudgets[request.requestClass().ordinal()].earn();
+        Run run = new Run(request);
         run.watch(deadlines.at(request.deadlineNs(), () -> expire(run)));
-        ServiceLine line = lineOf(request.service().name());
-        if (line.queue().size() > 0 || !tryStart(run, line, now)) {
+        ServiceLine line = lineOf(request);
+        if (!tryStart(run, line, now)) {
             overflow(run, line, now);
         }
         return run.answer();
@@ -107,7 +99,7 @@
 
     /** Hands a request to the one entry that may run it; the answer comes by the deadline at the latest. */
     CompletableFuture<Answer> forwardOnly(ServiceRequest request, PeerEntry peer) {
-        Run run = newRun(request);
+        Run run = new Run(request);
         run.start(nowNs());
         run.watch(deadlines.at(request.deadlineNs(), () -> expire(run)));
         metrics.forwarded.inc();
@@ -115,52 +107,49 @@
         return run.answer();
     }
 
-    private Run newRun(ServiceRequest request) {
-        long expectedNs = runTimes.expectedNs(request.workKind());
-        boolean longWork = expectedNs / NANOS_PER_MS > request.service().shortRunMs();
-        return new Run(request, runNumbers.incrementAndGet(), expectedNs, longWork);
+    private ServiceLine lineOf(ServiceRequest request) {
+        ServiceLine line = lines.get(request.service().name());
+        return line != null ? line : lines.computeIfAbsent(request.service().name(), name -> openLine(request));
+    }
+
+    private ServiceLine openLine(ServiceRequest request) {
+        return new ServiceLine(
+                request.service(),
+                tenant -> view.get().rules().tenants().getOrDefault(tenant, defaultRule(tenant, request)),
+                runTimes,
+                settings,
+                nowNs());
     }
 
-    private ServiceLine lineOf(String service) {
-        ServiceLine line = lines.get(service);
-        return line != null ? line : lines.computeIfAbsent(service, name -> new ServiceLine());
+    private static TenantRule defaultRule(String tenant, ServiceRequest request) {
+        return new TenantRule(tenant, DEFAULT_WEIGHT, request.service().maxQueued());
     }
 
     // Starting
 
     private boolean tryStart(Run run, ServiceLine line, EntryView now) {
-        if (!line.takeLongSlot(run, longSlots(run, now))) {
-            return false;
-        }
-        Optional<OwnedTarget> target = targets.takeSlot(run, now);
-        if (target.isEmpty()) {
-            line.giveLongSlot(run);
-            return false;
-        }
-        dispatch(run, line, target.get());
-        return true;
-    }
-
-    private int longSlots(Run run, EntryView now) {
-        return targets.longSlots(run.request().service(), now);
+        Optional<ServiceLine.Start> start = line.startNow(run, now.targetsOf(line.service()), nowNs());
+        start.ifPresent(one -> dispatch(one, line));
+        return start.isPresent();
     }
 
-    private void dispatch(Run run, ServiceLine line, OwnedTarget target) {
+    private void dispatch(ServiceLine.Start start, ServiceLine line) {
+        Run run = start.run();
+        OwnedTarget target = start.target();
         long now = nowNs();
         if (!run.start(now)) {
-            target.slots().release();
-            line.giveLongSlot(run);
+            finish(start, line, ServiceLine.End.NOT_SENT, now);
             return;
         }
-        line.started(run);
         ServiceRequest request = run.request();
         if (run.attempts() == 0) {
+            line.retries(request.requestClass()).noteFirstSend();
             metrics.admitted.inc();
             metrics.queueing(request.tenant(), request.requestClass(), now - request.arrivedNs());
         }
         request.trace().add(now, "sent to target", target.id());
         TargetCall call = new TargetCall(
-                request, headersFor(request, target, now), settings.maxAnswerBytes(), new Ending(run, line, target));
+                request, headersFor(request, target, now), settings.maxAnswerBytes(), new Ending(start, line));
         run.calling(call);
         if (run.hasEnded()) {
             call.giveUp("its deadline passed");
@@ -169,6 +158,15 @@
         }
     }
 
+    /** Ends a start; returns the news of when nothing of it goes on at the target. */
+    private CompletableFuture<Void> finish(ServiceLine.Start start, ServiceLine line, ServiceLine.End end, long now) {
+        ServiceLine.Ended ended = line.finished(start, end, view.get().targetsOf(line.service()), now);
+        if (ended.ejected()) {
+            metrics.ejected.inc();
+        }
+        return ended.over();
+    }
+
     private List<Header> headersFor(ServiceRequest request, OwnedTarget target, long now) {
         long remainingMs = (long) ((request.deadlineNs() - now) / NANOS_PER_MS);
         long notAfter = clock.unixMs().getAsLong() + remainingMs;
@@ -181,7 +179,7 @@
     // Overflow
 
     private void overflow(Run run, ServiceLine line, EntryView now) {
-        boolean own = targets.anyUsable(run.request(), now);
+        boolean own = hasUsableTargets(line.service(), now);
         if (!run.request().isForwarded()) {
             Optional<PeerEntry> peer = peers.peerFor(run.request().service().name(), now.peers(), !own);
             if (peer.isPresent() && run.start(nowNs())) {
@@ -192,6 +190,16 @@
         enqueue(run, line, now, own);
     }
 
+    private boolean hasUsableTargets(String service, EntryView now) {
+        long nowNs = nowNs();
+        for (OwnedTarget target : now.targetsOf(service)) {
+            if (target.mayOpen(nowNs, silenceNs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void forward(Run run, ServiceLine line, PeerEntry peer, boolean own) {
         ServiceRequest request = run.request();
         metrics.forwarded.inc();
@@ -212,49 +220,17 @@
             run.endWaiting(refusals.noTarget(request.service().name()));
             return;
         }
-        Optional<AdmissionRule.Refusal> refusal = request.origin() == ServiceRequest.Origin.PEER_START_NOW
-                ? Optional.of(new AdmissionRule.Refusal(ErrorKind.QUEUE_FULL, 0))
-                : addToQueue(run, line, now);
-        if (refusal.isPresent()) {
-            run.endWaiting(refusals.refused(refusal.get(), request.service().name()));
-            return;
+        Verdict verdict = request.origin() == ServiceRequest.Origin.PEER_START_NOW
+                ? Verdict.refused(ErrorKind.QUEUE_FULL, 0, 0)
+                : line.offer(run, now.targetsOf(line.service()), nowNs());
+        if (verdict.isAdmitted()) {
+            request.trace().add(nowNs(), "waits in the queue of", line.service());
+        } else {
+            run.endWaiting(refusals.refused(verdict, line.service()));
         }
-        request.trace().add(nowNs(), "waits in the queue of", request.service().name());
         pump(line);
     }
 
-    private Optional<AdmissionRule.Refusal> addToQueue(Run run, ServiceLine line, EntryView now) {
-        TenantRule tenant = tenantRule(run.request(), now);
-        synchronized (line) {
-            Optional<AdmissionRule.Refusal> refusal = admission.refuse(situation(run, line, tenant, now));
-            if (refusal.isEmpty() && !run.hasEnded()) {
-                line.queue().add(run, tenant.weight());
-            }
-            return refusal;
-        }
-    }
-
-    private static TenantRule tenantRule(ServiceRequest request, EntryView now) {
-        TenantRule rule = now.rules().tenants().get(request.tenant());
-        return rule != null
-                ? rule
-                : new TenantRule(
-                        request.tenant(), DEFAULT_WEIGHT, request.service().maxQueued());
-    }
-
-    private AdmissionRule.Situation situation(Run run, ServiceLine line, TenantRule tenant, EntryView now) {
-        ServiceRequest request = run.request();
-        return new AdmissionRule.Situation(
-                line.queue().size(),
-                request.service().maxQueued(),
-                line.queue().size(request.tenant()),
-                tenant.maxQueued(),
-                targets.slotsFor(run, now),
-                line.aheadMs(),
-                run.expectedNs() / NANOS_PER_MS,
-                (request.deadlineNs() - nowNs()) / NANOS_PER_MS);
-    }
-
     // Waiting
 
     /** Starts or refuses what waits, after a change of the view. */
@@ -263,60 +239,32 @@
     }
 
     private void pump(ServiceLine line) {
-        while (line.queue().size() > 0) {
+        boolean more = line.hasWork();
+        while (more) {
             EntryView now = view.get();
             if (!now.isLeased(nowNs())) {
                 refuseAll(line);
                 return;
             }
-            if (!startNext(line, now)) {
+            Optional<ServiceLine.Start> next = line.startNext(now.targetsOf(line.service()), nowNs());
+            for (Run late : line.takeExpired(nowNs())) {
+                late.endWaiting(refusals.notRun("it could no longer be answered in time"));
+            }
+            next.ifPresent(start -> dispatch(start, line));
+            more = next.isPresent() && line.hasWork();
+            if (next.isEmpty() && line.hasWork()) {
                 handOn(line, now);
-                return;
             }
         }
     }
 
     /** Passes on what waits for targets that are all gone: to another entry, or back to the caller as not run. */
     private void handOn(ServiceLine line, EntryView now) {
-        Optional<Run> first;
-        synchronized (line) {
-            first = line.queue().next(true);
-        }
-        if (first.isEmpty() || targets.anyUsable(first.get().request(), now)) {
-            return;
-        }
-        for (Run run : line.takeAll()) {
-            overflow(run, line, now);
-        }
-    }
-
-    private boolean startNext(ServiceLine line, EntryView now) {
-        Run run;
-        Optional<OwnedTarget> target;
-        synchronized (line) {
-            Optional<Run> next = nextWithSlot(line, now);
-            if (next.isEmpty()) {
-                return false;
-            }
-            run = next.get();
-            target = targets.takeSlot(run, now);
-            if (target.isEmpty()) {
-                line.giveLongSlot(run);
-                return false;
+        if (!hasUsableTargets(line.service(), now)) {
+            for (Run run : line.takeAll()) {
+                overflow(run, line, now);
             }
-            line.queue().take(run);
-        }
-        dispatch(run, line, target.get());
-        return true;
-    }
-
-    /** Returns what is next; for long work its share of the slots is taken already. */
-    private Optional<Run> nextWithSlot(ServiceLine line, EntryView now) {
-        Optional<Run> next = line.queue().next(true);
-        if (next.isEmpty() || line.takeLongSlot(next.get(), longSlots(next.get(), now))) {
-            return next;
         }
-        return line.queue().next(false);
     }
 
     private void refuseAll(ServiceLine line) {
@@ -327,10 +275,7 @@
     }
 
     private void expire(Run run) {
-        ServiceLine line = lineOf(run.request().service().name());
-        synchronized (line) {
-            line.queue().remove(run);
-        }
+        lineOf(run.request()).cancel(run);
         if (run.endWaiting(refusals.notRun("its deadline passed while it waited"))) {
             return;
         }
@@ -348,22 +293,22 @@
 
     /** Hears how an attempt at a target ended. */
     private final class Ending implements TargetCallListener {
+        private final ServiceLine.Start start;
         private final Run run;
         private final ServiceLine line;
         private final OwnedTarget target;
 
-        private Ending(Run run, ServiceLine line, OwnedTarget target) {
-            this.run = run;
+        private Ending(ServiceLine.Start start, ServiceLine line) {
+            this.start = start;
             this.line = line;
-            this.target = target;
+            run = start.run();
+            target = start.target();
         }
 
         @Override
         public void onAnswer(TargetAnswer answer) {
             long now = nowNs();
-            target.slots().release();
-            noteHealth(answer.status() >= SERVER_ERROR, now);
-            leave();
+            finish(start, line, endOf(answer), now);
             if (answer.refusedUnrun()) {
                 notRun("target " + target.id() + " refused it", now);
             } else {
@@ -372,9 +317,15 @@
             pump(line);
         }
 
+        private ServiceLine.End endOf(TargetAnswer answer) {
+            if (answer.refusedUnrun()) {
+                return ServiceLine.End.REFUSED;
+            }
+            return answer.status() >= SERVER_ERROR ? ServiceLine.End.RAN_AND_FAILED : ServiceLine.End.RAN;
+        }
+
         private void whole(TargetAnswer answer, long now) {
             ServiceRequest request = run.request();
-            runTimes.record(request.workKind(), now - run.startedNs());
             metrics.running(request.tenant(), request.requestClass(), now - run.startedNs());
             request.trace().add(now, "answered by target", target.id());
             run.endStarted(answerOf(answer, target.id()));
@@ -392,11 +343,7 @@
         @Override
         public void onNotWritten(String why, boolean targetAtFault) {
             long now = nowNs();
-            target.slots().release();
-            if (targetAtFault) {
-                noteHealth(true, now);
-            }
-            leave();
+            finish(start, line, targetAtFault ? ServiceLine.End.REFUSED : ServiceLine.End.NOT_SENT, now);
             notRun("target " + target.id() + ": " + why, now);
             pump(line);
         }
@@ -404,11 +351,8 @@
         @Override
         public void onUnknown(String why, boolean targetAtFault) {
             long now = nowNs();
-            CompletableFuture<Void> over = target.slots().abandon();
-            if (targetAtFault) {
-                noteHealth(true, now);
-            }
-            leave();
+            CompletableFuture<Void> over =
+                    finish(start, line, targetAtFault ? ServiceLine.End.BROKEN : ServiceLine.End.SILENT, now);
             metrics.unknown.inc();
             run.request().trace().add(now, "outcome unknown, target " + target.id(), why);
             ErrorKind kind = targetAtFault ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.DEADLINE_PASSED;
@@ -416,25 +360,10 @@
             pump(line);
         }
 
-        private void leave() {
-            line.ended(run);
-        }
-
-        private void noteHealth(boolean failed, long now) {
-            if (!failed) {
-                target.health().succeeded();
-            } else if (target.health().failed(now)) {
-                metrics.ejected.inc();
-            }
-        }
-
         private void notRun(String why, long now) {
             ServiceRequest request = run.request();
             request.trace().add(now, "not run,", why);
-            boolean again = run.attempts() < MAX_ATTEMPTS
-                    && now - request.deadlineNs() < 0
-                    && retryBudgets[request.requestClass().ordinal()].trySpend();
-            if (again && run.waitAgain(target)) {
+            if (line.mayRetry(run, now) && run.waitAgain(target)) {
                 metrics.retried.inc();
                 retry();
             } else {
@@ -447,7 +376,7 @@
             if (!now.isLeased(nowNs())) {
                 run.endWaiting(refusals.notReady("its lease has lapsed"));
             } else if (!tryStart(run, line, now)) {
-                enqueue(run, line, now, targets.anyUsable(run.request(), now));
+                enqueue(run, line, now, hasUsableTargets(line.service(), now));
             }
         }
     }
--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -32,7 +32,7 @@
  * <p>One sorted queue for all was the alternative. It lost because a few long requests fill every slot in a quiet
  * moment, after which short ones wait for a whole long run whatever the order of the queue.
  *
- * <p>Use: {@code offer} at arrival; whenever a target has a free slot {@code poll}; {@code finished} when a run ended;
+ * <p>Use: {@code startNow} and else {@code offer} at arrival; whenever a target has a free slot {@code poll}; {@code finished} when a run ended;
  * {@code takeExpired} after each poll. Not thread-safe: the entry guards it by one lock or confines it.
  *
  * @param <T> what the caller attaches to each request
@@ -124,6 +124,36 @@
         return new Offer<>(Verdict.admitted(waitUs), Optional.of(request));
     }
 
+    /**
+     * Starts a request at once, without a place in the queue, when a slot is free that nothing waiting may take. Its
+     * deadline is not weighed against the learned run time: the slot would be idle, and a kind that was slow for a
+     * while would otherwise never be learned anew.
+     *
+     * @param arrival the request
+     * @param slots the slots of all targets that may be used now
+     * @param nowUs the current instant
+     * @return the running request; empty when it must be offered
+     */
+    public Optional<Waiting<T>> startNow(Arrival<T> arrival, int slots, long nowUs) {
+        reclassifyStragglers(nowUs);
+        boolean longAllowed = busyLong < longSlotsNow(slots, nowUs);
+        boolean othersFirst = shortLane.size() > 0 || longAllowed && longLane.size() > 0;
+        if (othersFirst || busy() >= slots) {
+            return Optional.empty();
+        }
+        RunTimeEstimate estimate = runTimes.estimate(rule.name(), arrival.kind(), arrival.declaredRunUs());
+        boolean isLong = isLong(estimate);
+        if (isLong && !longAllowed) {
+            return Optional.empty();
+        }
+        Waiting<T> request = new Waiting<>(arrival, estimate, isLong, sequence++);
+        start(request, nowUs);
+        if (!isLong) {
+            shortDemand.note(estimate.meanUs(), nowUs);
+        }
+        return Optional.of(request);
+    }
+
     /**
      * Takes the request that starts now. The caller has chosen a target with a free slot before.
      *
@@ -135,7 +165,7 @@
         reclassifyStragglers(nowUs);
         expire(shortLane, nowUs);
         expire(longLane, nowUs);
-        if (busyShort + busyLong >= slots) {
+        if (busy() >= slots) {
             return Optional.empty();
         }
         Optional<Waiting<T>> next = nextLane(slots, nowUs).poll();
@@ -144,13 +174,13 @@
     }
 
     /**
-     * Notes that a run ended, whatever its outcome.
+     * Notes that a run ended, whatever its outcome. A run time worth learning is recorded by the caller, who need not
+     * hold the queue's lock for it.
      *
-     * @param request the request as taken by {@link #poll}
-     * @param ran whether the target ran it, so that its run time is worth learning
+     * @param request the request as taken by {@link #startNow} or {@link #poll}
      * @param nowUs the current instant
      */
-    public void finished(Waiting<T> request, boolean ran, long nowUs) {
+    public void finished(Waiting<T> request, long nowUs) {
         if (!request.isRunning()) {
             return;
         }
@@ -164,9 +194,6 @@
         }
         FairLane<T> lane = request.wasQueuedLong() ? longLane : shortLane;
         lane.settle(request.tenant(), runUs - request.expectedUs());
-        if (ran) {
-            runTimes.record(rule.name(), request.kind(), runUs);
-        }
     }
 
     /**
@@ -202,6 +229,24 @@
         return shortLane.size() + longLane.size();
     }
 
+    /**
+     * Returns how many requests run.
+     *
+     * @return how many
+     */
+    public int busy() {
+        return busyShort + busyLong;
+    }
+
+    /**
+     * Returns whether {@link #takeExpired} has something to give back already.
+     *
+     * @return whether it has
+     */
+    public boolean hasDisplaced() {
+        return !displaced.isEmpty();
+    }
+
     /**
      * Returns how many long requests run, stragglers included.
      *
--- a/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/queue/RequestQueueTest.java
@@ -125,6 +125,32 @@
                 is(true));
     }
 
+    static Stream<Arguments> starts() {
+        return Stream.of(
+                arguments("a free slot", 8, List.of(), List.of(), "quote", true),
+                arguments("no slot at all", 0, List.of(), List.of(), "quote", false),
+                arguments("every slot taken", 2, List.of("quote", "quote"), List.of(), "quote", false),
+                arguments("something waits for the free slot", 8, List.of(), List.of("quote"), "quote", false),
+                arguments("long work at its bound", 2, List.of("report"), List.of(), "report", false),
+                arguments("only long work at its bound waits", 2, List.of("report"), List.of("report"), "quote", true),
+                arguments("long work waits below its bound", 8, List.of(), List.of("report"), "quote", false));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("starts")
+    void startsAtOnceWhatNothingWaitingCouldBeStartedBefore(
+            String name, int slots, List<String> running, List<String> waiting, String kind, boolean starts) {
+        RequestQueue<String> queue = queue(learned());
+        running.forEach(
+                one -> queue.startNow(arrival("t", one, 10_000, "r"), slots, 0).orElseThrow());
+        waiting.forEach(one -> queue.offer(arrival("t", one, 10_000, "w"), slots, 0));
+        Optional<Waiting<String>> started = queue.startNow(arrival("t", kind, 1, "x"), slots, 0);
+        assertThat(started.isPresent(), is(starts));
+        assertThat(queue.busy(), is(running.size() + (starts ? 1 : 0)));
+        started.ifPresent(one -> queue.finished(one, 20 * MS));
+        assertThat(queue.busy(), is(running.size()));
+    }
+
     @ParameterizedTest(name = "{0} short requests a second")
     @CsvSource({"0, 30", "100, 30", "500, 23", "5000, 4"})
     void longWorkLeavesWhatShortWorkNeeds(int shortPerSecond, int longStarted) {
@@ -134,7 +160,7 @@
             nowUs = i * 1_000_000L / shortPerSecond;
             queue.offer(arrival("s", "quote", nowUs / MS + 5000, "s"), 40, nowUs);
             Waiting<String> next = queue.poll(40, nowUs).orElseThrow();
-            queue.finished(next, false, nowUs);
+            queue.finished(next, nowUs);
         }
         int started = 0;
         for (int i = 0; i < 30; i++) {
@@ -164,7 +190,7 @@
             String kind = random.nextInt(3) == 0 ? "quote" : "report";
             queue.offer(arrival("t" + random.nextInt(3), kind, 10_000 + random.nextInt(900), "x"), slots, nowUs);
             if (random.nextInt(8) == 0 && !running.isEmpty()) {
-                queue.finished(running.remove(random.nextInt(running.size())), false, nowUs);
+                queue.finished(running.remove(random.nextInt(running.size())), nowUs);
             }
             running.removeIf(w -> finishIfShort(queue, w, nowUs));
             queue.poll(slots, nowUs).ifPresent(running::add);
@@ -177,7 +203,7 @@
         if (request.isLong()) {
             return false;
         }
-        queue.finished(request, false, nowUs);
+        queue.finished(request, nowUs);
         return true;
     }
 
@@ -192,7 +218,7 @@
             queue.offer(arrival("light", "quote", 100_000, "l"), 8, 0);
             Waiting<String> next = queue.poll(8, 0).orElseThrow();
             served[next.tenant().equals("heavy") ? 0 : 1]++;
-            queue.finished(next, false, 20 * MS);
+            queue.finished(next, 20 * MS);
         }
         assertThat(served[0] / 2000.0, closeTo(0.75, 0.05));
     }
