Entry: a request is queued and the next one started in one step

Cause: between the two others found the queue filled beside a free slot and queued as well, each with more takings of the lock; a profile of relay showed the queue in use with 24 clients on 32 slots.

--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -220,14 +220,15 @@
             run.endWaiting(refusals.noTarget(request.service().name()));
             return;
         }
-        Verdict verdict = request.origin() == ServiceRequest.Origin.PEER_START_NOW
-                ? Verdict.refused(ErrorKind.QUEUE_FULL, 0, 0)
+        ServiceLine.Offered offered = request.origin() == ServiceRequest.Origin.PEER_START_NOW
+                ? new ServiceLine.Offered(Verdict.refused(ErrorKind.QUEUE_FULL, 0, 0), Optional.empty())
                 : line.offer(run, now.targetsOf(line.service()), nowNs());
-        if (verdict.isAdmitted()) {
+        if (offered.verdict().isAdmitted()) {
             request.trace().add(nowNs(), "waits in the queue of", line.service());
         } else {
-            run.endWaiting(refusals.refused(verdict, line.service()));
+            run.endWaiting(refusals.refused(offered.verdict(), line.service()));
         }
+        offered.next().ifPresent(start -> dispatch(start, line));
         pump(line);
     }
 
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -70,6 +70,14 @@
         }
     }
 
+    /**
+     * What came of offering a request.
+     *
+     * @param verdict whether it waits
+     * @param next what starts now, the request itself or one before it
+     */
+    record Offered(Verdict verdict, Optional<Start> next) {}
+
     /**
      * What follows from the end of a start.
      *
@@ -155,16 +163,19 @@
         }
     }
 
-    /** Lets a request wait, or refuses it. */
-    Verdict offer(Run run, List<OwnedTarget> owned, long nowNs) {
+    /**
+     * Lets a request wait, or refuses it, and starts what is next if a slot is free. Both in one step: otherwise others
+     * would find the queue filled beside a free slot, and queue in their turn.
+     */
+    Offered offer(Run run, List<OwnedTarget> owned, long nowNs) {
         Arrival<Run> arrival = arrival(run, nowNs);
         synchronized (queue) {
             queue.setRule(run.request().service());
             int slots = Math.max(1, usable(owned, nowNs));
             Offer<Run> offer = queue.offer(arrival, slots, micros(nowNs));
             offer.request().ifPresent(run::queuedAt);
-            noteWork();
-            return offer.verdict();
+            Optional<Start> next = pollNext(owned, nowNs);
+            return new Offered(offer.verdict(), next);
         }
     }
 
@@ -177,17 +188,20 @@
             return Optional.empty();
         }
         synchronized (queue) {
-            Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
-            int slots = target.isPresent() ? queue.busy() + 1 + free(owned, nowNs) : 0;
-            Optional<Waiting<Run>> next = queue.poll(slots, micros(nowNs));
-            noteWork();
-            if (next.isEmpty()) {
-                target.ifPresent(one -> one.slots().release());
-                return Optional.empty();
-            }
-            return Optional.of(
-                    new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
+            return pollNext(owned, nowNs);
+        }
+    }
+
+    private Optional<Start> pollNext(List<OwnedTarget> owned, long nowNs) {
+        Optional<OwnedTarget> target = take(owned, Optional.empty(), nowNs);
+        int slots = target.isPresent() ? queue.busy() + 1 + free(owned, nowNs) : 0;
+        Optional<Waiting<Run>> next = queue.poll(slots, micros(nowNs));
+        noteWork();
+        if (next.isEmpty()) {
+            target.ifPresent(one -> one.slots().release());
+            return Optional.empty();
         }
+        return Optional.of(new Start(next.get(), otherThanFailed(next.get().payload(), target.get(), owned, nowNs)));
     }
 
     /** Notes that a start came to its end. */
