Harness for clusters of real processes, and checkers that read only what was seen (faults still being looked into)

Three daemons behind relays, targets, workers, callers and an operator write one history; thirteen checkers read it. The worker stand-in followed orders that arrived after its lease was over; it no longer does.

--- a/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
@@ -1,6 +1,8 @@
 package org.cornelcove.testkit;
 
 import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -33,6 +35,9 @@
     private final int slots;
     private final ApiClient api;
     private final History history;
+    /** Keys of the requests under way, by request. */
+    private final Map<String, String> running = new ConcurrentHashMap<>();
+
     private final HttpServer server = new HttpServer();
     private final AtomicInteger busy = new AtomicInteger();
     private final AtomicInteger ran = new AtomicInteger();
@@ -58,7 +63,7 @@
      * @return the running target
      * @throws IOException when no port can be had
      */
-    static TargetServer start(TargetOptions options, History history) throws IOException {
+    public static TargetServer start(TargetOptions options, History history) throws IOException {
         TargetServer started = new TargetServer(options, history);
         started.listen();
         return started;
@@ -87,6 +92,7 @@
     public void leave() {
         leaving.set(true);
         announce();
+        record("", "", "leaving");
         CountDownLatch idle = new CountDownLatch(1);
         timer.scheduleWithFixedDelay(() -> releaseWhenIdle(idle), ANNOUNCE_MS, 50, TimeUnit.MILLISECONDS);
         try {
@@ -109,6 +115,13 @@
                         target, service, address, availabilityZone, slots, CONNECTIONS, busy.get(), leaving.get()));
     }
 
+    /** Ends at once, with what runs. */
+    public void kill() {
+        timer.shutdownNow();
+        server.shutdownNow();
+        running.forEach((id, key) -> record(id, key, "killed"));
+    }
+
     @Override
     public void close() {
         timer.shutdownNow();
@@ -116,6 +129,10 @@
         history.close();
     }
 
+    private void record(String id, String key, String what) {
+        history.write(new TargetEvent(target.value(), id, key, what, System.currentTimeMillis()));
+    }
+
     /** Runs one request. */
     private final class RunHandler extends HttpHandler {
         @Override
@@ -129,6 +146,7 @@
                 return;
             }
             record(id, key, "started");
+            running.put(id, key);
             response.suspend();
             timer.schedule(() -> end(response, id, key, body), runMs(request), TimeUnit.MILLISECONDS);
         }
@@ -153,6 +171,7 @@
             busy.decrementAndGet();
             ran.incrementAndGet();
             record(id, key, "ended");
+            running.remove(id);
             byte[] prefix = (target + " ").getBytes(java.nio.charset.StandardCharsets.UTF_8);
             try {
                 response.setContentType("application/octet-stream");
@@ -170,10 +189,6 @@
             response.setHeader(RUN_HEADER, "not-run");
         }
 
-        private void record(String id, String key, String what) {
-            history.write(new TargetEvent(target.value(), id, key, what, System.currentTimeMillis()));
-        }
-
         private long runMs(Request request) {
             return number(request.getParameter("runMs"), 0);
         }
--- a/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
@@ -49,10 +49,10 @@
      * @param history where it writes what it did
      * @return the running worker
      */
-    static WorkerAgent start(WorkerOptions options, History history) {
+    public static WorkerAgent start(WorkerOptions options, History history) {
         WorkerAgent agent = new WorkerAgent(options, history);
         agent.timer.execute(agent::beat);
-        agent.timer.scheduleAtFixedRate(agent::stopWhenLeaseOver, 0, LEASE_CHECK_MS, TimeUnit.MILLISECONDS);
+        agent.timer.scheduleWithFixedDelay(agent::showRunning, 0, LEASE_CHECK_MS, TimeUnit.MILLISECONDS);
         return agent;
     }
 
@@ -74,7 +74,9 @@
     private synchronized void renewed(long sentNs, WorkerOrders orders) {
         leaseEndNs = sentNs + TimeUnit.MILLISECONDS.toNanos(orders.leaseMs());
         stopWhenLeaseOver();
-        orders.orders().forEach(this::follow);
+        if (!leaseOver()) {
+            orders.orders().forEach(this::follow);
+        }
     }
 
     private synchronized WorkerHeartbeat heartbeat() {
@@ -94,8 +96,8 @@
         switch (order.action()) {
             case RUN, THROTTLE -> order.spec().ifPresent(spec -> startOnce(order, spec));
             case EVICT -> Optional.ofNullable(runs.get(order.attempt())).ifPresent(run -> run.end(AttemptEnd.EVICTED));
-            case STOP, FORGET -> Optional.ofNullable(runs.remove(order.attempt()))
-                    .ifPresent(Run::stop);
+            case STOP -> Optional.ofNullable(runs.remove(order.attempt())).ifPresent(Run::stop);
+            case FORGET -> Optional.ofNullable(runs.remove(order.attempt())).ifPresent(Run::forget);
             default -> throw new IllegalStateException("unknown action " + order.action());
         }
     }
@@ -105,12 +107,21 @@
     }
 
     private synchronized void stopWhenLeaseOver() {
-        if (System.nanoTime() - leaseEndNs > 0) {
+        if (leaseOver()) {
             runs.values().forEach(Run::stop);
             runs.clear();
         }
     }
 
+    private boolean leaseOver() {
+        return System.nanoTime() - leaseEndNs > 0;
+    }
+
+    private synchronized void showRunning() {
+        stopWhenLeaseOver();
+        runs.values().forEach(Run::showRunning);
+    }
+
     @Override
     public void close() {
         timer.shutdownNow();
@@ -124,6 +135,7 @@
         private final long doneBeforeMs;
         private final long startedNs = System.nanoTime();
         private Optional<AttemptEnd> end = Optional.empty();
+        private long doneAtEndMs;
 
         Run(AttemptId attempt, JobSpec spec, Optional<String> checkpoint) {
             this.attempt = attempt;
@@ -145,6 +157,7 @@
 
         void end(AttemptEnd how) {
             if (end.isEmpty()) {
+                doneAtEndMs = doneMs();
                 end = Optional.of(how);
                 record(how.name().toLowerCase(java.util.Locale.ROOT));
             }
@@ -152,11 +165,23 @@
 
         void stop() {
             if (end.isEmpty()) {
+                doneAtEndMs = doneMs();
                 end = Optional.of(AttemptEnd.FAILED);
                 record("stopped");
             }
         }
 
+        void forget() {
+            stop();
+            record("forgotten");
+        }
+
+        void showRunning() {
+            if (end.isEmpty()) {
+                record("running");
+            }
+        }
+
         AttemptReport report() {
             return new AttemptReport(
                     attempt,
@@ -171,6 +196,9 @@
         }
 
         private long doneMs() {
+            if (end.isPresent()) {
+                return doneAtEndMs;
+            }
             return doneBeforeMs + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
         }
 
@@ -181,6 +209,8 @@
                     attempt.number(),
                     what,
                     Long.toString(doneMs()),
+                    spec.resources(),
+                    options.capacity(),
                     System.currentTimeMillis()));
         }
     }
--- /dev/null
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
@@ -0,0 +1,68 @@
+package org.cornelcove.testkit.fault;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Every scenario under load, against every guarantee. The verdicts go to {@code target/fault-cells.tsv}; the system
+ * properties {@code fault.scenario} and {@code fault.seed} choose one scenario and another seed.
+ */
+class ClusterFaultTest {
+    private static final long SEED = Long.getLong("fault.seed", 11);
+    private static final Optional<Scenario> ONLY =
+            Optional.ofNullable(System.getProperty("fault.scenario")).map(Scenario::valueOf);
+    private static final Path REPORT = Path.of("target", "fault-cells.tsv");
+
+    static Stream<Scenario> scenarios() {
+        return ONLY.map(Stream::of).orElseGet(() -> Stream.of(Scenario.values()));
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void everyGuaranteeHolds(Scenario scenario, @TempDir(cleanup = CleanupMode.ON_SUCCESS) Path folder)
+            throws Exception {
+        try (Cluster cluster = Cluster.start(folder, SEED)) {
+            cluster.startLoad(SEED);
+            Callers.pause(1_000);
+            scenario.fault.inject(cluster);
+            Callers.pause(1_000);
+            cluster.settle();
+            Map<Guarantee, List<String>> violations = violations(scenario, cluster);
+            assertThat(violations, is(Map.of()));
+            long done = cluster.history.events(Seen.Answer.class).stream()
+                    .filter(answer -> answer.run().equals("done"))
+                    .count();
+            assertThat("requests answered", done, greaterThan(50L));
+        }
+    }
+
+    private static Map<Guarantee, List<String>> violations(Scenario scenario, Cluster cluster) throws Exception {
+        Map<Guarantee, List<String>> violations = new TreeMap<>();
+        List<String> lines = new ArrayList<>();
+        for (Guarantee guarantee : Guarantee.values()) {
+            List<String> found = guarantee.violations(cluster.history);
+            lines.add(String.join("\t", guarantee.name(), scenario.name(), "" + found.size(), "" + SEED));
+            if (!found.isEmpty()) {
+                violations.put(guarantee, found.stream().limit(3).toList());
+            }
+        }
+        Files.write(REPORT, lines, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        return violations;
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Node.java
@@ -0,0 +1,104 @@
+package org.cornelcove.testkit.fault;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.cornelcove.testkit.History;
+
+/** One daemon as a process of its own. */
+final class Node implements AutoCloseable {
+    private static final long STOP_LIMIT_S = 150;
+
+    final int member;
+    final String name;
+    final String caller;
+    final String api;
+    final int rpcPort;
+    final Path folder;
+    private final String controlMembers;
+    private final History history;
+    private Process process;
+
+    Node(int member, List<Integer> ports, Path folder, String controlMembers, History history) {
+        this.member = member;
+        this.name = "entry-" + member;
+        this.caller = "127.0.0.1:" + ports.get(0);
+        this.api = "127.0.0.1:" + ports.get(1);
+        this.rpcPort = ports.get(2);
+        this.folder = folder;
+        this.controlMembers = controlMembers;
+        this.history = history;
+    }
+
+    void start() throws IOException {
+        process = java(
+                folder.resolveSibling(name + ".log"),
+                "org.cornelcove.daemon.Cornelcoved",
+                List.of(
+                        "--name=" + name,
+                        "--availability-zone=zone-" + member,
+                        "--caller-address=" + caller,
+                        "--api-address=" + api,
+                        "--rpc-address=127.0.0.1:" + rpcPort,
+                        "--data-folder=" + folder,
+                        "--member-id=" + member,
+                        "--control-members=" + controlMembers));
+    }
+
+    static Process java(Path log, String main, List<String> arguments) throws IOException {
+        String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                classPath,
+                main));
+        command.addAll(arguments);
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    boolean running() {
+        return process != null && process.isAlive();
+    }
+
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    void freeze() throws Exception {
+        signal(process, "STOP");
+    }
+
+    void thaw() throws Exception {
+        signal(process, "CONT");
+    }
+
+    static void signal(Process process, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** A planned stop, by SIGTERM. */
+    void stop() throws InterruptedException {
+        long fromMs = System.currentTimeMillis();
+        process.destroy();
+        int exitCode = process.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS) ? process.exitValue() : -1;
+        history.write(new Seen.Stop(caller, fromMs, System.currentTimeMillis(), exitCode));
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        if (process != null) {
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/RequestChecks.java
@@ -0,0 +1,132 @@
+package org.cornelcove.testkit.fault;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.cornelcove.testkit.History;
+import org.cornelcove.testkit.TargetEvent;
+
+/** Checks of requests, from what callers were told and what targets wrote down. */
+final class RequestChecks {
+    private static final long LEAVING_MS = 3_000;
+
+    private RequestChecks() {}
+
+    private static boolean of(String requestClass, Seen.Answer answer) {
+        return answer.sent().requestClass().equals(requestClass);
+    }
+
+    private static List<TargetEvent> started(History history) {
+        return history.events(TargetEvent.class).stream()
+                .filter(event -> event.what().equals("started"))
+                .toList();
+    }
+
+    /** A target answers with its name, a space and the request's body. */
+    static List<String> ownWholeAnswer(History history) {
+        return history.events(Seen.Answer.class).stream()
+                .filter(answer -> answer.run().equals("done"))
+                .filter(answer -> answer.status() != 200
+                        || !answer.body()
+                                .substring(answer.body().indexOf(' ') + 1)
+                                .equals(answer.sent().body()))
+                .map(Object::toString)
+                .toList();
+    }
+
+    /** A caller of class {@code once} may send its key's request anew after a not-run, so its key must not have run. */
+    static List<String> notRunIsTrue(History history) {
+        List<TargetEvent> started = started(history);
+        Set<String> requests = started.stream().map(TargetEvent::requestId).collect(Collectors.toSet());
+        List<String> found = new ArrayList<>();
+        for (Seen.Answer answer : history.events(Seen.Answer.class)) {
+            if (!answer.run().equals("not-run")) {
+                continue;
+            }
+            boolean keyRan = of("once", answer)
+                    && started.stream()
+                            .anyMatch(event ->
+                                    event.key().equals(answer.sent().key()) && event.atMs() < answer.answeredMs());
+            if (keyRan || requests.contains(answer.sent().requestId())) {
+                found.add(answer + " ran");
+            }
+        }
+        return found;
+    }
+
+    static List<String> onceAtMostOnce(History history) {
+        Set<String> keys = history.events(Seen.Answer.class).stream()
+                .filter(answer -> of("once", answer))
+                .map(answer -> answer.sent().key())
+                .collect(Collectors.toSet());
+        return started(history).stream()
+                .filter(event -> keys.contains(event.key()))
+                .collect(Collectors.groupingBy(TargetEvent::key))
+                .values()
+                .stream()
+                .filter(runs -> runs.size() > 1)
+                .map(Object::toString)
+                .toList();
+    }
+
+    /** Events come in the order in which targets wrote them; whatever started under a key must end before the next. */
+    static List<String> exclusiveNeverOverlaps(History history) {
+        Set<String> exclusive = history.events(Seen.Answer.class).stream()
+                .filter(answer -> of("exclusive", answer))
+                .map(answer -> answer.sent().requestId())
+                .collect(Collectors.toSet());
+        Map<String, TargetEvent> running = new HashMap<>();
+        List<String> found = new ArrayList<>();
+        for (TargetEvent event : history.events(TargetEvent.class)) {
+            if (!exclusive.contains(event.requestId())) {
+                continue;
+            }
+            if (event.what().equals("started")) {
+                TargetEvent other = running.put(event.key(), event);
+                if (other != null) {
+                    found.add(event + " while " + other);
+                }
+            } else if (running.containsKey(event.key())
+                    && running.get(event.key()).requestId().equals(event.requestId())) {
+                running.remove(event.key());
+            }
+        }
+        return found;
+    }
+
+    static List<String> leavingTargetGetsNothing(History history) {
+        Map<String, Long> leaving = new HashMap<>();
+        List<String> found = new ArrayList<>();
+        for (TargetEvent event : history.events(TargetEvent.class)) {
+            if (event.what().equals("leaving")) {
+                leaving.put(event.target(), event.atMs());
+            } else if (event.what().equals("started")
+                    && event.atMs() > leaving.getOrDefault(event.target(), Long.MAX_VALUE - LEAVING_MS) + LEAVING_MS) {
+                found.add(event + " leaving since " + leaving.get(event.target()));
+            }
+        }
+        return found;
+    }
+
+    /** No answer is lost at the daemon that stops, none is cut off by it elsewhere, and its exit code is 0. */
+    static List<String> plannedStopCutsOffNothing(History history) {
+        List<String> found = new ArrayList<>();
+        for (Seen.Stop stop : history.events(Seen.Stop.class)) {
+            if (stop.exitCode() != 0) {
+                found.add(stop.toString());
+            }
+            history.events(Seen.Answer.class).stream()
+                    .filter(answer -> answer.answeredMs() >= stop.fromMs()
+                            && answer.sent().sentMs() <= stop.toMs())
+                    .filter(answer -> answer.run().equals("unknown")
+                            || answer.run().equals(Seen.LOST)
+                                    && answer.sent().entry().equals(stop.entry()))
+                    .forEach(answer -> found.add(answer + " during " + stop));
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
@@ -0,0 +1,132 @@
+package org.cornelcove.testkit.fault;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+/** What goes wrong with a cluster under load, one thing after the other. */
+enum Scenario {
+    NO_FAULT(cluster -> Callers.pause(3_000)),
+    LEADER_THEN_FOLLOWER_KILLED(cluster -> {
+        for (Node node : List.of(cluster.leader(), cluster.follower())) {
+            node.kill();
+            cluster.awaitServing();
+            node.start();
+            cluster.awaitServing();
+        }
+    }),
+    LEADER_THEN_FOLLOWER_FROZEN(cluster -> {
+        frozen(cluster.leader());
+        cluster.awaitServing();
+        frozen(cluster.follower());
+        cluster.awaitServing();
+    }),
+    LEADER_CUT_OFF(cluster -> {
+        cut(cluster, cluster.leader(), true, false);
+        cut(cluster, cluster.leader(), false, true);
+        cut(cluster, cluster.leader(), true, true);
+    }),
+    ROLLING_RESTART(cluster -> {
+        for (Node node : List.copyOf(cluster.nodes)) {
+            node.stop();
+            node.start();
+            cluster.awaitServing();
+        }
+    }),
+    ALL_KILLED(cluster -> {
+        for (Node node : cluster.nodes) {
+            node.kill();
+        }
+        for (Node node : cluster.nodes) {
+            node.start();
+        }
+        cluster.awaitServing();
+    }),
+    TARGETS_GO_AND_WORKER_FROZEN(cluster -> {
+        Node.signal(cluster.workerProcess(), "STOP");
+        cluster.targets.get(0).kill();
+        cluster.startTarget("target-5");
+        cluster.targets.get(1).leave();
+        Callers.pause(9_000);
+        Node.signal(cluster.workerProcess(), "CONT");
+    }),
+    DISK_LOST_THEN_SECOND_HOST(cluster -> {
+        Node lost = cluster.follower();
+        lost.kill();
+        delete(lost.folder);
+        cluster.replace(lost, 4);
+        cluster.leader().kill();
+        cluster.awaitServing();
+    }),
+    OPERATORS_RACE(cluster -> {
+        for (int round = 0; round < 4; round++) {
+            race(cluster, round == 2);
+        }
+    });
+
+    private static final long FREEZE_MS = 6_000;
+    private static final long CUT_MS = 5_000;
+
+    /** Something that goes wrong. */
+    interface Fault {
+        void inject(Cluster cluster) throws Exception;
+    }
+
+    final Fault fault;
+
+    Scenario(Fault fault) {
+        this.fault = fault;
+    }
+
+    private static void frozen(Node node) throws Exception {
+        node.freeze();
+        Callers.pause(FREEZE_MS);
+        node.thaw();
+    }
+
+    private static void cut(Cluster cluster, Node node, boolean outbound, boolean inbound) {
+        cluster.cut(node, outbound, inbound);
+        Callers.pause(CUT_MS);
+        cluster.cut(node, false, false);
+        cluster.awaitServing();
+    }
+
+    private static void delete(Path folder) throws Exception {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Each operator proposes its own content under one number, and again until it is told an outcome. */
+    private static void race(Cluster cluster, boolean leaderKilled) throws Exception {
+        synchronized (cluster) {
+            long number = cluster.nextChangeNumber();
+            Node leader = cluster.leader();
+            List<CompletableFuture<Void>> operators = cluster.nodes.stream()
+                    .map(node -> CompletableFuture.runAsync(() -> Cluster.await("an outcome", () -> {
+                        String api = cluster.running().stream()
+                                .filter(other -> other == node)
+                                .findFirst()
+                                .orElse(cluster.running().get(0))
+                                .api;
+                        Seen.Proposal seen =
+                                cluster.operator.propose(api, number, Operator.rules(number, "-" + node.member));
+                        return seen.version() > 0 || seen.error() / 100 == 5;
+                    })))
+                    .toList();
+            if (leaderKilled) {
+                leader.kill();
+            }
+            CompletableFuture.allOf(operators.toArray(CompletableFuture[]::new)).join();
+            if (leaderKilled) {
+                leader.start();
+                cluster.awaitReady();
+            }
+            cluster.changedElsewhere(number);
+        }
+    }
+}
