--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -2,12 +2,19 @@
 
 import java.util.List;
 
+import org.cornelcove.bench.capacity.CapacityBenchmark;
+import org.cornelcove.bench.entry.ClaimsBenchmark;
+import org.cornelcove.bench.entry.RelayBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
+import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
 import org.cornelcove.bench.policy.HeadOfLineBenchmark;
 import org.cornelcove.bench.policy.PlacementBenchmark;
 import org.cornelcove.bench.policy.RetriesBenchmark;
 import org.cornelcove.bench.policy.SwingBenchmark;
+import org.cornelcove.bench.replication.CommitBenchmark;
+import org.cornelcove.bench.replication.FailoverBenchmark;
+import org.cornelcove.bench.replication.RecoveryBenchmark;
 
 /** Lists the benchmarks, or runs those named. Exit code 0 when every target was met, 1 otherwise, 2 on wrong usage. */
 public final class Bench {
@@ -17,7 +24,14 @@
             new HeadOfLineBenchmark(),
             new RetriesBenchmark(),
             new PlacementBenchmark(),
-            new BlackHoleBenchmark());
+            new BlackHoleBenchmark(),
+            new ColocationBenchmark(),
+            new CommitBenchmark(),
+            new RecoveryBenchmark(),
+            new FailoverBenchmark(),
+            new CapacityBenchmark(),
+            new RelayBenchmark(),
+            new ClaimsBenchmark());
 
     private Bench() {}
 
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -53,6 +53,7 @@
 
     /** Returns the placements and rejections that are due. */
     List<Command> due(Tables tables, long nowMs) {
+        evictor.relieve(tables, nowMs);
         if (tables.jobs().pendingUrgent().isEmpty()
                 && tables.jobs().pendingByTeam().isEmpty()) {
             return List.of();
@@ -78,11 +79,12 @@
     private PlacementInput input(Tables tables, long nowMs) {
         Map<HostId, HostRoom> all = new TreeMap<>();
         Map<HostId, HostRoom> open = new TreeMap<>();
+        quarantine.setMaxPercent(tables.configuration().newest().rules().batch().quarantinePercent());
         for (WorkerRecord worker : tables.workers().all()) {
-            HostRoom room = room(worker, tables);
+            int mostAttempts = quarantine.mostAttempts(worker.host(), nowMs);
+            HostRoom room = HostRoom.of(worker, mostAttempts, tables);
             all.put(worker.host(), room);
-            if (workers.takesWork(worker.host(), worker.incarnation(), nowMs)
-                    && !quarantine.isQuarantined(worker.host(), nowMs)) {
+            if (workers.takesWork(worker.host(), worker.incarnation(), nowMs) && room.takesOneMore()) {
                 open.put(worker.host(), room);
             }
         }
@@ -102,15 +104,6 @@
                 evictor.kept());
     }
 
-    private static HostRoom room(WorkerRecord worker, Tables tables) {
-        return new HostRoom(
-                worker.host(),
-                worker.availabilityZone(),
-                worker.rack(),
-                worker.capacity(),
-                tables.jobs().heldOn(worker.host()));
-    }
-
     private static List<Job> first(Collection<PendingKey> queue, int most, Tables tables) {
         return queue.stream()
                 .limit(most)
--- a/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
@@ -10,6 +10,7 @@
 import org.cornelcove.control.leader.Leases;
 import org.cornelcove.model.command.ClaimGranted;
 import org.cornelcove.model.command.ClaimOnce;
+import org.cornelcove.model.command.ReleaseClaim;
 import org.cornelcove.model.id.EntryId;
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
@@ -53,10 +54,13 @@
         return (long) (sim.time.nowMs() * clockRate);
     }
 
-    void announce(TargetAnnouncement announcement) {
-        if (!frozen) {
+    /** Takes an announcement; without a lease it is refused, so that the target asks another entry. */
+    boolean announce(TargetAnnouncement announcement) {
+        boolean taken = !frozen && (localMs() < leaseUntilMs || leaseUntilMs == 0);
+        if (taken) {
             announcements.put(announcement.target(), new HeardTarget(announcement, localMs()));
         }
+        return taken;
     }
 
     private void beat() {
@@ -121,19 +125,31 @@
         sim.history.servings.add(new History.Serving(sim.time.nowMs(), id, version, Set.copyOf(targets), ranges));
     }
 
-    /** Asks for a key as for a request of a caller. */
+    /** Asks for a key as for a request of a caller; a grant is dispatched once, unless the target refuses. */
     void claim(String key) {
         if (frozen) {
             return;
         }
         ClaimOnce command = new ClaimOnce(key, "digest", id, incarnation);
+        boolean[] answered = {false};
         link.call(() -> sim.group.node(contact).execute(command), (outcome, fault) -> {
-            if (outcome instanceof ClaimGranted) {
-                sim.history.grants.add(new History.Granted(key, id, ((ClaimGranted) outcome).index()));
+            if (answered[0] || !(outcome instanceof ClaimGranted)) {
+                return;
+            }
+            answered[0] = true;
+            long index = ((ClaimGranted) outcome).index();
+            if (sim.time.random().nextInt(3) == 0) {
+                release(new ReleaseClaim(key, id, command.incarnation(), index));
+            } else {
+                sim.history.dispatches.add(new History.Dispatch(key, id, index));
             }
         });
     }
 
+    private void release(ReleaseClaim command) {
+        link.call(() -> sim.group.node(contact).execute(command), (outcome, fault) -> {});
+    }
+
     public void freeze() {
         frozen = true;
     }
--- a/control/src/test/java/org/cornelcove/control/sim/Simulation.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Simulation.java
@@ -26,7 +26,7 @@
     static final JobId OBSERVED = JobId.of("b1");
 
     private static final Resources HOST = Resources.of(4_000, 1L << 30, 1);
-    private static final long END_MS = 80_000;
+    static final long END_MS = 80_000;
 
     final Timeline time;
     final History history = new History();
@@ -74,7 +74,7 @@
         for (int i = 1; i <= 6; i++) {
             TargetAnnouncement target =
                     new TargetAnnouncement(TargetId.of("t" + i), "s", "10.0.0." + i + ":1", "z", 8, 60, 0, false);
-            time.every(1_000, () -> entries.get((int) time.between(0, 2)).announce(target));
+            time.every(1_000, () -> announce(target));
         }
         time.after(500, () -> operator.propose(1));
         time.after(6_000, () -> operator.propose(2));
@@ -86,13 +86,22 @@
         time.after(5_000, () -> operator.submit(job("u1", 4_000, 4_000, true)));
         time.after(7_200, () -> operator.cancel(JobId.of("b4")));
         time.after(9_500, () -> operator.submit(job("b6", 4_000, 3_000, false)));
-        for (int i = 0; i < 100; i++) {
-            String key = "k" + i / 2;
-            time.after(2_000 + i * 200L, () -> entries.get((int) time.between(0, 2))
+        for (int i = 0; i < 200; i++) {
+            String key = "k" + i / 10;
+            time.after(2_000 + i * 100L, () -> entries.get((int) time.between(0, 2))
                     .claim(key));
         }
     }
 
+    private void announce(TargetAnnouncement target) {
+        int first = time.random().nextInt(entries.size());
+        for (int i = 0; i < entries.size(); i++) {
+            if (entries.get((first + i) % entries.size()).announce(target)) {
+                return;
+            }
+        }
+    }
+
     private static JobSpec job(String name, long cpuMillicores, long runMs, boolean urgent) {
         Resources resources = Resources.of(cpuMillicores, 1 << 20, 0);
         return new JobSpec(JobId.of(name), "team", JobKind.BATCH, "cut", resources, runMs, urgent, "");
