--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
@@ -45,6 +45,7 @@
         cluster.awaitServing();
     }),
     TARGETS_GO_AND_WORKER_FROZEN(cluster -> {
+        cluster.fillWorkers(12_000);
         Node.signal(cluster.workerProcess(), "STOP");
         cluster.targets.get(0).kill();
         cluster.startTarget("target-5");
@@ -52,6 +53,14 @@
         Callers.pause(9_000);
         Node.signal(cluster.workerProcess(), "CONT");
     }),
+    WORK_EVICTED(cluster -> {
+        cluster.fillWorkers(10_000);
+        Cluster.await("urgent work accepted", () -> cluster.operator.submit("urgent-now", 3, 300, true));
+        Cluster.await("an eviction", () -> cluster.attempts()
+                .anyMatch(event -> event.what().equals("evicted")));
+        cluster.leader().kill();
+        cluster.awaitServing();
+    }),
     DISK_LOST_THEN_SECOND_HOST(cluster -> {
         Node lost = cluster.follower();
         lost.kill();
@@ -60,6 +69,19 @@
         cluster.leader().kill();
         cluster.awaitServing();
     }),
+    DISK_LOST_AND_NEW_MEMBER_LEADS(cluster -> {
+        Node lost = cluster.follower();
+        lost.kill();
+        delete(lost.folder);
+        Node added = cluster.replace(lost, 4);
+        while (cluster.leader() != added) {
+            Node leader = cluster.leader();
+            leader.kill();
+            cluster.awaitServing();
+            leader.start();
+            cluster.awaitServing();
+        }
+    }),
     OPERATORS_RACE(cluster -> {
         for (int round = 0; round < 4; round++) {
             race(cluster, round == 2);
