A key that ran and is told not-run stands as a guarantee and a test of its own

One was red in NOT_RUN_IS_TRUE: a once request sent again to an entry without a lease was told not-run (608) although its key had run; the request itself had not.

--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Guarantee.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Guarantee.java
@@ -9,6 +9,7 @@
 enum Guarantee {
     OWN_WHOLE_ANSWER(RequestChecks::ownWholeAnswer),
     NOT_RUN_IS_TRUE(RequestChecks::notRunIsTrue),
+    KEY_THAT_RAN_IS_NOT_TOLD_NOT_RUN(RequestChecks::keyThatRanIsNotToldNotRun),
     ONCE_AT_MOST_ONCE(RequestChecks::onceAtMostOnce),
     EXCLUSIVE_NEVER_OVERLAPS(RequestChecks::exclusiveNeverOverlaps),
     LEAVING_TARGET_GETS_NOTHING(RequestChecks::leavingTargetGetsNothing),
