A once request is told not-run only with the ledger's word

Cause: an entry without a lease, or without a way to the leader, told a once request not-run. That is true of the request, but its key may have run when the caller sent it before and lost the answer; who then acts under a new key acts twice.

--- a/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
+++ b/entry/src/main/java/org/cornelcove/entry/CallerHandler.java
@@ -8,6 +8,7 @@
 import io.vavr.control.Either;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.request.RequestClass;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
@@ -66,7 +67,7 @@
         EntryView current = view.get();
         Optional<String> closed = whyClosed.get();
         if (closed.isPresent()) {
-            refuse(request, response, "", refusals.notReady(closed.get()));
+            refuse(request, response, "", whileClosed(request, current, now, closed.get()));
             return;
         }
         Either<Failure, RequestHead> head = heads.read(request, current, now);
@@ -77,6 +78,14 @@
         readBody(request, response, head.get());
     }
 
+    private Answer whileClosed(Request request, EntryView current, long now, String why) {
+        boolean mayBeOnce = heads.read(request, current, now)
+                .fold(
+                        unread -> request.getHeader(Headers.KEY) != null,
+                        head -> head.requestClass() == RequestClass.ONCE);
+        return mayBeOnce ? refusals.keyUnchecked(why) : refusals.notReady(why);
+    }
+
     private void answerOwnPath(Request request, Response response) {
         String path = request.getRequestURI();
         Optional<String> unready = path.equals(HEALTHY_PATH) ? Optional.empty() : whyUnready.get();
--- a/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -79,7 +79,7 @@
     /** Claims the key and runs the request. */
     CompletableFuture<Answer> submit(ServiceRequest request) {
         if (!view.get().isLeased(clock.nowNs().getAsLong())) {
-            return done(refusals.notReady("its lease has lapsed"));
+            return done(refusals.keyUnchecked("this entry's lease has lapsed"));
         }
         String key = ExclusiveKeys.scopedKey(request);
         if (!open.add(key)) {
@@ -134,7 +134,7 @@
         if (outcome instanceof Refused refused) {
             return refused.failure().kind() == ErrorKind.KEY_REUSED
                     ? refusals.wrong(refused.failure())
-                    : refusals.notReady(refused.failure().message());
+                    : refusals.keyUnchecked(refused.failure().message());
         }
         return refusals.unknown(Failure.of(ErrorKind.INTERNAL, "unexpected outcome of a claim"));
     }
@@ -154,8 +154,7 @@
         if (cause instanceof FailureException failed
                 && WITHOUT_EFFECT.contains(failed.failure().kind())) {
             open.remove(claim.key());
-            return done(refusals.notRun(
-                    "no claim could be made: " + failed.failure().message()));
+            return done(refusals.keyUnchecked(failed.failure().message()));
         }
         request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", cause.getMessage());
         return settler.settle(release(claim))
--- a/entry/src/main/java/org/cornelcove/entry/Refusals.java
+++ b/entry/src/main/java/org/cornelcove/entry/Refusals.java
@@ -20,6 +20,15 @@
         return notRun(Failure.of(ErrorKind.ENTRY_NOT_READY, why, seconds), seconds);
     }
 
+    /**
+     * Returns the refusal of a request of class once that nothing was done for. It does not say "not run": its key may
+     * have run when it was sent before, and only the ledger could tell.
+     */
+    Answer keyUnchecked(String why) {
+        int seconds = retryAfter.seconds(BRIEF_MS);
+        return Answer.ofFailure(RunState.UNKNOWN, Failure.of(ErrorKind.KEY_UNCHECKED, why, seconds), seconds);
+    }
+
     Answer noTarget(String service) {
         int seconds = retryAfter.seconds(BRIEF_MS);
         return notRun(Failure.of(ErrorKind.NO_TARGET, service, seconds), seconds);
--- a/entry/src/main/java/org/cornelcove/entry/Statuses.java
+++ b/entry/src/main/java/org/cornelcove/entry/Statuses.java
@@ -45,6 +45,7 @@
                     CLAIM_NOT_HELD -> CONFLICT;
             case QUEUE_FULL, DEADLINE_UNREACHABLE -> TOO_MANY_REQUESTS;
             case NO_TARGET,
+                    KEY_UNCHECKED,
                     ENTRY_NOT_READY,
                     NOT_RUN,
                     NOT_LEADER,
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -132,6 +132,10 @@
             615,
             Severity.ERROR,
             "nothing is known here of request %s; ask the entry that answered it, while it is among its newest"),
+    KEY_UNCHECKED(
+            616,
+            Severity.WARNING,
+            "whether the request's key ran before can't be looked up now: %s; send it again with the same key after %s s"),
     // Command line
     ENDPOINT_UNREACHABLE(701, Severity.ERROR, "can't reach %s: %s; check --endpoint and that the daemon runs"),
     UNEXPECTED_ANSWER(702, Severity.ERROR, "%s does not answer like cornelcoved: %s; check the port"),
