Histograms are shown again; names imported

Cause: the entry's timers became histograms in microseconds and the report still looked for timers, so 'cornelcove histograms' and the text form showed none. Seen in the quickstart from a clean clone.

--- a/bench/src/main/java/org/cornelcove/bench/capacity/CapacityBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/CapacityBenchmark.java
@@ -7,7 +7,9 @@
 import java.util.List;
 
 import org.cornelcove.bench.Benchmark;
+import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.WorkerHeartbeat;
 import org.cornelcove.model.message.WorkerOrders;
 import org.cornelcove.wire.Codec;
 
@@ -97,7 +99,7 @@
         for (int i = 0; i < fleet.size.workers(); i++) {
             byte[] request = Codec.encode(fleet.workerHeartbeat(i));
             WorkerOrders orders = fleet.leader
-                    .workerHeartbeat(Codec.decode(request, org.cornelcove.model.message.WorkerHeartbeat.class))
+                    .workerHeartbeat(Codec.decode(request, WorkerHeartbeat.class))
                     .join();
             Codec.encode(orders);
         }
@@ -108,7 +110,7 @@
             for (int entry = 0; entry < fleet.size.entries(); entry++) {
                 byte[] request = Codec.encode(fleet.entryHeartbeat(entry, quarter));
                 EntryLease lease = fleet.leader
-                        .heartbeat(Codec.decode(request, org.cornelcove.model.message.EntryHeartbeat.class))
+                        .heartbeat(Codec.decode(request, EntryHeartbeat.class))
                         .join();
                 Codec.encode(lease);
             }
--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.cornelcove.control.leader.ControlLeader;
 import org.cornelcove.control.leader.Policies;
@@ -110,7 +111,7 @@
                 .answer(Calls.REMOVE_MEMBER, id -> onNode(node -> node.removeMember(id)));
     }
 
-    private CompletableFuture<Empty> onNode(java.util.function.Function<ReplicaNode, CompletableFuture<Void>> change) {
+    private CompletableFuture<Empty> onNode(Function<ReplicaNode, CompletableFuture<Void>> change) {
         return opened.thenCompose(change).thenApply(done -> Empty.INSTANCE);
     }
 
--- a/daemon/src/main/java/org/cornelcove/daemon/api/MetricsReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/MetricsReport.java
@@ -10,14 +10,16 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
-import com.codahale.metrics.Timer;
 import org.cornelcove.model.view.HistogramView;
 
 /** Writes an entry's metrics as JSON messages and in the text form that collectors scrape. */
 final class MetricsReport {
-    private static final double NS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double US_PER_SECOND = TimeUnit.SECONDS.toMicros(1);
+    /** Ends the name of each histogram of the entry. */
+    private static final String UNIT = "Us";
 
     private final MetricRegistry registry;
 
@@ -31,23 +33,24 @@
 
     List<HistogramView> histograms() {
         List<HistogramView> views = new ArrayList<>();
-        registry.getTimers().forEach((name, timer) -> views.add(histogram(name, timer)));
+        registry.getHistograms().forEach((name, histogram) -> views.add(view(name, histogram)));
         return views;
     }
 
-    private static HistogramView histogram(String name, Timer timer) {
-        Snapshot figures = timer.getSnapshot();
+    private static HistogramView view(String name, Histogram histogram) {
+        Snapshot figures = histogram.getSnapshot();
         return new HistogramView(
-                name,
-                timer.getCount(),
-                micros(figures.getMedian()),
-                micros(figures.getValue(0.9)),
-                micros(figures.get99thPercentile()),
-                micros(figures.getMax()));
+                withoutUnit(name),
+                histogram.getCount(),
+                Math.round(figures.getMedian()),
+                Math.round(figures.getValue(0.9)),
+                Math.round(figures.get99thPercentile()),
+                figures.getMax());
     }
 
-    private static long micros(double ns) {
-        return Math.round(ns / TimeUnit.MICROSECONDS.toNanos(1));
+    /** Takes the unit off the name, since the figures name their own. */
+    private static String withoutUnit(String name) {
+        return name.endsWith(UNIT) ? name.substring(0, name.length() - UNIT.length()) : name;
     }
 
     /** Returns counters and gauges by name, histograms beside them. */
@@ -81,15 +84,17 @@
         numbers()
                 .forEach((name, value) ->
                         text.append(metricName(name)).append(' ').append(value).append('\n'));
-        registry.getTimers().forEach((name, timer) -> appendSummary(text, metricName(name) + "_seconds", timer));
+        registry.getHistograms()
+                .forEach((name, histogram) ->
+                        appendSummary(text, metricName(withoutUnit(name)) + "_seconds", histogram));
         return text.toString();
     }
 
-    private static void appendSummary(StringBuilder text, String name, Timer timer) {
-        Snapshot figures = timer.getSnapshot();
+    private static void appendSummary(StringBuilder text, String name, Histogram histogram) {
+        Snapshot figures = histogram.getSnapshot();
         text.append("# TYPE ").append(name).append(" summary\n");
         for (double quantile : new double[] {0.5, 0.9, 0.99, 0.999}) {
-            double seconds = figures.getValue(quantile) / NS_PER_SECOND;
+            double seconds = figures.getValue(quantile) / US_PER_SECOND;
             text.append(name)
                     .append("{quantile=\"")
                     .append(quantile)
@@ -97,7 +102,7 @@
                     .append(seconds)
                     .append('\n');
         }
-        text.append(name).append("_count ").append(timer.getCount()).append('\n');
+        text.append(name).append("_count ").append(histogram.getCount()).append('\n');
     }
 
     private static String metricName(String name) {
--- a/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
@@ -1,6 +1,7 @@
 package org.cornelcove.testkit;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.TargetAnnouncement;
@@ -42,7 +44,7 @@
     private final AtomicInteger busy = new AtomicInteger();
     private final AtomicInteger ran = new AtomicInteger();
     private final AtomicBoolean leaving = new AtomicBoolean();
-    private final java.util.concurrent.atomic.AtomicLong highestEpoch = new java.util.concurrent.atomic.AtomicLong();
+    private final AtomicLong highestEpoch = new AtomicLong();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
     private String address;
 
@@ -172,7 +174,7 @@
             ran.incrementAndGet();
             record(id, key, "ended");
             running.remove(id);
-            byte[] prefix = (target + " ").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            byte[] prefix = (target + " ").getBytes(StandardCharsets.UTF_8);
             try {
                 response.setContentType("application/octet-stream");
                 response.setContentLength(prefix.length + body.length);
