One way to find the failure that an exception carries

Cause: the call server, the api and the way to the leader each unwrapped a future's exception by a copy of the same lines; the status report kept its own copy of the targets' silence bound. Change: FailureException.carriedBy and causeOf serve all three; the report reads Leases. Conclusion: the tests of calls, router, api, entry failures and modules' directions pass.

--- a/daemon/src/main/java/org/cornelcove/daemon/api/ApiServer.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ApiServer.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -105,13 +104,12 @@
         }
 
         private static Failure failureOf(Throwable thrown) {
-            Throwable cause =
-                    thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
-            if (cause instanceof FailureException known) {
-                return known.failure();
-            }
+            return FailureException.carriedBy(thrown).orElseGet(() -> unexpected(FailureException.causeOf(thrown)));
+        }
+
+        private static Failure unexpected(Throwable cause) {
             LOG.log(System.Logger.Level.WARNING, "unexpected failure", cause);
-            return Failure.of(ErrorKind.INTERNAL, cause.toString());
+            return Failure.of(ErrorKind.INTERNAL, cause);
         }
 
         private static void write(Response response, ApiAnswer answer) {
--- a/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.cornelcove.control.leader.Leases;
 import org.cornelcove.control.view.ControlStatus;
 import org.cornelcove.control.view.EntryStatus;
 import org.cornelcove.control.view.JobCounts;
@@ -29,7 +30,6 @@
 /** Puts together what operators see of the cluster out of the leader's answers. */
 final class ClusterReport {
     private static final long TIMEOUT_MS = 3_000;
-    private static final long TARGET_SILENCE_MS = 3_000;
 
     private ClusterReport() {}
 
@@ -74,7 +74,7 @@
     }
 
     private static TargetView target(TargetStatus target) {
-        boolean silent = target.silentMs() < 0 || target.silentMs() > TARGET_SILENCE_MS;
+        boolean silent = target.silentMs() < 0 || target.silentMs() > Leases.TARGET_SILENCE_MS;
         return new TargetView(
                 target.target(), target.service(), "", target.owner(), silent ? TargetState.SILENT : TargetState.LIVE);
     }
--- a/daemon/src/main/java/org/cornelcove/daemon/call/LeaderRouter.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/LeaderRouter.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -89,7 +88,7 @@
                     }
                     return isAmong(NOT_TAKEN, thrown)
                             ? later(call, request, deadlineNs)
-                            : CompletableFuture.<R>failedFuture(cause(thrown));
+                            : CompletableFuture.<R>failedFuture(FailureException.causeOf(thrown));
                 })
                 .thenCompose(next -> next);
     }
@@ -102,11 +101,9 @@
     }
 
     private static boolean isAmong(Set<ErrorKind> kinds, Throwable thrown) {
-        return cause(thrown) instanceof FailureException known
-                && kinds.contains(known.failure().kind());
-    }
-
-    private static Throwable cause(Throwable thrown) {
-        return thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
+        return FailureException.carriedBy(thrown)
+                .map(Failure::kind)
+                .filter(kinds::contains)
+                .isPresent();
     }
 }
--- a/model/src/main/java/org/cornelcove/model/error/FailureException.java
+++ b/model/src/main/java/org/cornelcove/model/error/FailureException.java
@@ -1,5 +1,8 @@
 package org.cornelcove.model.error;
 
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+
 /** Carries a {@link Failure} through code that can only throw. */
 public final class FailureException extends RuntimeException {
     private final transient Failure failure;
@@ -9,6 +12,26 @@
         this.failure = failure;
     }
 
+    /**
+     * Takes off what a future wraps around the exception that it failed with.
+     *
+     * @param thrown what a future gave
+     * @return the exception itself
+     */
+    public static Throwable causeOf(Throwable thrown) {
+        return thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
+    }
+
+    /**
+     * Finds the failure that an exception carries, wrapped by a future or not.
+     *
+     * @param thrown the exception
+     * @return the failure, empty for an exception of another kind
+     */
+    public static Optional<Failure> carriedBy(Throwable thrown) {
+        return causeOf(thrown) instanceof FailureException known ? Optional.of(known.failure) : Optional.empty();
+    }
+
     /**
      * Returns the failure.
      *
--- a/wire/src/main/java/org/cornelcove/wire/CallServer.java
+++ b/wire/src/main/java/org/cornelcove/wire/CallServer.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -105,11 +104,8 @@
         }
 
         private static Failure failureOf(Throwable thrown) {
-            Throwable cause =
-                    thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
-            return cause instanceof FailureException known
-                    ? known.failure()
-                    : Failure.of(ErrorKind.INTERNAL, cause.toString());
+            return FailureException.carriedBy(thrown)
+                    .orElseGet(() -> Failure.of(ErrorKind.INTERNAL, FailureException.causeOf(thrown)));
         }
     }
 }
