A worker reports an ended attempt also after its lease is over

Cause: the stand-in worker dropped every attempt when its lease was over, those that had ended but were not yet acknowledged included. Ruled out: the leader's side; a new leader waits one lease and the drift bound from its first sight of an attempt, and takes an end that is reported in that time. Change: what still runs is stopped at the end of the lease, what ended is reported until FORGET. PROTOCOL says so. Before: WorkerAgentTest.endIsReportedAfterLeaseIsOver: expected [FINISHED], was []. After: green.

--- a/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,7 +22,8 @@
 /**
  * A worker: runs attempts as timers under its lease. A task runs as long as its payload says ({@code runMs=1200}), and
  * its checkpoint is the number of milliseconds done. When the lease is over, counted from the instant at which the
- * last answered heartbeat was sent, every attempt stops at once.
+ * last answered heartbeat was sent, every attempt stops at once. An attempt that ended before is reported until the
+ * leader says that its end is recorded, however long that takes.
  */
 public final class WorkerAgent implements AutoCloseable {
     private static final long FIRST_HEARTBEAT_MS = 500;
@@ -108,8 +110,7 @@
 
     private synchronized void stopWhenLeaseOver() {
         if (leaseOver()) {
-            runs.values().forEach(Run::stop);
-            runs.clear();
+            runs.values().removeIf(Run::stoppedNow);
         }
     }
 
@@ -159,10 +160,17 @@
             if (end.isEmpty()) {
                 doneAtEndMs = doneMs();
                 end = Optional.of(how);
-                record(how.name().toLowerCase(java.util.Locale.ROOT));
+                record(how.name().toLowerCase(Locale.ROOT));
             }
         }
 
+        /** Returns whether it still ran. */
+        boolean stoppedNow() {
+            boolean ran = end.isEmpty();
+            stop();
+            return ran;
+        }
+
         void stop() {
             if (end.isEmpty()) {
                 doneAtEndMs = doneMs();
--- /dev/null
+++ b/testkit/src/test/java/org/cornelcove/testkit/WorkerAgentTest.java
@@ -0,0 +1,110 @@
+package org.cornelcove.testkit;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.cornelcove.model.id.AttemptId;
+import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobKind;
+import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.message.AttemptAction;
+import org.cornelcove.model.message.AttemptOrder;
+import org.cornelcove.model.message.WorkerHeartbeat;
+import org.cornelcove.model.message.WorkerOrders;
+import org.cornelcove.model.resource.Resources;
+import org.cornelcove.wire.Json;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** A worker that hears nothing until its lease is over. */
+class WorkerAgentTest {
+    private static final AttemptId ATTEMPT = AttemptId.of(JobId.of("job-1"), 1);
+    private static final Resources CAPACITY = Resources.of(4_000, 16L << 30, 0);
+    private static final long LEASE_MS = 2_000;
+    private static final int UNANSWERED = 6;
+    private static final long HEARTBEAT_MS = 300;
+    private static final long LIMIT_S = 30;
+
+    private final BlockingQueue<WorkerHeartbeat> heard = new LinkedBlockingQueue<>();
+    private final AtomicBoolean ordered = new AtomicBoolean();
+
+    @ParameterizedTest
+    @CsvSource({
+        // what ended under the lease is told when somebody hears it; what still ran is stopped and no longer told
+        "50, FINISHED",
+        "60000,"
+    })
+    void endIsReportedAfterLeaseIsOver(long runMs, AttemptEnd expected) throws Exception {
+        HttpServer leader = leader(runMs);
+        WorkerOptions options = new WorkerOptions(
+                HostId.of("worker-1"),
+                "zone-1",
+                "rack-1",
+                CAPACITY,
+                false,
+                List.of("127.0.0.1:" + leader.getAddress().getPort()));
+        try (WorkerAgent worker = WorkerAgent.start(options, History.inMemory())) {
+            for (int i = 0; i <= UNANSWERED; i++) {
+                heard.poll(LIMIT_S, TimeUnit.SECONDS);
+            }
+            WorkerHeartbeat late = heard.poll(LIMIT_S, TimeUnit.SECONDS);
+            assertThat(late.attempts().stream().map(report -> report.end()).toList(), is(ends(expected)));
+        } finally {
+            leader.stop(0);
+        }
+    }
+
+    private static List<Optional<AttemptEnd>> ends(AttemptEnd expected) {
+        return expected == null ? List.of() : List.of(Optional.of(expected));
+    }
+
+    /** Orders the attempt once, then leaves heartbeats unanswered. */
+    private HttpServer leader(long runMs) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        WorkerOrders first = new WorkerOrders(LEASE_MS, HEARTBEAT_MS, List.of(run(runMs)));
+        server.createContext("/", exchange -> answer(exchange, first));
+        server.start();
+        return server;
+    }
+
+    private void answer(HttpExchange exchange, WorkerOrders first) throws IOException {
+        WorkerHeartbeat heartbeat = Json.decode(exchange.getRequestBody().readAllBytes(), WorkerHeartbeat.class)
+                .get();
+        heard.add(heartbeat);
+        if (ordered.compareAndSet(false, true)) {
+            byte[] body = Json.encode(first);
+            exchange.sendResponseHeaders(200, body.length);
+            exchange.getResponseBody().write(body);
+        } else {
+            exchange.sendResponseHeaders(503, -1);
+        }
+        exchange.close();
+    }
+
+    private static AttemptOrder run(long runMs) {
+        JobSpec spec = new JobSpec(
+                ATTEMPT.job(),
+                "team",
+                JobKind.BATCH,
+                "task",
+                Resources.of(1_000, 1L << 30, 0),
+                0,
+                false,
+                "runMs=" + runMs);
+        return new AttemptOrder(ATTEMPT, AttemptAction.RUN, Optional.of(spec), Optional.empty());
+    }
+}
