The leader notices a member whose folder was put back from an older copy

Cause: a folder restored from a copy keeps its incarnation, so the check that catches a lost disk passes it. Its member had acknowledged entries that it no longer holds, and could elect a leader without them. Ruled out: a counter of starts in the folder; the copy's next start has the number that an ordinary restart has.

--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -24,6 +24,10 @@
  * <p>Membership. A change is appended only when the last one is committed and an entry of this term is committed. A
  * learner is promoted once it holds all that was committed at the last heartbeat. A request to add a member is done once
  * the member votes, and it holds everything committed at that moment.
+ *
+ * <p>A member whose folder was put back from an older copy is noticed when it refuses a request although it said, before
+ * the request left, that it holds what comes before. It is told that it is retired, because it might elect a leader
+ * that lacks what it had acknowledged. Only the leader that took the acknowledgement can notice; see {@link Progress}.
  */
 final class Leadership {
     private static final int MAX_UNANSWERED_ENTRIES = 8192;
@@ -213,7 +217,7 @@
         followers().forEach(m -> sendEntries(nowMs, m));
     }
 
-    void receive(Envelope message) {
+    void receive(long nowMs, Envelope message) {
         Optional<MemberRecord> member = core.log.membership().find(message.from());
         if (member.isEmpty() || message.from() == core.options.selfId()) {
             return;
@@ -225,15 +229,19 @@
         }
         p.incarnation = message.fromIncarnation();
         if (message.body() instanceof Message.AppendResponse answer) {
+            if (!answer.success() && core.rules.provesLoss(p, answer)) {
+                core.outbox.answer(message, term, new Message.MemberRetired());
+                return;
+            }
             p.answered(answer.round(), answer.sentMs());
-            takeAnswer(p, answer);
+            takeAnswer(nowMs, p, answer);
         } else if (message.body() instanceof Message.SnapshotResponse answer) {
             p.answered(answer.round(), answer.sentMs());
             takeSnapshotAnswer(p, answer);
         }
     }
 
-    private void takeAnswer(Progress p, Message.AppendResponse answer) {
+    private void takeAnswer(long nowMs, Progress p, Message.AppendResponse answer) {
         if (!answer.success()) {
             boolean stale = answer.prevIndex() <= p.matchIndex
                     || p.mode == Progress.Mode.SNAPSHOT
@@ -243,7 +251,7 @@
             }
             return;
         }
-        p.matchIndex = Math.max(p.matchIndex, answer.index());
+        p.matched(answer.index(), nowMs);
         boolean agreed = p.mode == Progress.Mode.PROBE && answer.index() >= p.nextIndex - 1
                 || p.mode == Progress.Mode.SNAPSHOT && answer.index() >= p.snapshotIndex;
         if (agreed) {
--- a/replication/src/main/java/org/cornelcove/replication/core/Progress.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Progress.java
@@ -17,6 +17,8 @@
     long incarnation;
     /** The last entry that is durable there. */
     long matchIndex;
+    /** The leader's clock when it last learned of a later durable entry there. */
+    private long matchedMs = Leadership.NEVER_MS;
 
     long nextIndex;
     /** The newest round that was answered. */
@@ -42,6 +44,22 @@
         probeSent = false;
     }
 
+    /** Notes that the member holds everything up to the index on its disk. */
+    void matched(long index, long nowMs) {
+        if (index > matchIndex) {
+            matchIndex = index;
+            matchedMs = nowMs;
+        }
+    }
+
+    /**
+     * Tells whether a refusal proves that the member no longer holds what it said was durable. It does if the request
+     * left after that was known here: whatever the network reorders, the member took the request later than it wrote.
+     */
+    boolean lacksMatched(Message.AppendResponse refusal) {
+        return refusal.sentMs() > matchedMs && Math.min(refusal.prevIndex(), refusal.index() + 1) <= matchIndex;
+    }
+
     void answered(long round, long sentMs) {
         answeredRound = Math.max(answeredRound, round);
         answeredSentMs = Math.max(answeredSentMs, sentMs);
--- a/replication/src/main/java/org/cornelcove/replication/core/ProtocolRules.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ProtocolRules.java
@@ -40,6 +40,11 @@
         return lastChangeIndex <= commitIndex;
     }
 
+    /** Whether a refusal shows that the member lost what it had acknowledged. */
+    boolean provesLoss(Progress progress, Message.AppendResponse refusal) {
+        return progress.lacksMatched(refusal);
+    }
+
     /** Whether a message may come from the member's data folder. */
     boolean admits(MemberRecord member, long incarnation) {
         return member.admits(incarnation);
--- a/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
@@ -399,7 +399,7 @@
         } else if (body instanceof Message.TransferLeadership) {
             election.takeTransfer(nowMs, message);
         } else if (role == Role.LEADER) {
-            leadership.receive(message);
+            leadership.receive(nowMs, message);
         }
     }
 
--- a/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
@@ -33,6 +33,13 @@
         byte[] durable = {};
         byte[] current = {};
         final List<Change> unsynced = new ArrayList<>();
+
+        static Content of(byte[] bytes) {
+            Content content = new Content();
+            content.durable = bytes.clone();
+            content.current = bytes.clone();
+            return content;
+        }
     }
 
     private TreeMap<String, Content> names = new TreeMap<>();
@@ -66,6 +73,29 @@
         names.values().forEach(content -> settle(content, random));
     }
 
+    /**
+     * Copies what is durable.
+     *
+     * @return a folder of its own
+     */
+    MemoryFolder copy() {
+        MemoryFolder copy = new MemoryFolder();
+        copy.putBack(this);
+        return copy;
+    }
+
+    /**
+     * Puts the durable files of another folder in the place of all that is here.
+     *
+     * @param other the folder
+     */
+    void putBack(MemoryFolder other) {
+        durableNames = new TreeMap<>();
+        other.durableNames.forEach((name, content) -> durableNames.put(name, Content.of(content.durable)));
+        names = new TreeMap<>(durableNames);
+        unsyncedNames.clear();
+    }
+
     /**
      * Flips bits of a byte of a file.
      *
--- a/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/Mutant.java
@@ -14,6 +14,7 @@
     LEARNERS_COUNT,
     ADDITION_DONE_EARLY,
     LOST_DISK_UNNOTICED,
+    RESTORED_COPY_UNNOTICED,
     CHANGES_OVERLAP,
     SNAPSHOT_NOT_RESTORED,
     APPENDS_TWICE,
@@ -49,6 +50,11 @@
                 return Mutant.this == ADDITION_DONE_EARLY || super.additionDone(votes, matchIndex, wantedIndex);
             }
 
+            @Override
+            boolean provesLoss(Progress progress, Message.AppendResponse refusal) {
+                return Mutant.this != RESTORED_COPY_UNNOTICED && super.provesLoss(progress, refusal);
+            }
+
             @Override
             boolean mayChangeMembers(long lastChangeIndex, long commitIndex) {
                 return Mutant.this == CHANGES_OVERLAP || super.mayChangeMembers(lastChangeIndex, commitIndex);
--- a/replication/src/test/java/org/cornelcove/replication/core/Scenario.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/Scenario.java
@@ -128,6 +128,30 @@
             group.runUntil(8000);
         }
     },
+    /** A member that holds the only other copy is given an older copy of its folder while the leader goes on. */
+    RESTORED_FROM_COPY {
+        @Override
+        void run(SimulatedGroup group) {
+            SimulatedMember restored = group.members.get(2L);
+            restored.passive = true;
+            group.members.get(3L).passive = true;
+            group.runUntil(2000);
+            MemoryFolder copy = restored.folder.copy();
+            group.lost = m -> m.envelope().to() == 3;
+            group.propose(1, "kept");
+            group.runUntil(2200);
+            restored.crash();
+            restored.folder.putBack(copy);
+            group.restart(restored);
+            group.runUntil(2600);
+            group.members.get(1L).crash();
+            group.lost = m -> false;
+            group.members.values().forEach(m -> m.passive = false);
+            group.runUntil(5000);
+            group.restart(group.members.get(1L));
+            group.runUntil(8000);
+        }
+    },
     /** All members lose power while their disks are slow. */
     POWER_LOST {
         @Override
