An entry without a lease tells why

Cause: a refused heartbeat was dropped without a word. An entry that was fenced, by a second process of its name or by a clock set back over a restart, said only that it held no lease. Change: the last refusal stands in the readiness answer, and one line is logged when its kind changes. The message of ENTRY_FENCED names the remedy. Test: LifecycleTest.anEntryTellsWhyItHoldsNoLease; without the change the answer lacks the message.

--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -201,9 +201,7 @@
     }
 
     private Optional<String> whyUnleased() {
-        return lease.view().isLeased(clock.nowNs().getAsLong())
-                ? Optional.empty()
-                : Optional.of("it holds no lease of the control hosts");
+        return lease.whyUnleased();
     }
 
     private void viewChanged() {
--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -13,6 +13,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
@@ -60,6 +63,9 @@
     private long appliedSequence;
     private boolean reportedLeased;
 
+    /** Why the last heartbeat brought no lease, empty when it brought one. */
+    private volatile Optional<Failure> refusal = Optional.empty();
+
     private record Heard(TargetAnnouncement announcement, long atNs) {}
 
     LeaseKeeper(
@@ -103,6 +109,15 @@
         }
     }
 
+    /** Tells why there is no lease, empty while one is held. */
+    Optional<String> whyUnleased() {
+        if (view.get().isLeased(nowNs.getAsLong())) {
+            return Optional.empty();
+        }
+        String why = refusal.map(failure -> ": " + failure.message()).orElse("");
+        return Optional.of("it holds no lease of the control hosts" + why);
+    }
+
     private synchronized void beat() {
         try {
             noteLease();
@@ -121,9 +136,24 @@
         CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
         long number = ++sequence;
         waiting = true;
-        answer.copy()
-                .orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .whenComplete((lease, error) -> answered(number, sentNs, told, Optional.ofNullable(lease)));
+        answer.copy().orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS).whenComplete((lease, error) -> {
+            noteRefusal(Optional.ofNullable(error));
+            answered(number, sentNs, told, Optional.ofNullable(lease));
+        });
+    }
+
+    private synchronized void noteRefusal(Optional<Throwable> error) {
+        Optional<Failure> now = error.map(LeaseKeeper::failureOf);
+        boolean changed = !now.map(Failure::kind).equals(refusal.map(Failure::kind));
+        refusal = now;
+        if (changed && now.isPresent()) {
+            LOGGER.log(System.Logger.Level.WARNING, "no lease: {0}", now.get().message());
+        }
+    }
+
+    private static Failure failureOf(Throwable error) {
+        return FailureException.carriedBy(error)
+                .orElseGet(() -> Failure.of(ErrorKind.CALL_TIMEOUT, "the leader", ANSWER_TIMEOUT_MS));
     }
 
     private EntryHeartbeat heartbeat(List<Heard> told, long sentNs) {
--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -47,6 +47,8 @@
     volatile List<RangeGrant> ranges = allRanges();
     volatile List<PeerEntry> peers = List.of();
     volatile boolean reachable = true;
+    /** What heartbeats are refused with, empty when they bring a lease. */
+    volatile Optional<Failure> refusal = Optional.empty();
     /** Whether another entry takes over what a draining one owns. */
     volatile boolean takenOver = true;
 
@@ -131,6 +133,9 @@
         if (!reachable) {
             return new CompletableFuture<>();
         }
+        if (refusal.isPresent()) {
+            return CompletableFuture.failedFuture(refusal.get().asException());
+        }
         boolean handedOver = heartbeat.draining() && takenOver;
         List<TargetGrant> granted = handedOver
                 ? List.of()
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -20,9 +21,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -47,6 +50,21 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = ErrorKind.class,
+            names = {"ENTRY_FENCED", "NO_QUORUM"})
+    void anEntryTellsWhyItHoldsNoLease(ErrorKind kind) throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.control.leaseMs = 300;
+            rig.open();
+            Failure refusal = Failure.of(kind, "entry-1");
+            rig.control.refusal = Optional.of(refusal);
+            Rig.await(() -> rig.entry.whyUnready().orElse("").contains(refusal.message()));
+            assertThat(rig.send(rig.request("/-/ready").GET().build()).body(), containsString(refusal.message()));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"leaving", "leaving, heard here", "silent", "no longer owned"})
     void aTargetThatGoesGetsNothingNew(String how) throws Exception {
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -85,7 +85,11 @@
     HOST_FULL(508, Severity.WARNING, "attempt %s does not fit on %s; place it elsewhere"),
     QUOTA_EXCEEDED(509, Severity.WARNING, "team %s has no quota left for %s; raise it in the rules or wait"),
     JOB_NEVER_FITS(510, Severity.ERROR, "job %s asks for more than any worker holds; ask for less"),
-    ENTRY_FENCED(511, Severity.ERROR, "entry %s was started again since; this start must not act any more"),
+    ENTRY_FENCED(
+            511,
+            Severity.ERROR,
+            "entry %s was started again since, or this host's clock was set back; stop this process, set the clock "
+                    + "right, and start one process with this name"),
     CLAIM_NOT_HELD(512, Severity.ERROR, "the claim on %s is not held by this start of %s; nothing was changed"),
     KEY_REUSED(513, Severity.ERROR, "idempotency key '%s' was used with other content; choose a new key"),
     JOB_INVALID(514, Severity.ERROR, "job '%s' is not usable: %s; give %s"),
