--- a/replication/src/test/java/org/cornelcove/replication/core/Scenario.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/Scenario.java
@@ -44,9 +44,7 @@
     READ_AFTER_ELECTION {
         @Override
         void run(SimulatedGroup group) {
-            group.members.get(2L).passive = true;
-            group.members.get(3L).passive = true;
-            group.runUntil(2000);
+            memberOneLeads(group);
             group.members.get(2L).passive = false;
             group.lost = m -> m.envelope().from() + m.envelope().to() == 3;
             group.observer = (step, member) -> {
@@ -65,9 +63,7 @@
     LEADER_ALONE_WITH_LEARNERS {
         @Override
         void run(SimulatedGroup group) {
-            group.members.get(2L).passive = true;
-            group.members.get(3L).passive = true;
-            group.runUntil(2000);
+            memberOneLeads(group);
             group.lost = m -> m.envelope().to() > 3;
             for (long id = 4; id <= 5; id++) {
                 long added = id;
@@ -112,9 +108,7 @@
     LOST_DISK_SAME_ID {
         @Override
         void run(SimulatedGroup group) {
-            group.members.get(2L).passive = true;
-            group.members.get(3L).passive = true;
-            group.runUntil(2000);
+            memberOneLeads(group);
             group.lost = m -> m.envelope().to() == 3;
             group.propose(1, "kept");
             group.runUntil(2200);
@@ -133,9 +127,7 @@
         @Override
         void run(SimulatedGroup group) {
             SimulatedMember restored = group.members.get(2L);
-            restored.passive = true;
-            group.members.get(3L).passive = true;
-            group.runUntil(2000);
+            memberOneLeads(group);
             MemoryFolder copy = restored.folder.copy();
             group.lost = m -> m.envelope().to() == 3;
             group.propose(1, "kept");
@@ -166,6 +158,13 @@
 
     abstract void run(SimulatedGroup group);
 
+    /** Lets the first of three members lead; the others stand for no election until they are told to. */
+    private static void memberOneLeads(SimulatedGroup group) {
+        group.members.get(2L).passive = true;
+        group.members.get(3L).passive = true;
+        group.runUntil(2000);
+    }
+
     History historyOf(Mutant mutant, long seed) {
         SimulatedGroup group = SimulatedGroup.of(this == OLD_TERM_REACHES_MAJORITY ? 5 : 3, seed, mutant);
         group.maxAppendBytes = 1;
