--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.cornelcove.bench.capacity.CapacityBenchmark;
+import org.cornelcove.bench.cluster.ConfigBenchmark;
+import org.cornelcove.bench.cluster.OwnershipBenchmark;
 import org.cornelcove.bench.entry.ClaimsBenchmark;
 import org.cornelcove.bench.entry.RelayBenchmark;
 import org.cornelcove.bench.policy.BlackHoleBenchmark;
@@ -29,6 +31,8 @@
             new CommitBenchmark(),
             new RecoveryBenchmark(),
             new FailoverBenchmark(),
+            new OwnershipBenchmark(),
+            new ConfigBenchmark(),
             new CapacityBenchmark(),
             new RelayBenchmark(),
             new ClaimsBenchmark());
--- /dev/null
+++ b/testkit/src/main/java/org/cornelcove/testkit/JavaProcess.java
@@ -0,0 +1,36 @@
+package org.cornelcove.testkit;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Starts programs of this build as processes of their own, by the class path of the running one. */
+public final class JavaProcess {
+    private JavaProcess() {}
+
+    /**
+     * Starts a program.
+     *
+     * @param log the file to which both of its outputs are added
+     * @param options options of the Java machine
+     * @param main the name of its main class
+     * @param arguments its command line
+     * @return the running process
+     * @throws IOException when it can't be started
+     */
+    public static Process start(Path log, List<String> options, String main, List<String> arguments)
+            throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.add("-cp");
+        command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+        command.add(main);
+        command.addAll(arguments);
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+}
--- a/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
@@ -74,6 +74,7 @@
     private void listen() throws IOException {
         NetworkListener listener = new NetworkListener("target", "127.0.0.1", 0);
         listener.getTransport().setReuseAddress(true);
+        listener.getTransport().setSelectorRunnersCount(1);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new RunHandler(), "/");
         server.start();
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
@@ -1,8 +1,6 @@
 package org.cornelcove.testkit.fault;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -30,6 +28,7 @@
 import org.cornelcove.model.view.MemberAddition;
 import org.cornelcove.testkit.AttemptEvent;
 import org.cornelcove.testkit.History;
+import org.cornelcove.testkit.LoopbackPorts;
 import org.cornelcove.testkit.TargetOptions;
 import org.cornelcove.testkit.TargetServer;
 import org.cornelcove.testkit.WorkerAgent;
@@ -44,8 +43,6 @@
     private static final int MEMBERS = 3;
     private static final int WORKERS = 3;
     private static final int LONG_JOBS = 8;
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 10_000;
     private static final Duration LIMIT = Duration.ofSeconds(40);
     private static final Resources CAPACITY = Resources.of(4_000, 16L << 30, 0);
 
@@ -54,8 +51,7 @@
     final List<TargetServer> targets = new ArrayList<>();
     final Operator operator;
     private final SplittableRandom random;
-    private final SplittableRandom ports =
-            new SplittableRandom(ProcessHandle.current().pid());
+    private final LoopbackPorts ports = new LoopbackPorts();
     private final Path folder;
     private final Map<String, LinkRelay> relays = new HashMap<>();
     private final List<WorkerAgent> workers = new ArrayList<>();
@@ -94,13 +90,13 @@
     private void startNodes() throws IOException {
         List<List<Integer>> chosen = new ArrayList<>();
         for (int i = 0; i < MEMBERS; i++) {
-            chosen.add(List.of(freePort(), freePort(), freePort()));
+            chosen.add(List.of(ports.free(), ports.free(), ports.free()));
         }
         for (int from = 1; from <= MEMBERS; from++) {
             for (int to = 1; to <= MEMBERS; to++) {
                 relays.put(
                         from + ">" + to,
-                        LinkRelay.open(freePort(), chosen.get(to - 1).get(2)));
+                        LinkRelay.open(ports.free(), chosen.get(to - 1).get(2)));
             }
         }
         for (int i = 1; i <= MEMBERS; i++) {
@@ -120,18 +116,6 @@
                 .collect(Collectors.joining(","));
     }
 
-    /** Chooses below the ports that the system gives to connections, so that no connection takes it in between. */
-    private int freePort() throws IOException {
-        while (true) {
-            int port = FIRST_PORT + ports.nextInt(PORTS);
-            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return probe.getLocalPort();
-            } catch (IOException e) {
-                // taken; the next one is tried
-            }
-        }
-    }
-
     private List<String> apis() {
         return nodes.stream().map(node -> node.api).toList();
     }
@@ -299,7 +283,7 @@
                         "DELETE", leader().api, "/v1/members/" + lost.member, new byte[0], Map.of(), 10_000)
                 .good());
         nodes.remove(lost);
-        List<Integer> chosen = List.of(freePort(), freePort(), freePort());
+        List<Integer> chosen = List.of(ports.free(), ports.free(), ports.free());
         String members = nodes.stream()
                         .map(node -> node.member + "=127.0.0.1:" + node.rpcPort)
                         .collect(Collectors.joining(","))
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Node.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Node.java
@@ -2,15 +2,16 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.cornelcove.testkit.History;
+import org.cornelcove.testkit.JavaProcess;
 
 /** One daemon as a process of its own. */
 final class Node implements AutoCloseable {
     private static final long STOP_LIMIT_S = 150;
+    private static final List<String> JAVA_OPTIONS = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
     final int member;
     final String name;
@@ -49,20 +50,7 @@
     }
 
     static Process java(Path log, String main, List<String> arguments) throws IOException {
-        String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-        List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx128m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                classPath,
-                main));
-        command.addAll(arguments);
-        return new ProcessBuilder(command)
-                .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                .start();
+        return JavaProcess.start(log, JAVA_OPTIONS, main, arguments);
     }
 
     boolean running() {
