An announcement frees no slot of a run that was given up after it

Cause: announcements reach the owner of a target up to a second after they were written. One that was written while nothing ran freed the slot of a run that was started and given up in between, so a ninth request could go to a target with eight slots. Ruled out: the count of active runs, which is taken at its lowest since the announcement before; it says nothing of a run that was started and given up in between. Change: lingering runs carry the instant at which they were given up; only earlier ones are judged by an announcement.

--- a/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
+++ b/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
@@ -101,7 +101,7 @@
                 grant.epoch() == old.epoch ? old.aloneSinceNs : nowNs - grant.previousOverMs() * NANOS_PER_MS,
                 nowNs + grant.previousHoldMs() * NANOS_PER_MS);
         if (newer) {
-            slots.announced(grant.target().slots(), grant.target().busySlots());
+            slots.announced(grant.target().slots(), grant.target().busySlots(), heardNs);
         }
         holdSlots(nowNs);
     }
@@ -110,7 +110,7 @@
     synchronized void hear(TargetAnnouncement announcement, long nowNs) {
         Standing old = standing;
         standing = new Standing(announcement, nowNs, old.epoch, old.aloneSinceNs, old.holdUntilNs);
-        slots.announced(announcement.slots(), announcement.busySlots());
+        slots.announced(announcement.slots(), announcement.busySlots(), nowNs);
         holdSlots(nowNs);
     }
 
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -217,7 +217,7 @@
             if (end.isOver()) {
                 target.slots().release();
             } else {
-                over = target.slots().abandon();
+                over = target.slots().abandon(nowNs);
             }
             queue.finished(start.place(), micros(nowNs));
             long nowMs = nowNs / NANOS_PER_MS;
--- a/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
+++ b/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
@@ -1,6 +1,8 @@
 package org.cornelcove.entry;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -11,7 +13,8 @@
  * <p>A slot is <em>active</em> from before the first byte leaves until the answer is whole. A run whose answer never
  * came may still go on at the target, so its slot is <em>lingering</em> until the target says otherwise: an
  * announcement with fewer busy slots than active ones plus lingering ones frees the difference. The active ones are
- * counted at their lowest since the announcement before, so that a run that ended meanwhile frees nobody's slot.
+ * counted at their lowest since the announcement before, so that a run that ended meanwhile frees nobody's slot. An
+ * announcement says nothing of runs that were given up after it: they may have been started after it as well.
  *
  * <p>After a change of owner the previous owner's runs hold slots unseen. Until they are surely over, only slots are
  * used that the target announced as free once the previous owner could start no more: {@code busy} of them are taken,
@@ -24,7 +27,11 @@
     private final AtomicInteger active = new AtomicInteger();
     private final AtomicInteger lowestActive = new AtomicInteger();
     private final AtomicInteger lingering = new AtomicInteger();
+    /** When each lingering run was given up, the earliest first; guarded by itself. */
+    private final Deque<Long> abandonedNs = new ArrayDeque<>();
+    /** Completed once nothing lingers; guarded by {@link #abandonedNs}. */
     private final List<CompletableFuture<Void>> awaitingOver = new ArrayList<>();
+
     private volatile int total;
     private volatile int heldByOthers;
 
@@ -54,27 +61,37 @@
     /**
      * Turns an active slot into a lingering one: its run may go on unseen.
      *
+     * @param nowNs when the run was given up
      * @return completes once the target has told that no lingering run is left
      */
-    CompletableFuture<Void> abandon() {
+    CompletableFuture<Void> abandon(long nowNs) {
         CompletableFuture<Void> over = new CompletableFuture<>();
-        synchronized (awaitingOver) {
-            lingering.incrementAndGet();
+        synchronized (abandonedNs) {
+            abandonedNs.add(nowNs);
             awaitingOver.add(over);
+            lingering.set(abandonedNs.size());
         }
         release();
         return over;
     }
 
-    /** Takes in a new announcement; returns the number of runs that still linger. */
-    int announced(int slots, int busySlots) {
+    /**
+     * Takes in a new announcement.
+     *
+     * @param slots all slots of the target
+     * @param busySlots those taken when the target wrote it
+     * @param atNs when it was heard, or somewhat earlier
+     * @return the number of runs that still linger
+     */
+    int announced(int slots, int busySlots, long atNs) {
         total = slots;
         int seen = lowestActive.getAndSet(active.get());
-        int stillLingering = Math.max(0, busySlots - seen);
         List<CompletableFuture<Void>> over = new ArrayList<>();
         int left;
-        synchronized (awaitingOver) {
-            left = lingering.updateAndGet(count -> Math.min(count, stillLingering));
+        synchronized (abandonedNs) {
+            forgetEnded(Math.max(0, busySlots - seen), atNs);
+            left = abandonedNs.size();
+            lingering.set(left);
             if (left == 0) {
                 over.addAll(awaitingOver);
                 awaitingOver.clear();
@@ -84,6 +101,15 @@
         return left;
     }
 
+    /** Forgets all but some of the runs that were given up before the instant. */
+    private void forgetEnded(int stillLingering, long atNs) {
+        long told =
+                abandonedNs.stream().filter(givenUpNs -> givenUpNs - atNs <= 0).count();
+        for (long ended = told - stillLingering; ended > 0; ended--) {
+            abandonedNs.poll();
+        }
+    }
+
     /** Leaves a number of slots to runs of a previous owner. */
     void holdForOthers(int slots) {
         heldByOthers = slots;
