An entry is told what changed of its targets instead of the whole list

Ruled out: fewer heartbeats, which lengthen every change of owner; positional MessagePack without field names, which ends the passing over of unknown fields that a rolling upgrade needs. Change: entries number their heartbeats and name the one whose answer they hold; the leader tells changes of that answer, loads where only the busy slots changed, nothing for a target heard within 1.5 s that says the same. Anything lost or overtaken brings the whole list (GrantLists, TargetList). An announcement is counted once: only one heard after the last count. The capacity benchmark now changes the busy slots of every target each second.

--- a/bench/src/main/java/org/cornelcove/bench/capacity/CapacityBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/CapacityBenchmark.java
@@ -132,11 +132,9 @@
     private static double entryBytes(Fleet fleet) {
         double bytes = 0;
         for (int quarter = 0; quarter < 4; quarter++) {
-            bytes += Codec.encode(fleet.entryHeartbeat(0, quarter)).length;
-            bytes += Codec.encode(fleet.leader
-                            .heartbeat(fleet.entryHeartbeat(0, quarter))
-                            .join())
-                    .length;
+            EntryHeartbeat heartbeat = fleet.entryHeartbeat(0, quarter);
+            bytes += Codec.encode(heartbeat).length;
+            bytes += Codec.encode(fleet.leader.heartbeat(heartbeat).join()).length;
         }
         return bytes;
     }
--- a/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
@@ -56,9 +56,12 @@
     long nowMs = 1_000_000;
     private long index;
     private final List<List<AttemptReport>> reports = new ArrayList<>();
+    /** How many heartbeats each entry has sent. */
+    private final long[] sent;
 
     private Fleet(FleetSize size) {
         this.size = size;
+        this.sent = new long[size.entries()];
         this.leader = ControlLeader.create(
                 state, () -> nowMs, this::commit, () -> CompletableFuture.completedFuture(index), Policies.standard());
         for (int i = 0; i < size.workers(); i++) {
@@ -137,12 +140,16 @@
         }
     }
 
-    /** What an entry sends when it relays its share of the announcements of a quarter of a second. */
+    /**
+     * The next heartbeat of an entry, which relays its share of the announcements of a quarter of a second. The number
+     * of busy slots of each target changes every second. The entry has taken in all answers so far.
+     */
     EntryHeartbeat entryHeartbeat(int number, int quarter) {
+        sent[number]++;
         List<HeardTarget> heard = new ArrayList<>();
         for (int i = number; i < size.targets(); i += size.entries()) {
             if (i / size.entries() % 4 == quarter % 4) {
-                heard.add(new HeardTarget(announcement(i), 100));
+                heard.add(new HeardTarget(announcement(i, (int) (sent[number] / 4 + i) % SLOTS), 100));
             }
         }
         return new EntryHeartbeat(
@@ -153,10 +160,12 @@
                 "10.0.0." + number + ":7400",
                 index == 0 ? 0 : 1,
                 false,
-                heard);
+                heard,
+                sent[number],
+                sent[number] - 1);
     }
 
-    private TargetAnnouncement announcement(int number) {
+    private TargetAnnouncement announcement(int number, int busySlots) {
         return new TargetAnnouncement(
                 TargetId.of("target-" + number),
                 "service-" + number % 20,
@@ -164,7 +173,7 @@
                 zone(number),
                 SLOTS,
                 CONNECTIONS,
-                3,
+                busySlots,
                 false);
     }
 
--- a/bench/src/main/java/org/cornelcove/bench/entry/BenchControl.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/BenchControl.java
@@ -19,6 +19,7 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.GrantChanges;
 import org.cornelcove.model.message.RangeGrant;
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.TargetGrant;
@@ -75,6 +76,6 @@
         RuleSet rules = new RuleSet(
                 new TreeMap<>(Map.of("booking", rule)), new TreeMap<>(), new TreeMap<>(), BatchRule.DEFAULT);
         return CompletableFuture.completedFuture(
-                new EntryLease(2_000, 1, Optional.of(rules), targets, ranges, List.of()));
+                new EntryLease(2_000, 1, Optional.of(rules), GrantChanges.whole(targets), ranges, List.of()));
     }
 }
--- a/control/src/main/java/org/cornelcove/control/leader/EntryBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/EntryBoard.java
@@ -41,11 +41,13 @@
     private final Map<TargetId, HeardAnnouncement> heard = new HashMap<>();
     private final Handovers<TargetId> targetHandovers = new Handovers<>();
     private final Handovers<Integer> rangeHandovers = new Handovers<>();
+    private final GrantLists grantLists = new GrantLists();
     private long gainedMs;
 
     void reset(long nowMs) {
         entries.clear();
         heard.clear();
+        grantLists.clear();
         targetHandovers.clear();
         rangeHandovers.clear();
         gainedMs = nowMs;
@@ -81,7 +83,7 @@
                 Leases.ENTRY_LEASE_MS,
                 version,
                 older ? Optional.of(tables.configuration().newest().rules()) : Optional.empty(),
-                targetGrants(heartbeat.entry(), tables, nowMs),
+                grantLists.next(heartbeat, targetGrants(heartbeat.entry(), tables, nowMs)),
                 rangeGrants(heartbeat.entry(), tables, nowMs),
                 peers(heartbeat.entry(), tables, nowMs));
     }
--- a/control/src/main/java/org/cornelcove/control/leader/Leases.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Leases.java
@@ -32,6 +32,9 @@
     /** A target silent for longer gets no new work. */
     public static final long TARGET_SILENCE_MS = 3_000;
 
+    /** A target that was heard within this time need not be told of in the answer to its owner. */
+    public static final long TARGET_FRESH_MS = 1_500;
+
     /** A target silent for longer loses its owner. */
     public static final long TARGET_FORGET_MS = 30_000;
 
--- a/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
@@ -36,6 +36,7 @@
             state, () -> this.nowMs, this::commit, () -> CompletableFuture.completedFuture(0L), Policies.standard());
     private long nowMs = 1_000;
     private long index;
+    private long number;
 
     private CompletableFuture<Outcome> commit(Command command) {
         byte[] outcome = state.apply(++index, Codec.encode(command));
@@ -45,10 +46,19 @@
     /** A heartbeat that tells an announcement of just now; empty where it was refused. */
     private Optional<TargetGrant> beat(String entry) {
         EntryHeartbeat heartbeat = new EntryHeartbeat(
-                EntryId.of(entry), 1, "z", "127.0.0.1:2", "127.0.0.1:3", 0, false, List.of(new HeardTarget(TOLD, 0)));
+                EntryId.of(entry),
+                1,
+                "z",
+                "127.0.0.1:2",
+                "127.0.0.1:3",
+                0,
+                false,
+                List.of(new HeardTarget(TOLD, 0)),
+                ++number,
+                0);
         try {
             EntryLease lease = leader.heartbeat(heartbeat).join();
-            return lease.targets().stream().findFirst();
+            return lease.targets().granted().stream().findFirst();
         } catch (CompletionException e) {
             assertThat(e.getCause() instanceof FailureException, is(true));
             return Optional.empty();
--- a/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
@@ -80,7 +80,7 @@
 
     private void serve(String entry) {
         while (!done.get()) {
-            leader.heartbeat(new EntryHeartbeat(EntryId.of(entry), 1, "z", "r", "h", 0, false, List.of()))
+            leader.heartbeat(new EntryHeartbeat(EntryId.of(entry), 1, "z", "r", "h", 0, false, List.of(), 1, 0))
                     .join();
         }
     }
--- a/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeEntry.java
@@ -15,6 +15,7 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.GrantChanges;
 import org.cornelcove.model.message.HeardTarget;
 import org.cornelcove.model.message.RangeGrant;
 import org.cornelcove.model.message.TargetAnnouncement;
@@ -33,6 +34,7 @@
     private final Map<Integer, Long> serveRangeFromMs = new HashMap<>();
     private final Map<Integer, Long> rangeEpochs = new HashMap<>();
     private Set<TargetId> targets = Set.of();
+    private long targetsNumber;
     private long incarnation = 1;
     private long version;
     private long leaseUntilMs;
@@ -72,8 +74,9 @@
         for (HeardTarget target : announcements.values()) {
             heard.add(new HeardTarget(target.announcement(), localMs() - target.ageMs()));
         }
-        EntryHeartbeat heartbeat = new EntryHeartbeat(id, incarnation, "z", "rpc", "http", version, draining, heard);
         long sequence = ++sentSequence;
+        EntryHeartbeat heartbeat = new EntryHeartbeat(
+                id, incarnation, "z", "rpc", "http", version, draining, heard, sequence, targetsNumber);
         long sentMs = localMs();
         long started = incarnation;
         link.call(() -> sim.group.node(contact).heartbeat(heartbeat), (lease, fault) -> {
@@ -81,7 +84,7 @@
                 contact++;
             } else if (started == incarnation && !frozen && sequence > answeredSequence) {
                 answeredSequence = sequence;
-                take(lease, sentMs);
+                take(lease, sentMs, sequence);
             }
         });
         sim.time.after(600, () -> {
@@ -91,13 +94,14 @@
         });
     }
 
-    private void take(EntryLease lease, long sentMs) {
+    private void take(EntryLease lease, long sentMs, long sequence) {
+        if (!lease.targets().isWhole() && lease.targets().since() != targetsNumber) {
+            return;
+        }
         lease.rules().ifPresent(rules -> version = Math.max(version, lease.configurationVersion()));
         leaseUntilMs = Math.max(leaseUntilMs, sentMs + lease.leaseMs());
-        targets = new TreeSet<>();
-        for (TargetGrant grant : lease.targets()) {
-            targets.add(grant.target().target());
-        }
+        takeTargets(lease.targets());
+        targetsNumber = sequence;
         Map<Integer, Long> before = new HashMap<>(serveRangeFromMs);
         serveRangeFromMs.clear();
         for (RangeGrant grant : lease.ranges()) {
@@ -109,6 +113,17 @@
         }
     }
 
+    private void takeTargets(GrantChanges changes) {
+        Set<TargetId> now = changes.isWhole() ? new TreeSet<>() : new TreeSet<>(targets);
+        for (TargetGrant grant : changes.granted()) {
+            now.add(grant.target().target());
+        }
+        if (sim.mutant != Mutant.WITHDRAWALS_IGNORED) {
+            now.removeAll(changes.withdrawn());
+        }
+        targets = now;
+    }
+
     private boolean serves() {
         return !frozen && version > 0 && localMs() < leaseUntilMs;
     }
@@ -168,6 +183,7 @@
         version = 0;
         leaseUntilMs = 0;
         targets = Set.of();
+        targetsNumber = 0;
         serveRangeFromMs.clear();
         rangeEpochs.clear();
         frozen = false;
--- a/control/src/test/java/org/cornelcove/control/sim/Mutant.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Mutant.java
@@ -18,6 +18,8 @@
     NO_CLAIM,
     /** A release frees whatever grant of the key is open. */
     RELEASE_OF_ANY_GRANT,
+    /** An entry keeps the targets that a change of its list takes away. */
+    WITHDRAWALS_IGNORED,
     /** Proposals are numbered anew, so that a resend is taken for a new one. */
     PROPOSALS_RENUMBERED
 }
--- a/control/src/test/java/org/cornelcove/control/sim/MutantTest.java
+++ b/control/src/test/java/org/cornelcove/control/sim/MutantTest.java
@@ -35,6 +35,7 @@
                         Fault.OPERATOR_RESENDS,
                         Checkers.CONFIGURATION_NEVER_REVERTS),
                 arguments(Mutant.SHORT_WAIT, Step.IN_FORCE, Fault.ENTRY_CUT, Checkers.ONE_OWNER),
+                arguments(Mutant.WITHDRAWALS_IGNORED, Step.IN_FORCE, Fault.ENTRY_CUT, Checkers.ONE_OWNER),
                 arguments(Mutant.NO_BARRIER, Step.CANCELLED, Fault.LEADER_CUT_OFF, Checkers.JOB_DECIDED_ONCE));
     }
 
--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -34,7 +34,8 @@
  * goes on, since every request reads the clock first.
  *
  * <p>Announcements heard here since the last heartbeat that was answered go along with the next one, with their age.
- * A heartbeat without an answer is given up after a while; an answer that is older than one already applied is dropped.
+ * A heartbeat without an answer is given up after a while; an answer that is older than one already applied, or that
+ * tells changes of another list of targets than the one held, is dropped.
  */
 final class LeaseKeeper implements AutoCloseable {
     private static final System.Logger LOGGER = System.getLogger(LeaseKeeper.class.getName());
@@ -43,24 +44,19 @@
 
     private final EntrySettings settings;
     private final ControlLink control;
-    private final TargetClient client;
     private final LongSupplier nowNs;
     private final Runnable onChange;
     private final AtomicReference<EntryView> view = new AtomicReference<>(EntryView.initial());
     private final Map<TargetId, Heard> heard = new ConcurrentHashMap<>();
     private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor(LeaseKeeper::thread);
 
-    /** Targets that are owned, or were and still run something. */
-    private final Map<TargetId, OwnedTarget> known = new HashMap<>();
-
-    /** Targets that came back under another address while something ran at the old one. */
-    private final List<OwnedTarget> replaced = new ArrayList<>();
+    /** Guarded by this. */
+    private final TargetList targets;
 
     private volatile String httpAddress = "";
     private volatile boolean draining;
     private boolean waiting;
     private long sequence;
-    private long appliedSequence;
     private boolean reportedLeased;
 
     /** Why the last heartbeat brought no lease, empty when it brought one. */
@@ -72,7 +68,7 @@
             EntrySettings settings, ControlLink control, TargetClient client, LongSupplier nowNs, Runnable onChange) {
         this.settings = settings;
         this.control = control;
-        this.client = client;
+        this.targets = TargetList.empty(client);
         this.nowNs = nowNs;
         this.onChange = onChange;
     }
@@ -133,8 +129,8 @@
     private void send() {
         long sentNs = nowNs.getAsLong();
         List<Heard> told = List.copyOf(heard.values());
-        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
         long number = ++sequence;
+        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
         waiting = true;
         answer.copy().orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS).whenComplete((lease, error) -> {
             noteRefusal(Optional.ofNullable(error));
@@ -157,9 +153,9 @@
     }
 
     private EntryHeartbeat heartbeat(List<Heard> told, long sentNs) {
-        List<HeardTarget> targets = new ArrayList<>(told.size());
+        List<HeardTarget> announcements = new ArrayList<>(told.size());
         for (Heard one : told) {
-            targets.add(new HeardTarget(one.announcement, (sentNs - one.atNs) / NANOS_PER_MS));
+            announcements.add(new HeardTarget(one.announcement, (sentNs - one.atNs) / NANOS_PER_MS));
         }
         return new EntryHeartbeat(
                 settings.entry(),
@@ -169,7 +165,9 @@
                 httpAddress,
                 view.get().configurationVersion(),
                 draining,
-                targets);
+                announcements,
+                sequence,
+                targets.number());
     }
 
     private void answered(long number, long sentNs, List<Heard> told, Optional<EntryLease> lease) {
@@ -177,52 +175,31 @@
             if (number == sequence) {
                 waiting = false;
             }
-            if (lease.isEmpty() || number < appliedSequence) {
+            if (lease.isEmpty() || !targets.takes(lease.get().targets(), number)) {
                 return;
             }
-            appliedSequence = number;
             told.forEach(one -> heard.remove(one.announcement.target(), one));
-            apply(lease.get(), sentNs);
+            apply(lease.get(), number, sentNs);
             noteLease();
         }
         onChange.run();
     }
 
-    private void apply(EntryLease lease, long sentNs) {
+    private void apply(EntryLease lease, long number, long sentNs) {
         long now = nowNs.getAsLong();
         EntryView old = view.get();
         boolean newRules = lease.rules().isPresent() && lease.configurationVersion() > old.configurationVersion();
         RuleSet rules = newRules ? lease.rules().get() : old.rules();
-        Map<String, List<OwnedTarget>> targets = targets(lease.targets(), sentNs, now);
+        Map<String, List<OwnedTarget>> owned = targets.apply(lease.targets(), number, sentNs, now);
         view.set(new EntryView(
                 true,
                 sentNs + lease.leaseMs() * NANOS_PER_MS,
                 newRules ? lease.configurationVersion() : old.configurationVersion(),
                 rules,
-                targets,
+                owned,
                 ranges(old, lease.ranges(), now),
                 List.copyOf(lease.peers())));
-        closeUnused(targets);
-    }
-
-    private Map<String, List<OwnedTarget>> targets(List<TargetGrant> grants, long sentNs, long now) {
-        Map<String, List<OwnedTarget>> byService = new HashMap<>();
-        for (TargetGrant grant : grants) {
-            OwnedTarget target = known.get(grant.target().target());
-            if (target != null && target.isSame(grant)) {
-                target.renew(grant, sentNs, now);
-            } else {
-                if (target != null) {
-                    replaced.add(target);
-                }
-                target = OwnedTarget.open(grant, client, sentNs, now);
-                known.put(target.id(), target);
-            }
-            byService
-                    .computeIfAbsent(grant.target().service(), name -> new ArrayList<>())
-                    .add(target);
-        }
-        return byService;
+        targets.closeUnused(owned);
     }
 
     private static Map<Integer, EntryView.OwnedRange> ranges(EntryView old, List<RangeGrant> grants, long now) {
@@ -240,23 +217,6 @@
         return ranges;
     }
 
-    /** Forgets targets that are no longer owned once nothing of theirs runs; till then their slots stay counted. */
-    private void closeUnused(Map<String, List<OwnedTarget>> owned) {
-        known.values().removeIf(target -> {
-            boolean unused = !owned.getOrDefault(target.service(), List.of()).contains(target) && target.isIdle();
-            if (unused) {
-                target.close();
-            }
-            return unused;
-        });
-        replaced.removeIf(target -> {
-            if (target.isIdle()) {
-                target.close();
-            }
-            return target.isIdle();
-        });
-    }
-
     private void noteLease() {
         boolean leased = view.get().isLeased(nowNs.getAsLong());
         if (leased != reportedLeased) {
@@ -272,8 +232,7 @@
     public void close() {
         beats.shutdownNow();
         synchronized (this) {
-            known.values().forEach(OwnedTarget::close);
-            replaced.forEach(OwnedTarget::close);
+            targets.close();
         }
     }
 }
--- a/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
+++ b/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
@@ -36,9 +36,15 @@
      * @param epoch of the ownership
      * @param aloneSinceNs since then no previous owner starts anything, as far as this entry was told at first
      * @param holdUntilNs until then a previous owner's runs may hold slots
+     * @param countedNs when slots were last counted by an announcement; only one heard later counts
      */
     private record Standing(
-            TargetAnnouncement announcement, long heardNs, long epoch, long aloneSinceNs, long holdUntilNs) {}
+            TargetAnnouncement announcement,
+            long heardNs,
+            long epoch,
+            long aloneSinceNs,
+            long holdUntilNs,
+            long countedNs) {}
 
     private OwnedTarget(
             TargetGrant grant,
@@ -55,7 +61,8 @@
                 askedNs - grant.silentMs() * NANOS_PER_MS,
                 grant.epoch(),
                 nowNs - grant.previousOverMs() * NANOS_PER_MS,
-                nowNs + grant.previousHoldMs() * NANOS_PER_MS);
+                nowNs + grant.previousHoldMs() * NANOS_PER_MS,
+                nowNs);
         holdSlots(nowNs);
     }
 
@@ -94,13 +101,15 @@
         boolean newer = heardNs - old.heardNs > SAME_ANNOUNCEMENT_NS;
         boolean takesBackLeaving = old.announcement.leaving() && !grant.target().leaving();
         boolean adopted = newer || (heardNs - old.heardNs >= 0 && !takesBackLeaving);
+        boolean counts = heardNs - old.countedNs > 0;
         standing = new Standing(
                 adopted ? grant.target() : old.announcement,
                 adopted ? heardNs : old.heardNs,
                 grant.epoch(),
                 grant.epoch() == old.epoch ? old.aloneSinceNs : nowNs - grant.previousOverMs() * NANOS_PER_MS,
-                nowNs + grant.previousHoldMs() * NANOS_PER_MS);
-        if (newer) {
+                nowNs + grant.previousHoldMs() * NANOS_PER_MS,
+                counts ? nowNs : old.countedNs);
+        if (counts) {
             slots.announced(grant.target().slots(), grant.target().busySlots(), heardNs);
         }
         holdSlots(nowNs);
@@ -109,7 +118,7 @@
     /** Takes in an announcement that this entry heard itself. */
     synchronized void hear(TargetAnnouncement announcement, long nowNs) {
         Standing old = standing;
-        standing = new Standing(announcement, nowNs, old.epoch, old.aloneSinceNs, old.holdUntilNs);
+        standing = new Standing(announcement, nowNs, old.epoch, old.aloneSinceNs, old.holdUntilNs, nowNs);
         slots.announced(announcement.slots(), announcement.busySlots(), nowNs);
         holdSlots(nowNs);
     }
--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -27,6 +27,7 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.GrantChanges;
 import org.cornelcove.model.message.PeerEntry;
 import org.cornelcove.model.message.RangeGrant;
 import org.cornelcove.model.message.TargetAnnouncement;
@@ -147,8 +148,8 @@
                                 one.previousOverMs() + silentMs(),
                                 one.previousHoldMs()))
                         .toList();
-        return CompletableFuture.completedFuture(
-                new EntryLease(leaseMs, 1, Optional.of(rules()), granted, handedOver ? List.of() : ranges, peers));
+        return CompletableFuture.completedFuture(new EntryLease(
+                leaseMs, 1, Optional.of(rules()), GrantChanges.whole(granted), handedOver ? List.of() : ranges, peers));
     }
 
     private RuleSet rules() {
--- a/model/src/main/java/org/cornelcove/model/message/EntryHeartbeat.java
+++ b/model/src/main/java/org/cornelcove/model/message/EntryHeartbeat.java
@@ -15,6 +15,8 @@
  * @param configurationVersion the version that it applies now
  * @param draining it hands over what it owns
  * @param targets announcements received since the last heartbeat
+ * @param number rises with each heartbeat of this start, from 1
+ * @param grantsOf the heartbeat whose answer brought the list of targets that the entry holds, 0 for none
  */
 public record EntryHeartbeat(
         EntryId entry,
@@ -24,4 +26,6 @@
         String httpAddress,
         long configurationVersion,
         boolean draining,
-        List<HeardTarget> targets) {}
+        List<HeardTarget> targets,
+        long number,
+        long grantsOf) {}
--- a/model/src/main/java/org/cornelcove/model/message/EntryLease.java
+++ b/model/src/main/java/org/cornelcove/model/message/EntryLease.java
@@ -12,7 +12,7 @@
  * @param leaseMs how long the entry may serve without a further answer
  * @param configurationVersion the newest accepted version
  * @param rules the rules of that version, present when the entry applies an older one
- * @param targets all targets that it owns
+ * @param targets the targets that it owns
  * @param ranges all key ranges that it owns
  * @param peers the other live entries
  */
@@ -20,6 +20,6 @@
         long leaseMs,
         long configurationVersion,
         Optional<RuleSet> rules,
-        List<TargetGrant> targets,
+        GrantChanges targets,
         List<RangeGrant> ranges,
         List<PeerEntry> peers) {}
--- a/model/src/main/java/org/cornelcove/model/message/TargetAnnouncement.java
+++ b/model/src/main/java/org/cornelcove/model/message/TargetAnnouncement.java
@@ -22,4 +22,9 @@
         int slots,
         int connections,
         int busySlots,
-        boolean leaving) {}
+        boolean leaving) {
+    /** Returns this announcement with another number of busy slots. */
+    public TargetAnnouncement withBusySlots(int busy) {
+        return new TargetAnnouncement(target, service, address, availabilityZone, slots, connections, busy, leaving);
+    }
+}
--- a/model/src/main/java/org/cornelcove/model/message/TargetGrant.java
+++ b/model/src/main/java/org/cornelcove/model/message/TargetGrant.java
@@ -10,4 +10,9 @@
  * @param previousHoldMs until this has passed the previous owner's requests may still hold slots
  */
 public record TargetGrant(
-        TargetAnnouncement target, long epoch, long silentMs, long previousOverMs, long previousHoldMs) {}
+        TargetAnnouncement target, long epoch, long silentMs, long previousOverMs, long previousHoldMs) {
+    /** Returns this grant with a later announcement that differs in its age and load only. */
+    public TargetGrant heard(long newSilentMs, int busySlots) {
+        return new TargetGrant(target.withBusySlots(busySlots), epoch, newSilentMs, previousOverMs, previousHoldMs);
+    }
+}
--- a/wire/src/test/java/org/cornelcove/wire/CodecTest.java
+++ b/wire/src/test/java/org/cornelcove/wire/CodecTest.java
@@ -18,11 +18,14 @@
 import org.cornelcove.model.id.AttemptId;
 import org.cornelcove.model.id.EntryId;
 import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.job.AttemptEnd;
 import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.model.message.GrantChanges;
 import org.cornelcove.model.message.PeerEntry;
+import org.cornelcove.model.message.TargetLoad;
 import org.cornelcove.model.request.RecordedAnswer;
 import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.RuleSet;
@@ -69,11 +72,12 @@
     void leasesComeBackAsTheyWere() {
         TreeMap<String, Integer> owned = new TreeMap<>();
         owned.put("booking", 3);
+        TargetLoad load = new TargetLoad(TargetId.of("t1"), 2_000, 4);
         EntryLease lease = new EntryLease(
                 3000,
                 4,
                 Optional.of(RuleSet.empty()),
-                List.of(),
+                new GrantChanges(3, List.of(), List.of(load), List.of(TargetId.of("t2")), 1_500),
                 List.of(),
                 List.of(new PeerEntry(EntryId.of("e1"), "surat", "127.0.0.1:1", owned, List.of(1, 2))));
         assertThat(Codec.decode(Codec.encode(lease), EntryLease.class), is(equalTo(lease)));
