--- a/bench/src/main/java/org/cornelcove/bench/cluster/ChangeHistory.java
+++ b/bench/src/main/java/org/cornelcove/bench/cluster/ChangeHistory.java
@@ -26,6 +26,7 @@
     private static final class Change {
         private final long dueNs;
         private long version = NOT_YET;
+        private long acceptedNs;
         private OptionalLong inForceNs = OptionalLong.empty();
 
         private Change(long dueNs) {
@@ -55,8 +56,9 @@
         changes.put(number, new Change(dueNs));
     }
 
-    synchronized void accepted(long number, long version) {
+    synchronized void accepted(long number, long version, long answeredNs) {
         changes.get(number).version = version;
+        changes.get(number).acceptedNs = answeredNs;
         outstanding.put(version, number);
         numbersByVersion.put(version, number);
     }
@@ -94,6 +96,15 @@
         return waits;
     }
 
+    /** Returns the times from due to accepted, in milliseconds. */
+    synchronized Histogram acceptanceMs() {
+        Histogram waits = new Histogram(3);
+        changes.values().stream()
+                .filter(change -> change.version != NOT_YET)
+                .forEach(change -> waits.recordValue(TimeUnit.NANOSECONDS.toMillis(change.acceptedNs - change.dueNs)));
+        return waits;
+    }
+
     /** Returns what must not be: changes lost, versions that don't rise, reverts, and other answers to resends. */
     synchronized List<String> faults() {
         List<String> faults = new ArrayList<>(otherOutcomes);
--- a/bench/src/main/java/org/cornelcove/bench/cluster/ConfigBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/cluster/ConfigBenchmark.java
@@ -71,6 +71,13 @@
         try (LocalCluster cluster = LocalCluster.start(ENTRIES, TARGETS)) {
             new Replay(cluster, history, out).run();
         }
+        Histogram acceptanceMs = history.acceptanceMs();
+        out.printf(
+                "config: %d changes accepted: p50 %d ms, p99 %d ms, longest %d ms%n",
+                acceptanceMs.getTotalCount(),
+                acceptanceMs.getValueAtPercentile(50),
+                acceptanceMs.getValueAtPercentile(99),
+                acceptanceMs.getMaxValue());
         Histogram waitsMs = history.waitsMs();
         List<String> faults = history.faults();
         faults.stream().limit(FAULTS_SHOWN).forEach(fault -> out.println("config: " + fault));
@@ -158,7 +165,7 @@
             while (System.nanoTime() - endNs < 0) {
                 Optional<ConfigurationAccepted> answer = send(proposal);
                 if (answer.isPresent()) {
-                    history.accepted(number, answer.get().version());
+                    history.accepted(number, answer.get().version(), System.nanoTime());
                     accepted.add(proposal);
                     return;
                 }
--- a/bench/src/main/java/org/cornelcove/bench/cluster/LocalCluster.java
+++ b/bench/src/main/java/org/cornelcove/bench/cluster/LocalCluster.java
@@ -14,6 +14,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 import org.cornelcove.model.view.ClusterStatus;
@@ -37,6 +38,7 @@
     private static final int SLOTS = 8;
     private static final long LIMIT_MS = 60_000;
     private static final long LOOK_MS = 50;
+    private static final long HANDOVER_MS = 5_000;
     /** Held here, since a logger that nobody holds forgets its level. */
     private static final Logger SERVER_LOG = Logger.getLogger("org.glassfish.grizzly");
 
@@ -121,6 +123,19 @@
         return List.copyOf(daemons);
     }
 
+    private boolean isBalanced() throws InterruptedException {
+        Optional<ClusterStatus> now = status();
+        if (now.isEmpty()) {
+            return false;
+        }
+        long[] owned = daemons.stream()
+                .mapToLong(daemon -> now.get().targets().stream()
+                        .filter(target -> target.owner().equals(Optional.of(daemon.entry())))
+                        .count())
+                .toArray();
+        return LongStream.of(owned).max().orElse(0) - LongStream.of(owned).min().orElse(0) <= 1;
+    }
+
     private List<String> apis() {
         return daemons.stream().map(daemon -> daemon.api).toList();
     }
@@ -146,6 +161,16 @@
         return daemons.get((int) found[0] - 1);
     }
 
+    /**
+     * Waits until the daemons own equally many targets, give or take one, and each of these serves.
+     *
+     * @throws Exception when that takes too long
+     */
+    public void awaitBalanced() throws Exception {
+        await("balance", this::isBalanced);
+        Thread.sleep(HANDOVER_MS);
+    }
+
     /** Waits until every daemon is ready. */
     void awaitReady() throws Exception {
         for (DaemonProcess daemon : daemons) {
--- a/bench/src/main/java/org/cornelcove/bench/entry/BenchControl.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/BenchControl.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.cornelcove.entry.ControlLink;
@@ -27,7 +25,7 @@
 import org.cornelcove.model.rule.RuleSet;
 import org.cornelcove.model.rule.ServiceRule;
 
-/** A leader that owns one service, grants what it is told, and takes a stated time for each command. */
+/** A leader that owns one service, grants what it is told, and decides each command at once. */
 final class BenchControl implements ControlLink {
     private static final int SLOTS = 8;
     private static final int CONNECTIONS = 60;
@@ -36,10 +34,8 @@
     private final List<TargetGrant> targets = new ArrayList<>();
     private final List<RangeGrant> ranges = new ArrayList<>();
     private final AtomicLong index = new AtomicLong();
-    private final Executor later;
-    private final boolean immediate;
 
-    BenchControl(int[] targetPorts, long commandMs) {
+    BenchControl(int[] targetPorts) {
         for (int i = 0; i < targetPorts.length; i++) {
             TargetAnnouncement told = new TargetAnnouncement(
                     TargetId.of("target-" + i),
@@ -55,17 +51,13 @@
         for (int i = 0; i < RANGES; i++) {
             ranges.add(new RangeGrant(i, 1, 0));
         }
-        immediate = commandMs == 0;
-        later = CompletableFuture.delayedExecutor(commandMs, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public CompletableFuture<Outcome> execute(Command command) {
         long at = index.incrementAndGet();
         Outcome outcome = command instanceof ClaimOnce ? new ClaimGranted(at) : new Done(at);
-        return immediate
-                ? CompletableFuture.completedFuture(outcome)
-                : CompletableFuture.supplyAsync(() -> outcome, later);
+        return CompletableFuture.completedFuture(outcome);
     }
 
     @Override
--- a/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
@@ -49,14 +49,29 @@
 
     private record Part(Histogram latencies, long failed) {}
 
+    /**
+     * How long to run.
+     *
+     * @param forMs the time after which no client sends another request
+     * @param mostEach the number of requests after which a client ends before that
+     */
+    record Span(long forMs, long mostEach) {}
+
     /** Runs clients for a while; head makes the request of a number. */
     static Figures run(int port, int clients, long forMs, LongFunction<String> head) throws Exception {
+        return run(List.of(port), clients, new Span(forMs, Long.MAX_VALUE), head);
+    }
+
+    /** Runs clients, spread over several ports, for a while; head makes the request of a number. */
+    static Figures run(List<Integer> ports, int clients, Span span, LongFunction<String> head) throws Exception {
         ExecutorService threads = Executors.newFixedThreadPool(clients);
         long startNs = System.nanoTime();
+        long endNs = startNs + span.forMs() * 1_000_000;
         List<Callable<Part>> work = new ArrayList<>();
         for (int i = 0; i < clients; i++) {
+            int port = ports.get(i % ports.size());
             long first = i * 1_000_000_000L;
-            work.add(() -> client(port, startNs + forMs * 1_000_000, first, head));
+            work.add(() -> client(port, endNs, first, span.mostEach(), head));
         }
         Histogram all = new Histogram(DIGITS);
         long failed = 0;
@@ -80,7 +95,8 @@
         }
     }
 
-    private static Part client(int port, long endNs, long first, LongFunction<String> head) throws IOException {
+    private static Part client(int port, long endNs, long first, long most, LongFunction<String> head)
+            throws IOException {
         Histogram latencies = new Histogram(DIGITS);
         long failed = 0;
         try (Socket socket = new Socket("127.0.0.1", port)) {
@@ -89,7 +105,7 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             long number = first;
-            for (long now = System.nanoTime(); now < endNs; ) {
+            for (long now = System.nanoTime(); now < endNs && number < first + most; ) {
                 out.write(head.apply(number++).getBytes(StandardCharsets.ISO_8859_1));
                 failed += readAnswer(in) == 200 ? 0 : 1;
                 long end = System.nanoTime();
--- a/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
@@ -46,7 +46,7 @@
         try (PassThrough bare = PassThrough.start(ports);
                 EntryServer entry = EntryServer.open(
                         EntrySettings.of(EntryId.of("entry-1"), 1, "zone-a", "127.0.0.1", 0, "127.0.0.1:1", 1),
-                        new BenchControl(ports, 0),
+                        new BenchControl(ports),
                         (address, request) -> new CompletableFuture<>())) {
             ClosedLoop.awaitReady(entry);
             ClosedLoop.run(bare.port(), CLIENTS, WARM_UP_MS, HEAD);
--- a/bench/src/test/java/org/cornelcove/bench/cluster/ChangeHistoryTest.java
+++ b/bench/src/test/java/org/cornelcove/bench/cluster/ChangeHistoryTest.java
@@ -26,7 +26,7 @@
         ChangeHistory history = new ChangeHistory();
         for (long number = 2; number <= 3; number++) {
             history.due(number, ms(number * 24));
-            history.accepted(number, number + 3);
+            history.accepted(number, number + 3, ms(100));
             history.resent(number, OptionalLong.of(number + 3));
         }
         history.inForce(6, ms(300));
@@ -40,7 +40,7 @@
     private static Consumer<ChangeHistory> change(long number, long version) {
         return history -> {
             history.due(number, 0);
-            history.accepted(number, version);
+            history.accepted(number, version, 0);
         };
     }
 
@@ -99,6 +99,7 @@
         assertThat(history.waitsMs().getTotalCount(), is(2L));
         assertThat(history.waitsMs().getMinValue(), is(300L - 3 * 24));
         assertThat(history.waitsMs().getMaxValue(), is(300L - 2 * 24));
+        assertThat(history.acceptanceMs().getMaxValue(), is(100L - 2 * 24));
         assertThat(history.outstanding(), is(empty()));
     }
 
--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -31,6 +31,8 @@
  * goes on, since every request reads the clock first.
  *
  * <p>Announcements heard here since the last heartbeat that was answered go along with the next one, with their age.
+ * After a heartbeat that was refused or not answered all announcements go along that are young enough to count, told
+ * before or not: the leader may be a new one, which knows none and grants no lease for targets that it has not heard of.
  * A heartbeat without an answer is given up after a while; an answer that is older than one already applied is dropped.
  */
 final class LeaseKeeper implements AutoCloseable {
@@ -44,7 +46,12 @@
     private final LongSupplier nowNs;
     private final Runnable onChange;
     private final AtomicReference<EntryView> view = new AtomicReference<>(EntryView.initial());
+    /** The newest announcement of each target that was heard here. */
     private final Map<TargetId, Heard> heard = new ConcurrentHashMap<>();
+
+    /** What the current leader was told, as far as an answer shows it; dropped when a heartbeat fails. */
+    private final Map<TargetId, Heard> told = new ConcurrentHashMap<>();
+
     private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor(LeaseKeeper::thread);
 
     /** Targets that are owned, or were and still run something. */
@@ -117,18 +124,22 @@
 
     private void send() {
         long sentNs = nowNs.getAsLong();
-        List<Heard> told = List.copyOf(heard.values());
-        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
+        heard.values().removeIf(one -> sentNs - one.atNs > settings.targetSilenceMs() * NANOS_PER_MS);
+        told.keySet().retainAll(heard.keySet());
+        List<Heard> untold = heard.values().stream()
+                .filter(one -> !one.equals(told.get(one.announcement.target())))
+                .toList();
+        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(untold, sentNs));
         long number = ++sequence;
         waiting = true;
         answer.copy()
                 .orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .whenComplete((lease, error) -> answered(number, sentNs, told, Optional.ofNullable(lease)));
+                .whenComplete((lease, error) -> answered(number, sentNs, untold, Optional.ofNullable(lease)));
     }
 
-    private EntryHeartbeat heartbeat(List<Heard> told, long sentNs) {
-        List<HeardTarget> targets = new ArrayList<>(told.size());
-        for (Heard one : told) {
+    private EntryHeartbeat heartbeat(List<Heard> untold, long sentNs) {
+        List<HeardTarget> targets = new ArrayList<>(untold.size());
+        for (Heard one : untold) {
             targets.add(new HeardTarget(one.announcement, (sentNs - one.atNs) / NANOS_PER_MS));
         }
         return new EntryHeartbeat(
@@ -142,16 +153,19 @@
                 targets);
     }
 
-    private void answered(long number, long sentNs, List<Heard> told, Optional<EntryLease> lease) {
+    private void answered(long number, long sentNs, List<Heard> sent, Optional<EntryLease> lease) {
         synchronized (this) {
             if (number == sequence) {
                 waiting = false;
             }
+            if (lease.isEmpty()) {
+                told.clear();
+            }
             if (lease.isEmpty() || number < appliedSequence) {
                 return;
             }
             appliedSequence = number;
-            told.forEach(one -> heard.remove(one.announcement.target(), one));
+            sent.forEach(one -> told.put(one.announcement.target(), one));
             apply(lease.get(), sentNs);
             noteLease();
         }
--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -47,6 +47,9 @@
     volatile List<RangeGrant> ranges = allRanges();
     volatile List<PeerEntry> peers = List.of();
     volatile boolean reachable = true;
+    /** Whether heartbeats are refused, as by a leader that has just begun. */
+    volatile boolean refusing;
+
     /** Whether another entry takes over what a draining one owns. */
     volatile boolean takenOver = true;
 
@@ -131,6 +134,10 @@
         if (!reachable) {
             return new CompletableFuture<>();
         }
+        if (refusing) {
+            return CompletableFuture.failedFuture(
+                    Failure.of(ErrorKind.LEADER_STARTING).asException());
+        }
         boolean handedOver = heartbeat.draining() && takenOver;
         List<TargetGrant> granted = handedOver
                 ? List.of()
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -187,6 +187,35 @@
         }
     }
 
+    /** A new leader knows no announcement, and grants no lease without those of the targets that the entry owns. */
+    @Test
+    void afterAFailedHeartbeatAnnouncementsAreToldAgain() throws Exception {
+        try (Rig rig = new Rig().with(FakeTarget.start("t1", Behaviour.ECHO)).open()) {
+            rig.entry.announce(rig.targets.get(0).announcement(FakeControl.SERVICE, 8, false));
+            Rig.await(() -> tellingSince(rig, 0) > 0 && !isTelling(rig));
+            int before = rig.control.heartbeats.size();
+            rig.control.refusing = true;
+            Rig.await(() -> tellingSince(rig, before) > 1);
+            rig.control.refusing = false;
+            Rig.await(() -> !isTelling(rig));
+        }
+    }
+
+    private static long tellingSince(Rig rig, int from) {
+        return rig.control.heartbeats.stream()
+                .skip(from)
+                .filter(heartbeat -> !heartbeat.targets().isEmpty())
+                .count();
+    }
+
+    private static boolean isTelling(Rig rig) {
+        return !rig.control
+                .heartbeats
+                .get(rig.control.heartbeats.size() - 1)
+                .targets()
+                .isEmpty();
+    }
+
     /** Slots are those that the target told free after the previous owner could last start a request, whoever heard it. */
     @ParameterizedTest
     @CsvSource({"100, 300, 3, 5", "300, 100, 3, 0", "100, 300, 8, 0"})
