--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -1,12 +1,10 @@
 package org.cornelcove.entry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -16,7 +14,6 @@
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.error.FailureException;
-import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
 import org.cornelcove.model.message.HeardTarget;
@@ -34,6 +31,8 @@
  * goes on, since every request reads the clock first.
  *
  * <p>Announcements heard here since the last heartbeat that was answered go along with the next one, with their age.
+ * After a heartbeat that was refused or not answered all announcements go along that are young enough to count, told
+ * before or not: the leader may be a new one, which knows none and grants no lease for targets that it has not heard of.
  * A heartbeat without an answer is given up after a while; an answer that is older than one already applied, or that
  * tells changes of another list of targets than the one held, is dropped.
  */
@@ -47,7 +46,7 @@
     private final LongSupplier nowNs;
     private final Runnable onChange;
     private final AtomicReference<EntryView> view = new AtomicReference<>(EntryView.initial());
-    private final Map<TargetId, Heard> heard = new ConcurrentHashMap<>();
+    private final HeardTargets heard;
     private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor(LeaseKeeper::thread);
 
     /** Guarded by this. */
@@ -62,13 +61,12 @@
     /** Why the last heartbeat brought no lease, empty when it brought one. */
     private volatile Optional<Failure> refusal = Optional.empty();
 
-    private record Heard(TargetAnnouncement announcement, long atNs) {}
-
     LeaseKeeper(
             EntrySettings settings, ControlLink control, TargetClient client, LongSupplier nowNs, Runnable onChange) {
         this.settings = settings;
         this.control = control;
         this.targets = TargetList.empty(client);
+        this.heard = HeardTargets.none(settings.targetSilenceMs());
         this.nowNs = nowNs;
         this.onChange = onChange;
     }
@@ -96,7 +94,7 @@
     /** Takes in an announcement; one that says leaving takes effect here at once. */
     void hear(TargetAnnouncement announcement) {
         long now = nowNs.getAsLong();
-        heard.put(announcement.target(), new Heard(announcement, now));
+        heard.hear(announcement, now);
         for (OwnedTarget owned : view.get().targetsOf(announcement.service())) {
             if (owned.id().equals(announcement.target()) && owned.isSame(new TargetGrant(announcement, 0, 0, 0, 0))) {
                 owned.hear(announcement, now);
@@ -128,13 +126,13 @@
 
     private void send() {
         long sentNs = nowNs.getAsLong();
-        List<Heard> told = List.copyOf(heard.values());
         long number = ++sequence;
-        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(told, sentNs));
+        List<HeardTargets.Heard> untold = heard.untold(sentNs);
+        CompletableFuture<EntryLease> answer = control.heartbeat(heartbeat(untold, sentNs));
         waiting = true;
         answer.copy().orTimeout(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS).whenComplete((lease, error) -> {
             noteRefusal(Optional.ofNullable(error));
-            answered(number, sentNs, told, Optional.ofNullable(lease));
+            answered(number, sentNs, untold, Optional.ofNullable(lease));
         });
     }
 
@@ -152,11 +150,9 @@
                 .orElseGet(() -> Failure.of(ErrorKind.CALL_TIMEOUT, "the leader", ANSWER_TIMEOUT_MS));
     }
 
-    private EntryHeartbeat heartbeat(List<Heard> told, long sentNs) {
-        List<HeardTarget> announcements = new ArrayList<>(told.size());
-        for (Heard one : told) {
-            announcements.add(new HeardTarget(one.announcement, (sentNs - one.atNs) / NANOS_PER_MS));
-        }
+    private EntryHeartbeat heartbeat(List<HeardTargets.Heard> untold, long sentNs) {
+        List<HeardTarget> announcements =
+                untold.stream().map(one -> one.asOf(sentNs)).toList();
         return new EntryHeartbeat(
                 settings.entry(),
                 settings.incarnation(),
@@ -170,15 +166,19 @@
                 targets.number());
     }
 
-    private void answered(long number, long sentNs, List<Heard> told, Optional<EntryLease> lease) {
+    private void answered(long number, long sentNs, List<HeardTargets.Heard> sent, Optional<EntryLease> lease) {
         synchronized (this) {
             if (number == sequence) {
                 waiting = false;
             }
-            if (lease.isEmpty() || !targets.takes(lease.get().targets(), number)) {
+            if (lease.isEmpty()) {
+                heard.nothingTold();
+                return;
+            }
+            if (!targets.takes(lease.get().targets(), number)) {
                 return;
             }
-            told.forEach(one -> heard.remove(one.announcement.target(), one));
+            heard.told(sent);
             apply(lease.get(), number, sentNs);
             noteLease();
         }
