status tells silent control hosts, learners' lag, a target's zone and leaving

Cause: the report knew the members only, from whichever control host answered; nobody carried what the leader knows by check-quorum, so SILENT was never produced and an isolated control host read as follower. A target's zone was written as "", LEAVING was never produced either. Ruled out: asking each control host (a host that is cut off from the leader may still answer the asked daemon); a second timer (check-quorum's own rule decides who is silent). Change: ReplicaStatus carries, on the leader, each other member's progress; the new call leader-group is answered by the leader only; members falls back to any control host and then says unknown, with exit code 4. TargetStatus carries zone and leaving. Not done: a target's rack; no announcement carries one.

--- a/cli/src/main/java/org/cornelcove/cli/command/MembersCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/MembersCommand.java
@@ -1,13 +1,16 @@
 package org.cornelcove.cli.command;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.cornelcove.cli.client.Cluster;
+import org.cornelcove.cli.output.ExitCode;
 import org.cornelcove.cli.output.Report;
 import org.cornelcove.cli.output.Table;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.view.MemberAddition;
+import org.cornelcove.model.view.MemberState;
 import org.cornelcove.model.view.MemberView;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -15,7 +18,8 @@
 /** Shows and changes the control members. */
 @Command(
         name = "members",
-        description = "Shows the control members; 'add' and 'remove' change them, one at a time.",
+        description =
+                "Shows the control members, exit code 4 without a leader; 'add' and 'remove' change them, one at a time.",
         footer = {
             "",
             "Examples:",
@@ -27,16 +31,32 @@
 final class MembersCommand extends ClusterCommand {
     @Override
     Either<List<Failure>, Report> execute(Cluster cluster) {
-        return cluster.members().map(members -> Report.of(members, table(members)));
+        return cluster.members().map(MembersCommand::report);
     }
 
+    private static Report report(List<MemberView> members) {
+        boolean led = members.stream().anyMatch(member -> member.state() == MemberState.LEADER);
+        return new Report(members, table(members), led ? ExitCode.OK : ExitCode.NO_QUORUM);
+    }
+
+    /** Writes the members, with how long a silent one has been so and how many entries each is behind. */
     static String table(List<MemberView> members) {
-        Table table = Table.of("ID", "ADDRESS", "VOTING", "STATE");
-        members.forEach(member ->
-                table.row(member.id(), member.address(), member.voting() ? "yes" : "no", Words.of(member.state())));
+        Table table = Table.of("ID", "ADDRESS", "VOTING", "STATE", "SILENT FOR", "BEHIND");
+        members.forEach(member -> row(table, member));
         return table.render();
     }
 
+    private static void row(Table table, MemberView member) {
+        Optional<Long> silentMs = member.unansweredMs().filter(any -> member.state() == MemberState.SILENT);
+        table.row(
+                member.id(),
+                member.address(),
+                member.voting() ? "yes" : "no",
+                Words.of(member.state()),
+                silentMs.map(Words::ofDuration).orElse(""),
+                member.behindEntries().map(Object::toString).orElse(""));
+    }
+
     /** Adds a member. */
     @Command(
             name = "add",
--- a/cli/src/main/java/org/cornelcove/cli/command/StatusText.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/StatusText.java
@@ -35,8 +35,12 @@
     }
 
     private String render() {
-        return head() + "\nCONTROL MEMBERS\n" + MembersCommand.table(status.members()) + entries() + targets()
-                + workers();
+        return head() + members() + entries() + targets() + workers();
+    }
+
+    private String members() {
+        String counted = counted(status.members(), member -> Words.of(member.state()));
+        return title("CONTROL MEMBERS", counted) + MembersCommand.table(status.members());
     }
 
     private String head() {
@@ -123,13 +127,20 @@
             Function<T, Boolean> isWell,
             Table table,
             Function<T, Table> addRow) {
+        all.stream().sorted(Comparator.comparing(isWell)).limit(maxRows).forEach(addRow::apply);
+        String rest = all.size() > maxRows ? "... and " + (all.size() - maxRows) + " more; --all shows them\n" : "";
+        return title(title, counted(all, state)) + table.render() + rest;
+    }
+
+    private static String title(String title, String counted) {
+        return "\n" + title + (counted.isEmpty() ? "" : ": " + counted) + "\n";
+    }
+
+    private static <T> String counted(List<T> all, Function<T, String> state) {
         Map<String, Long> counts =
                 all.stream().collect(Collectors.groupingBy(state, TreeMap::new, Collectors.counting()));
-        String counted = counts.entrySet().stream()
+        return counts.entrySet().stream()
                 .map(count -> count.getValue() + " " + count.getKey())
                 .collect(Collectors.joining(", "));
-        all.stream().sorted(Comparator.comparing(isWell)).limit(maxRows).forEach(addRow::apply);
-        String rest = all.size() > maxRows ? "... and " + (all.size() - maxRows) + " more; --all shows them\n" : "";
-        return "\n" + title + (counted.isEmpty() ? "" : ": " + counted) + "\n" + table.render() + rest;
     }
 }
--- a/cli/src/main/java/org/cornelcove/cli/command/Words.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/Words.java
@@ -4,8 +4,15 @@
 
 /** Writes the constants of the model as words. */
 final class Words {
+    private static final double MS_PER_SECOND = 1_000;
+
     private Words() {}
 
+    /** Writes a duration in seconds, to a tenth. */
+    static String ofDuration(long ms) {
+        return String.format(Locale.ROOT, "%.1fs", ms / MS_PER_SECOND);
+    }
+
     static String of(Enum<?> constant) {
         return constant == null ? "" : constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/cli/src/test/java/org/cornelcove/cli/CommandsTest.java
+++ b/cli/src/test/java/org/cornelcove/cli/CommandsTest.java
@@ -10,6 +10,8 @@
 import org.cornelcove.model.view.ClusterStatus;
 import org.cornelcove.model.view.ExplainView;
 import org.cornelcove.model.view.HistogramView;
+import org.cornelcove.model.view.MemberState;
+import org.cornelcove.model.view.MemberView;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -64,7 +66,7 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "members                   | GET /v1/members                              | 12  127.0.0.2:7402  no      learner",
+                "members                   | GET /v1/members                              | 12  127.0.0.2:7402  no      learner  -           7",
                 "members remove 1          | DELETE /v1/members/1                         | member 1 is removed",
                 "members add 4 10.0.0.4:72 | POST /v1/members {\"id\":4,\"address\":\"10.0.0.4:72\"} | member 4 at 10.0.0.4:72 votes",
                 "drain entry-1             | POST /v1/entries/entry-1/drain               | entry-1 drains",
@@ -90,10 +92,11 @@
         assertThat(
                 run("status").out(),
                 containsString("jobs           2 placed\n"
-                        + "\nCONTROL MEMBERS\n"
-                        + "ID  ADDRESS         VOTING  STATE\n"
-                        + "1   127.0.0.1:7402  yes     leader\n"
-                        + "12  127.0.0.2:7402  no      learner\n"
+                        + "\nCONTROL MEMBERS: 1 leader, 1 learner, 1 silent\n"
+                        + "ID  ADDRESS         VOTING  STATE    SILENT FOR  BEHIND\n"
+                        + "1   127.0.0.1:7402  yes     leader   -           -\n"
+                        + "2   127.0.0.3:7402  yes     silent   61.3s       90\n"
+                        + "12  127.0.0.2:7402  no      learner  -           7\n"
                         + "\nENTRIES: 1 live\n"
                         + "NAME     ZONE   CONFIGURATION  STATE\n"
                         + "entry-1  surat  7              live\n"
@@ -140,6 +143,17 @@
         }
     }
 
+    @Test
+    void membersWithoutALeaderIsExitCode4() throws IOException {
+        MemberView alone =
+                new MemberView(2, "10.0.0.2:72", true, MemberState.UNKNOWN, Optional.empty(), Optional.empty());
+        try (FakeDaemon cut = FakeDaemon.open().on("GET /v1/members", json(List.of(alone)))) {
+            Run run = Run.of("members", "--endpoint", cut.endpoint());
+            assertThat(run.exitCode(), is(4));
+            assertThat(run.out(), containsString("unknown"));
+        }
+    }
+
     @Test
     void theSameJobGetsTheSameId() {
         String submit = "job submit --team payouts --task run --cpu 4 --memory 8GiB --payload ";
--- a/cli/src/test/java/org/cornelcove/cli/Samples.java
+++ b/cli/src/test/java/org/cornelcove/cli/Samples.java
@@ -28,8 +28,9 @@
 /** View records that the fake daemon answers with. */
 final class Samples {
     static final List<MemberView> MEMBERS = List.of(
-            new MemberView(1, "127.0.0.1:7402", true, MemberState.LEADER),
-            new MemberView(12, "127.0.0.2:7402", false, MemberState.LEARNER));
+            new MemberView(1, "127.0.0.1:7402", true, MemberState.LEADER, Optional.empty(), Optional.empty()),
+            new MemberView(2, "127.0.0.3:7402", true, MemberState.SILENT, Optional.of(61_250L), Optional.of(90L)),
+            new MemberView(12, "127.0.0.2:7402", false, MemberState.LEARNER, Optional.of(40L), Optional.of(7L)));
 
     private Samples() {}
 
--- a/control/src/main/java/org/cornelcove/control/leader/Queries.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Queries.java
@@ -114,6 +114,8 @@
         return new TargetStatus(
                 target.target(),
                 last.map(heard -> heard.announcement().service()).orElse(""),
+                last.map(heard -> heard.announcement().availabilityZone()).orElse(""),
+                last.map(heard -> heard.announcement().leaving()).orElse(false),
                 target.ownership().owner(),
                 target.ownership().epoch(),
                 last.map(heard -> nowMs - heard.heardMs()).orElse(-1L));
--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -107,10 +107,19 @@
                 .answer(Calls.JOBS, any -> leader.jobs().thenApply(JobList::new))
                 .answer(Calls.EXPLAIN_JOB, leader::explainJob)
                 .answer(Calls.GROUP, any -> opened.thenApply(ReplicaNode::status))
+                .answer(Calls.LEADER_GROUP, any -> opened.thenApply(node -> leading(node.status())))
                 .answer(Calls.ADD_MEMBER, member -> onNode(node -> node.addMember(member.id(), member.address())))
                 .answer(Calls.REMOVE_MEMBER, id -> onNode(node -> node.removeMember(id)));
     }
 
+    private static ReplicaStatus leading(ReplicaStatus group) {
+        if (!group.leading()) {
+            String hint = group.leader().map(id -> "member " + id).orElse("the other control hosts");
+            throw Failure.of(ErrorKind.NOT_LEADER, hint).asException();
+        }
+        return group;
+    }
+
     private CompletableFuture<Empty> onNode(Function<ReplicaNode, CompletableFuture<Void>> change) {
         return opened.thenCompose(change).thenApply(done -> Empty.INSTANCE);
     }
--- a/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
@@ -25,6 +25,7 @@
 import org.cornelcove.model.view.WorkerState;
 import org.cornelcove.model.view.WorkerView;
 import org.cornelcove.replication.Member;
+import org.cornelcove.replication.MemberProgress;
 import org.cornelcove.replication.ReplicaStatus;
 
 /** Puts together what operators see of the cluster out of the leader's answers. */
@@ -35,15 +36,21 @@
 
     static CompletableFuture<ClusterStatus> read(LeaderRouter router) {
         CompletableFuture<ControlStatus> control = router.call(Calls.STATUS, Empty.INSTANCE, TIMEOUT_MS);
-        CompletableFuture<ReplicaStatus> group = router.call(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS);
+        CompletableFuture<ReplicaStatus> group = router.call(Calls.LEADER_GROUP, Empty.INSTANCE, TIMEOUT_MS);
         return control.thenCombine(group, ClusterReport::compose);
     }
 
+    /** Asks the leader, and where none answers any control host, which knows the members but not how they fare. */
     static CompletableFuture<List<MemberView>> members(LeaderRouter router) {
-        return router.call(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS).thenApply(ClusterReport::members);
+        return router.call(Calls.LEADER_GROUP, Empty.INSTANCE, TIMEOUT_MS)
+                .handle((group, thrown) -> thrown == null
+                        ? CompletableFuture.completedFuture(group)
+                        : router.call(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS))
+                .thenCompose(next -> next)
+                .thenApply(ClusterReport::members);
     }
 
-    private static ClusterStatus compose(ControlStatus control, ReplicaStatus group) {
+    static ClusterStatus compose(ControlStatus control, ReplicaStatus group) {
         return new ClusterStatus(
                 group.leader(),
                 group.term(),
@@ -56,16 +63,38 @@
                 control.configurationVersion());
     }
 
-    private static List<MemberView> members(ReplicaStatus group) {
+    static List<MemberView> members(ReplicaStatus group) {
         return group.members().stream()
-                .map(member -> new MemberView(member.id(), member.address(), member.voting(), state(member, group)))
+                .map(member -> view(member, group, progressOf(member, group)))
                 .toList();
     }
 
-    private static MemberState state(Member member, ReplicaStatus group) {
+    private static Optional<MemberProgress> progressOf(Member member, ReplicaStatus group) {
+        return group.progress().stream()
+                .filter(progress -> progress.id() == member.id())
+                .findFirst();
+    }
+
+    private static MemberView view(Member member, ReplicaStatus group, Optional<MemberProgress> progress) {
+        return new MemberView(
+                member.id(),
+                member.address(),
+                member.voting(),
+                state(member, group, progress),
+                progress.map(MemberProgress::unansweredMs),
+                progress.map(MemberProgress::behindEntries));
+    }
+
+    private static MemberState state(Member member, ReplicaStatus group, Optional<MemberProgress> progress) {
         if (group.leader().equals(Optional.of(member.id()))) {
             return MemberState.LEADER;
         }
+        if (progress.isEmpty() && member.id() != group.self()) {
+            return MemberState.UNKNOWN;
+        }
+        if (progress.filter(MemberProgress::silent).isPresent()) {
+            return MemberState.SILENT;
+        }
         return member.voting() ? MemberState.FOLLOWER : MemberState.LEARNER;
     }
 
@@ -74,9 +103,15 @@
     }
 
     private static TargetView target(TargetStatus target) {
-        boolean silent = target.silentMs() < 0 || target.silentMs() > Leases.TARGET_SILENCE_MS;
         return new TargetView(
-                target.target(), target.service(), "", target.owner(), silent ? TargetState.SILENT : TargetState.LIVE);
+                target.target(), target.service(), target.availabilityZone(), target.owner(), state(target));
+    }
+
+    private static TargetState state(TargetStatus target) {
+        if (target.silentMs() < 0 || target.silentMs() > Leases.TARGET_SILENCE_MS) {
+            return TargetState.SILENT;
+        }
+        return target.leaving() ? TargetState.LEAVING : TargetState.LIVE;
     }
 
     private static WorkerView worker(WorkerStatus worker) {
--- a/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
@@ -59,6 +59,10 @@
     /** Reads a control host's view of the group; taken by any control host. */
     public static final Call<Empty, ReplicaStatus> GROUP = Call.of("group", Empty.class, ReplicaStatus.class);
 
+    /** Reads the leader's view of the group, which tells how far each member follows; taken by the leader only. */
+    public static final Call<Empty, ReplicaStatus> LEADER_GROUP =
+            Call.of("leader-group", Empty.class, ReplicaStatus.class);
+
     /** Carries a message of the replicated log; a notice between control hosts. */
     public static final Call<byte[], byte[]> REPLICATE = Call.of("replicate", byte[].class, byte[].class);
 
--- a/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
@@ -83,7 +83,8 @@
                 0,
                 0,
                 0,
-                List.of(new Member(2, "127.0.0.1:2", true), new Member(4, "127.0.0.1:4", true))));
+                List.of(new Member(2, "127.0.0.1:2", true), new Member(4, "127.0.0.1:4", true)),
+                List.of()));
         assertThat(known.get(), is(List.of("127.0.0.1:2", "127.0.0.1:4", "127.0.0.1:1")));
         known.close();
     }
--- a/model/src/main/java/org/cornelcove/model/view/MemberState.java
+++ b/model/src/main/java/org/cornelcove/model/view/MemberState.java
@@ -8,6 +8,8 @@
     FOLLOWER,
     /** Receives the log and does not vote yet. */
     LEARNER,
-    /** Has not been heard of lately. */
-    SILENT
+    /** Does not answer the leader, whether it votes or not. */
+    SILENT,
+    /** Not known, since no leader answered. */
+    UNKNOWN
 }
--- a/model/src/main/java/org/cornelcove/model/view/TargetView.java
+++ b/model/src/main/java/org/cornelcove/model/view/TargetView.java
@@ -10,7 +10,7 @@
  *
  * @param name its name
  * @param service the service it belongs to
- * @param availabilityZone where it runs
+ * @param availabilityZone where it runs, empty while the leader has not heard it
  * @param owner the entry that dispatches to it, empty while none does
  * @param state whether it is given work
  */
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -24,6 +24,7 @@
 import org.cornelcove.model.error.FailureException;
 import org.cornelcove.replication.core.CoreEvent;
 import org.cornelcove.replication.core.Envelope;
+import org.cornelcove.replication.core.FollowerView;
 import org.cornelcove.replication.core.MemberRecord;
 import org.cornelcove.replication.core.Membership;
 import org.cornelcove.replication.core.MessageCodec;
@@ -92,7 +93,7 @@
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
         thread.setUncaughtExceptionHandler((t, cause) -> stop(Optional.of(Failure.of(ErrorKind.INTERNAL, cause))));
-        this.status = currentStatus();
+        this.status = currentStatus(nowMs.getAsLong());
     }
 
     /**
@@ -292,7 +293,7 @@
                     tickDueMs = now + settings.tickMs();
                 }
                 Ready ready = core.drain(now);
-                status = currentStatus();
+                status = currentStatus(now);
                 carryOut(ready);
             }
         } catch (RuntimeException e) {
@@ -345,7 +346,7 @@
         }
     }
 
-    private ReplicaStatus currentStatus() {
+    private ReplicaStatus currentStatus(long now) {
         return new ReplicaStatus(
                 settings.selfId(),
                 core.leaderId() == 0 ? Optional.empty() : Optional.of(core.leaderId()),
@@ -356,7 +357,16 @@
                 core.snapshot().index(),
                 core.membership().members().stream()
                         .map(m -> new Member(m.id(), m.address(), m.voting()))
-                        .toList());
+                        .toList(),
+                core.followers(now).stream().map(this::progressOf).toList());
+    }
+
+    private MemberProgress progressOf(FollowerView follower) {
+        return new MemberProgress(
+                follower.id(),
+                !follower.active(),
+                follower.unansweredMs(),
+                Math.max(0, core.commitIndex() - follower.matchIndex()));
     }
 
     // Requests
@@ -416,7 +426,8 @@
                     status.commitIndex(),
                     status.appliedIndex(),
                     status.snapshotIndex(),
-                    status.members());
+                    status.members(),
+                    List.of());
             storage.close();
             folder.close();
         } catch (IOException e) {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
@@ -14,6 +14,7 @@
  * @param appliedIndex the highest index applied here
  * @param snapshotIndex the index of the newest snapshot, 0 without one
  * @param members all members
+ * @param progress how far each other member follows; empty unless this member leads
  */
 public record ReplicaStatus(
         long self,
@@ -23,4 +24,10 @@
         long commitIndex,
         long appliedIndex,
         long snapshotIndex,
-        List<Member> members) {}
+        List<Member> members,
+        List<MemberProgress> progress) {
+    /** Takes the status of an older daemon, which tells no progress, as one without it. */
+    public ReplicaStatus {
+        progress = progress == null ? List.of() : progress;
+    }
+}
--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -379,6 +379,18 @@
 
     // Sending
 
+    List<FollowerView> view(long nowMs) {
+        return followers().stream()
+                .map(member -> view(nowMs, member.id(), progressOf(member)))
+                .toList();
+    }
+
+    private FollowerView view(long nowMs, long id, Progress p) {
+        long answeredMs = Math.max(sinceMs, p.answeredSentMs);
+        boolean answersCount = nowMs - answeredMs <= core.options.electionMaxMs();
+        return new FollowerView(id, answersCount, nowMs - answeredMs, p.matchIndex);
+    }
+
     private List<MemberRecord> followers() {
         return core.log.membership().members().stream()
                 .filter(m -> m.id() != core.options.selfId())
--- a/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
@@ -158,6 +158,16 @@
         return log.membership();
     }
 
+    /**
+     * Returns what a leader knows of the other members.
+     *
+     * @param nowMs the time
+     * @return one view for each other member; empty on a member that does not lead
+     */
+    public List<FollowerView> followers(long nowMs) {
+        return leadership == null ? List.of() : leadership.view(nowMs);
+    }
+
     // Inputs
 
     /**
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -76,6 +76,38 @@
         }
     }
 
+    @Test
+    void theLeaderTellsWhichFollowerIsSilentAndHowFarBehind() throws Exception {
+        try (LocalGroup group = new LocalGroup(folder, 1000)) {
+            for (long id = 1; id <= 3; id++) {
+                group.start(id, LocalGroup.members(3));
+            }
+            group.propose("a");
+            ReplicaNode leader = group.leader();
+            long stopped = leader.status().self() == 1 ? 2 : 1;
+            long following = 6 - leader.status().self() - stopped;
+            group.kill(stopped);
+            Awaitility.await()
+                    .until(() -> progress(leader, stopped).silent()
+                            && !progress(leader, following).silent());
+            group.propose("b");
+            group.propose("c");
+            Awaitility.await().until(() -> progress(leader, stopped).behindEntries() >= 2);
+            group.start(stopped, LocalGroup.members(3));
+            Awaitility.await()
+                    .until(() -> !progress(leader, stopped).silent()
+                            && progress(leader, stopped).behindEntries() == 0);
+            assertThat(group.nodes.get(following).status().progress(), is(List.of()));
+        }
+    }
+
+    private static MemberProgress progress(ReplicaNode leader, long id) {
+        return leader.status().progress().stream()
+                .filter(member -> member.id() == id)
+                .findFirst()
+                .orElseThrow();
+    }
+
     @ParameterizedTest(name = "only syncs fail: {0}")
     @ValueSource(booleans = {true, false})
     void aMemberWhoseDiskFailsStopsAndAcknowledgesNothing(boolean onlySyncs) throws Exception {
