histograms and explain request cover all live entries

Cause: both read the asked daemon's own entry; an operator saw a third of a cluster of three as if it were the whole, and had to guess which entry took a request. Ruled out: percentiles merged by mean or maximum (not those of the whole); asking through the leader (carries all buckets over the thread that holds the quorum); a list of entries kept by the asked daemon (the leader's is the one that status shows). Each live entry that did not answer is named with the reason, silent ones are named as not asked; exit code 10 for a partial answer. A request id that was used twice explains the newer request. Before: ClusterViewTest with the own entry only: expected 6 requests, was 1. HistogramMergeTest with the last entry's histogram in place of the merge: 5 of 10 failed. RecentRequestsTest before the change: 3 of 5 failed, the old request in place of the new. After: all green, with all tests of entry, daemon and cli. Replaced test: CommandsTest's 'explain request r2' showed an empty answer of one endpoint, which no daemon gives any more; the partial and the unknown case stand in its place.

--- a/cli/src/main/java/org/cornelcove/cli/client/Cluster.java
+++ b/cli/src/main/java/org/cornelcove/cli/client/Cluster.java
@@ -8,15 +8,16 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.job.JobView;
+import org.cornelcove.model.view.ClusterHistograms;
 import org.cornelcove.model.view.ClusterStatus;
 import org.cornelcove.model.view.ConfigurationAccepted;
 import org.cornelcove.model.view.ConfigurationProposal;
 import org.cornelcove.model.view.ConfigurationView;
 import org.cornelcove.model.view.ExplainView;
-import org.cornelcove.model.view.HistogramView;
 import org.cornelcove.model.view.InForceView;
 import org.cornelcove.model.view.MemberAddition;
 import org.cornelcove.model.view.MemberView;
+import org.cornelcove.model.view.RequestExplanation;
 
 /**
  * The cluster as an operator's program sees it: one method for each call of the operators' HTTP interface. Proposals
@@ -165,24 +166,34 @@
     }
 
     /**
-     * Asks why a job or request is where it is.
+     * Asks why a job is where it is.
      *
-     * @param collection {@code jobs} or {@code requests}
      * @param id its id
      * @return the reasons, or why there are none
      */
-    public Either<List<Failure>, ExplainView> explain(String collection, String id) {
-        return client.send(Call.get("/v1/explain/" + collection + "/" + encoded(id), ExplainView.class))
+    public Either<List<Failure>, ExplainView> explainJob(String id) {
+        return client.send(Call.get("/v1/explain/jobs/" + encoded(id), ExplainView.class))
                 .map(ExplainView.class::cast);
     }
 
     /**
-     * Asks for the histograms of the answering daemon.
+     * Asks all live entries what became of a request.
+     *
+     * @param id its id
+     * @return what they know, or why there is nothing
+     */
+    public Either<List<Failure>, RequestExplanation> explainRequest(String id) {
+        return client.send(Call.get("/v1/explain/requests/" + encoded(id), RequestExplanation.class))
+                .map(RequestExplanation.class::cast);
+    }
+
+    /**
+     * Asks for the histograms of all live entries, merged.
      *
      * @return the histograms, or why there are none
      */
-    public Either<List<Failure>, List<HistogramView>> histograms() {
-        return client.send(Call.list("/v1/histograms", HistogramView.class)).map(Cluster::listOf);
+    public Either<List<Failure>, ClusterHistograms> histograms() {
+        return client.send(Call.get("/v1/histograms", ClusterHistograms.class)).map(ClusterHistograms.class::cast);
     }
 
     @SuppressWarnings("unchecked") // the call named the element's type
--- a/cli/src/main/java/org/cornelcove/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/ExplainCommand.java
@@ -8,7 +8,7 @@
 import org.cornelcove.cli.output.Report;
 import org.cornelcove.cli.output.Text;
 import org.cornelcove.model.error.Failure;
-import org.cornelcove.model.view.ExplainView;
+import org.cornelcove.model.view.RequestExplanation;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -19,14 +19,8 @@
         footer = {"", "Examples:", "  cornelcove explain job payouts-2026-11", "  cornelcove explain request 7f3a-21"},
         subcommands = {ExplainCommand.Job.class, ExplainCommand.Request.class})
 final class ExplainCommand extends GroupCommand {
-    private static Either<List<Failure>, Report> explain(Cluster cluster, String collection, String id) {
-        return cluster.explain(collection, id).map(view -> Report.of(view, text(view)));
-    }
-
-    private static String text(ExplainView view) {
-        return view.lines().isEmpty()
-                ? "nothing is known of it at this endpoint; ask the entry that took it\n"
-                : view.lines().stream().map(line -> Text.printable(line) + "\n").collect(Collectors.joining());
+    private static String lines(List<String> lines, String indent) {
+        return lines.stream().map(line -> indent + Text.printable(line) + "\n").collect(Collectors.joining());
     }
 
     /** Explains a job. */
@@ -40,14 +34,17 @@
 
         @Override
         Either<List<Failure>, Report> execute(Cluster cluster) {
-            return explain(cluster, "jobs", id);
+            return cluster.explainJob(id).map(view -> Report.of(view, lines(view.lines(), "")));
         }
     }
 
     /** Explains a request. */
     @Command(
             name = "request",
-            description = "Shows why a request is where it is.",
+            description = {
+                "Shows what became of a request, by each entry that knows it.",
+                "Every live entry is asked; each keeps its newest requests only. Exit code 10 where one did not answer."
+            },
             footer = {"", "Examples:", "  cornelcove explain request 7f3a-21"})
     static final class Request extends ClusterCommand {
         @Parameters(paramLabel = "ID", description = "The request's id, as in the header Cornelcove-Request-Id.")
@@ -55,7 +52,15 @@
 
         @Override
         Either<List<Failure>, Report> execute(Cluster cluster) {
-            return explain(cluster, "requests", id);
+            return cluster.explainRequest(id).map(Request::report);
+        }
+
+        private static Report report(RequestExplanation found) {
+            String traces = found.traces().stream()
+                    .map(trace -> "entry " + trace.entry() + "\n" + lines(trace.lines(), "  "))
+                    .collect(Collectors.joining());
+            String text = traces.isEmpty() ? "no entry that answered knows the request\n" : traces;
+            return new Report(found, text + CoverageText.of(found.coverage()), CoverageText.exitCode(found.coverage()));
         }
     }
 }
--- a/cli/src/main/java/org/cornelcove/cli/command/HistogramsCommand.java
+++ b/cli/src/main/java/org/cornelcove/cli/command/HistogramsCommand.java
@@ -7,6 +7,7 @@
 import org.cornelcove.cli.output.Report;
 import org.cornelcove.cli.output.Table;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.view.ClusterHistograms;
 import org.cornelcove.model.view.HistogramView;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -14,13 +15,11 @@
 /** Shows latency, queueing and run time by tenant and by class. */
 @Command(
         name = "histograms",
-        description = "Shows the histograms of the answering daemon, by tenant and by class; times in microseconds.",
-        footer = {
-            "",
-            "Examples:",
-            "  cornelcove histograms",
-            "  cornelcove histograms --name tenant --endpoint 10.0.0.2:7401"
-        })
+        description = {
+            "Shows the histograms of all live entries, merged, by tenant and by class; times in microseconds.",
+            "Each entry counts since its start. Exit code 10 where a live entry did not answer."
+        },
+        footer = {"", "Examples:", "  cornelcove histograms", "  cornelcove histograms --name tenant.surat"})
 final class HistogramsCommand extends ClusterCommand {
     @Option(
             names = "--name",
@@ -34,8 +33,8 @@
         return cluster.histograms().map(this::report);
     }
 
-    private Report report(List<HistogramView> all) {
-        List<HistogramView> shown = all.stream()
+    private Report report(ClusterHistograms all) {
+        List<HistogramView> shown = all.histograms().stream()
                 .filter(histogram -> histogram.name().contains(name))
                 .toList();
         Table table = Table.of("NAME", "COUNT", "P50 US", "P90 US", "P99 US", "MAX US");
@@ -46,6 +45,9 @@
                 histogram.p90Us(),
                 histogram.p99Us(),
                 histogram.maxUs()));
-        return Report.of(shown, table.render());
+        return new Report(
+                new ClusterHistograms(shown, all.coverage()),
+                table.render() + "\n" + CoverageText.of(all.coverage()),
+                CoverageText.exitCode(all.coverage()));
     }
 }
--- a/cli/src/main/java/org/cornelcove/cli/output/ExitCode.java
+++ b/cli/src/main/java/org/cornelcove/cli/output/ExitCode.java
@@ -27,7 +27,9 @@
     /** A fault of the program. */
     INTERNAL(8, "a fault of cornelcove itself"),
     /** Standard output could not be written; the command was carried out. */
-    NOT_SHOWN(9, "standard output could not be written; the command was carried out");
+    NOT_SHOWN(9, "standard output could not be written; the command was carried out"),
+    /** The answer covers a part of the entries. */
+    PARTIAL(10, "the answer is partial; it names the entries that did not answer");
 
     private final int code;
     private final String meaning;
--- a/cli/src/test/java/org/cornelcove/cli/Samples.java
+++ b/cli/src/test/java/org/cornelcove/cli/Samples.java
@@ -17,6 +17,7 @@
 import org.cornelcove.model.rule.RuleSet;
 import org.cornelcove.model.view.ClusterStatus;
 import org.cornelcove.model.view.ConfigurationView;
+import org.cornelcove.model.view.Coverage;
 import org.cornelcove.model.view.EntryView;
 import org.cornelcove.model.view.MemberState;
 import org.cornelcove.model.view.MemberView;
@@ -32,6 +33,8 @@
             new MemberView(2, "127.0.0.3:7402", true, MemberState.SILENT, Optional.of(61_250L), Optional.of(90L)),
             new MemberView(12, "127.0.0.2:7402", false, MemberState.LEARNER, Optional.of(40L), Optional.of(7L)));
 
+    static final Coverage WHOLE = new Coverage(List.of(EntryId.of("e1"), EntryId.of("e2")), List.of(), List.of(), true);
+
     private Samples() {}
 
     static ClusterStatus status(Optional<Long> leader) {
--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.ControlAddresses;
 import org.cornelcove.daemon.call.Empty;
+import org.cornelcove.daemon.call.EntryHistograms;
 import org.cornelcove.daemon.call.LeaderLink;
 import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.daemon.settings.Role;
@@ -23,6 +24,7 @@
 import org.cornelcove.entry.EntrySettings;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.view.ExplainView;
 import org.cornelcove.wire.Addresses;
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
@@ -115,7 +117,13 @@
 
     private static void handle(EntryServer entry, CallHandlers handlers) {
         handlers.answer(Calls.FORWARD, entry::handleForwarded)
-                .answer(Calls.DRAIN, any -> entry.drain().thenApply(done -> Empty.INSTANCE));
+                .answer(Calls.DRAIN, any -> entry.drain().thenApply(done -> Empty.INSTANCE))
+                .answer(
+                        Calls.ENTRY_HISTOGRAMS,
+                        any -> CompletableFuture.supplyAsync(() -> new EntryHistograms(entry.histograms())))
+                .answer(
+                        Calls.EXPLAIN_REQUEST,
+                        id -> CompletableFuture.supplyAsync(() -> new ExplainView(entry.explain(id))));
     }
 
     private Optional<String> whyUnready() {
--- a/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Api.java
@@ -9,6 +9,7 @@
 import org.cornelcove.control.view.EntryStatus;
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
+import org.cornelcove.daemon.call.EntryHistograms;
 import org.cornelcove.entry.EntryServer;
 import org.cornelcove.model.command.CancelJob;
 import org.cornelcove.model.command.Command;
@@ -26,10 +27,13 @@
 import org.cornelcove.model.job.JobView;
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.WorkerHeartbeat;
+import org.cornelcove.model.view.ClusterHistograms;
 import org.cornelcove.model.view.ConfigurationAccepted;
 import org.cornelcove.model.view.ConfigurationProposal;
+import org.cornelcove.model.view.EntryTrace;
 import org.cornelcove.model.view.ExplainView;
 import org.cornelcove.model.view.MemberAddition;
+import org.cornelcove.model.view.RequestExplanation;
 import org.cornelcove.rules.CanonicalRules;
 import org.cornelcove.wire.Call;
 import org.cornelcove.wire.Json;
@@ -84,11 +88,8 @@
                 Route.of("DELETE", "/v1/jobs/*", this::cancel),
                 Route.of("POST", "/v1/entries/*/drain", this::drain),
                 Route.of("GET", "/v1/explain/jobs/*", request -> query(Calls.EXPLAIN_JOB, jobId(request))),
-                Route.of("GET", "/v1/explain/requests/*", request -> done(explainRequest(request.argument(0)))),
-                Route.of(
-                        "GET",
-                        "/v1/histograms",
-                        any -> done(ApiAnswer.json(metrics().histograms()))),
+                Route.of("GET", "/v1/explain/requests/*", request -> explainRequest(request.argument(0))),
+                Route.of("GET", "/v1/histograms", any -> histograms()),
                 Route.of(
                         "GET",
                         "/v1/metrics",
@@ -233,12 +234,36 @@
                 .thenApply(any -> ApiAnswer.empty());
     }
 
-    private ApiAnswer explainRequest(String requestId) {
-        List<String> lines =
-                backend.entry().map(entry -> entry.explain(requestId)).orElse(List.of());
-        return lines.isEmpty()
+    private CompletableFuture<ApiAnswer> histograms() {
+        return EntryPoll.of(backend)
+                .ask(
+                        Calls.ENTRY_HISTOGRAMS,
+                        Empty.INSTANCE,
+                        entry -> new EntryHistograms(entry.histograms()),
+                        answer -> HistogramMerge.of(answer.histograms()))
+                .thenApplyAsync(all -> ApiAnswer.json(new ClusterHistograms(
+                        HistogramMerge.of(all.answers().values()).views(), all.coverage())));
+    }
+
+    private CompletableFuture<ApiAnswer> explainRequest(String requestId) {
+        return EntryPoll.of(backend)
+                .ask(
+                        Calls.EXPLAIN_REQUEST,
+                        requestId,
+                        entry -> new ExplainView(entry.explain(requestId)),
+                        ExplainView::lines)
+                .thenApply(all -> explanation(requestId, all));
+    }
+
+    /** Says that nobody knows the request only after every live entry said so. */
+    private static ApiAnswer explanation(String requestId, EntryPoll.Answers<List<String>> all) {
+        List<EntryTrace> traces = all.answers().entrySet().stream()
+                .filter(answer -> !answer.getValue().isEmpty())
+                .map(answer -> new EntryTrace(answer.getKey(), answer.getValue()))
+                .toList();
+        return traces.isEmpty() && all.coverage().whole()
                 ? ApiAnswer.failure(Failure.of(ErrorKind.REQUEST_UNKNOWN, requestId))
-                : ApiAnswer.json(new ExplainView(lines));
+                : ApiAnswer.json(new RequestExplanation(traces, all.coverage()));
     }
 
     private MetricsReport metrics() {
--- a/daemon/src/main/java/org/cornelcove/daemon/api/MetricsReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/MetricsReport.java
@@ -49,7 +49,7 @@
     }
 
     /** Takes the unit off the name, since the figures name their own. */
-    private static String withoutUnit(String name) {
+    static String withoutUnit(String name) {
         return name.endsWith(UNIT) ? name.substring(0, name.length() - UNIT.length()) : name;
     }
 
--- a/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
@@ -73,5 +73,13 @@
     /** Tells an entry to hand over what it owns and finish; taken by entries. */
     public static final Call<Empty, Empty> DRAIN = Call.of("drain", Empty.class, Empty.class);
 
+    /** Reads an entry's histograms with all their buckets; taken by entries. */
+    public static final Call<Empty, EntryHistograms> ENTRY_HISTOGRAMS =
+            Call.of("entry-histograms", Empty.class, EntryHistograms.class);
+
+    /** Tells what an entry knows of a request, by its id; taken by entries. */
+    public static final Call<String, ExplainView> EXPLAIN_REQUEST =
+            Call.of("explain-request", String.class, ExplainView.class);
+
     private Calls() {}
 }
--- a/entry/src/main/java/org/cornelcove/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryMetrics.java
@@ -1,5 +1,6 @@
 package org.cornelcove.entry;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -21,6 +22,9 @@
     private static final int MAX_TENANTS = 256;
 
     private final MetricRegistry registry = new MetricRegistry();
+    /** The buckets behind each histogram of the registry, which shows figures only; written once for each name. */
+    private final ConcurrentMap<String, HdrReservoir> reservoirs = new ConcurrentHashMap<>();
+
     private final Group[] byClass = new Group[RequestClass.values().length];
     private final ConcurrentMap<String, Group> byTenant = new ConcurrentHashMap<>();
     private final Counter[] refused = new Counter[ErrorKind.values().length];
@@ -52,7 +56,16 @@
     }
 
     private Histogram histogram(String name) {
-        return registry.histogram(name, () -> new Histogram(new HdrReservoir()));
+        HdrReservoir reservoir = new HdrReservoir();
+        reservoirs.put(name, reservoir);
+        return registry.histogram(name, () -> new Histogram(reservoir));
+    }
+
+    /** Returns the histograms with all their buckets. */
+    List<RecordedHistogram> histograms() {
+        return reservoirs.entrySet().stream()
+                .map(one -> new RecordedHistogram(one.getKey(), one.getValue().compressed()))
+                .toList();
     }
 
     private Group tenant(String name) {
--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
+import org.cornelcove.model.id.EntryId;
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.rule.ServiceRule;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -220,6 +221,24 @@
         return recent.explain(requestId);
     }
 
+    /**
+     * Returns the entry's name.
+     *
+     * @return the name
+     */
+    public EntryId name() {
+        return settings.entry();
+    }
+
+    /**
+     * Returns the histograms with all their buckets, to be merged with those of other entries.
+     *
+     * @return one for each tenant or class and each measure
+     */
+    public List<RecordedHistogram> histograms() {
+        return metrics.histograms();
+    }
+
     /**
      * Returns the histograms and counters.
      *
--- a/entry/src/main/java/org/cornelcove/entry/HdrReservoir.java
+++ b/entry/src/main/java/org/cornelcove/entry/HdrReservoir.java
@@ -2,7 +2,9 @@
 
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 import com.codahale.metrics.Reservoir;
 import com.codahale.metrics.Snapshot;
@@ -31,10 +33,22 @@
     }
 
     @Override
-    public synchronized Snapshot getSnapshot() {
+    public Snapshot getSnapshot() {
+        return new HdrSnapshot(copy());
+    }
+
+    private synchronized Histogram copy() {
         interval = recorder.getIntervalHistogram(interval);
         total.add(interval);
-        return new HdrSnapshot(total.copy());
+        return total.copy();
+    }
+
+    /** Returns all values since the start in HdrHistogram's compressed form. */
+    byte[] compressed() {
+        Histogram histogram = copy();
+        ByteBuffer buffer = ByteBuffer.allocate(histogram.getNeededByteBufferCapacity());
+        int lengthBytes = histogram.encodeIntoCompressedByteBuffer(buffer);
+        return Arrays.copyOf(buffer.array(), lengthBytes);
     }
 
     private static final class HdrSnapshot extends Snapshot {
--- a/entry/src/main/java/org/cornelcove/entry/RecentRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/RecentRequests.java
@@ -15,10 +15,11 @@
         ring.lazySet((int) (next.getAndIncrement() % KEPT), trace);
     }
 
-    /** Returns the lines about a request, empty when it is not among the newest. */
+    /** Returns the lines about the newest request of that id, empty when it is not among those kept. */
     List<String> explain(String requestId) {
-        for (int i = 0; i < KEPT; i++) {
-            RequestTrace trace = ring.get(i);
+        long end = next.get();
+        for (long i = end - 1; i >= Math.max(0, end - KEPT); i--) {
+            RequestTrace trace = ring.get((int) (i % KEPT));
             if (trace != null && trace.requestId().equals(requestId)) {
                 return trace.lines();
             }
--- /dev/null
+++ b/model/src/main/java/org/cornelcove/model/view/ClusterHistograms.java
@@ -0,0 +1,11 @@
+package org.cornelcove.model.view;
+
+import java.util.List;
+
+/**
+ * The histograms of all entries, merged value by value.
+ *
+ * @param histograms by name
+ * @param coverage which entries they hold
+ */
+public record ClusterHistograms(List<HistogramView> histograms, Coverage coverage) {}
