--- a/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/Calls.java
@@ -59,6 +59,10 @@
     /** Reads a control host's view of the group; taken by any control host. */
     public static final Call<Empty, ReplicaStatus> GROUP = Call.of("group", Empty.class, ReplicaStatus.class);
 
+    /** Reads the leader's view of the group, which tells how far each member follows; taken by the leader only. */
+    public static final Call<Empty, ReplicaStatus> LEADER_GROUP =
+            Call.of("leader-group", Empty.class, ReplicaStatus.class);
+
     /** Carries a message of the replicated log; a notice between control hosts. */
     public static final Call<byte[], byte[]> REPLICATE = Call.of("replicate", byte[].class, byte[].class);
 
@@ -69,5 +73,13 @@
     /** Tells an entry to hand over what it owns and finish; taken by entries. */
     public static final Call<Empty, Empty> DRAIN = Call.of("drain", Empty.class, Empty.class);
 
+    /** Reads an entry's histograms with all their buckets; taken by entries. */
+    public static final Call<Empty, EntryHistograms> ENTRY_HISTOGRAMS =
+            Call.of("entry-histograms", Empty.class, EntryHistograms.class);
+
+    /** Tells what an entry knows of a request, by its id; taken by entries. */
+    public static final Call<String, ExplainView> EXPLAIN_REQUEST =
+            Call.of("explain-request", String.class, ExplainView.class);
+
     private Calls() {}
 }
