A member whose fsync hangs can be closed

Cause: closing a member joined the disk's thread without a bound, and closing a file waits for the fsync under way on it, so a hung fsync kept a planned stop from ending. Shown failing first: ReplicaNodeTest.aMemberWhoseSyncHangsCanBeClosedAndAcknowledgesNothing, "Condition with Lambda expression ... was not fulfilled within 10 seconds". Ruled out: interrupting the thread; it does not end a hung force(). What was pending is told 'unknown'. Besides: a daemon can be started with another data folder and another link to the leader in place (DaemonParts), for tests; the program has no switch for it. After: ReplicaNodeTest passes.

--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -26,7 +26,7 @@
 import org.cornelcove.replication.ReplicaNode;
 import org.cornelcove.replication.ReplicaSettings;
 import org.cornelcove.replication.ReplicaStatus;
-import org.cornelcove.replication.storage.DiskFolder;
+import org.cornelcove.replication.storage.DataFolder;
 import org.cornelcove.wire.Addresses;
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
@@ -48,10 +48,12 @@
     private final CompletableFuture<ReplicaNode> opened = new CompletableFuture<>();
 
     private final Settings settings;
+    private final DaemonParts.FolderOpener folders;
     private final CallClient client;
 
-    private ControlHost(Settings settings, CallClient client) {
+    private ControlHost(Settings settings, DaemonParts.FolderOpener folders, CallClient client) {
         this.settings = settings;
+        this.folders = folders;
         this.client = client;
     }
 
@@ -59,11 +61,12 @@
      * Prepares the control role; {@link #start()} opens the data folder.
      *
      * @param settings the daemon's settings
+     * @param folders opens the data folder
      * @param client carries the group's messages
      * @return the role, not running yet
      */
-    static ControlHost create(Settings settings, CallClient client) {
-        return new ControlHost(settings, client);
+    static ControlHost create(Settings settings, DaemonParts.FolderOpener folders, CallClient client) {
+        return new ControlHost(settings, folders, client);
     }
 
     /** Opens the data folder and joins the group. */
@@ -77,9 +80,9 @@
         ticker.scheduleWithFixedDelay(leader::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private DiskFolder openFolder() {
+    private DataFolder openFolder() {
         try {
-            return DiskFolder.open(settings.dataFolder().orElseThrow());
+            return folders.open(settings.dataFolder().orElseThrow());
         } catch (IOException e) {
             throw Failure.of(ErrorKind.STORAGE_FAILED, e.getMessage()).asException();
         }
--- a/daemon/src/main/java/org/cornelcove/daemon/Cornelcoved.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Cornelcoved.java
@@ -35,7 +35,11 @@
     @Mixin
     private SettingsOptions options;
 
-    private Cornelcoved() {}
+    private final DaemonParts parts;
+
+    private Cornelcoved(DaemonParts parts) {
+        this.parts = parts;
+    }
 
     /**
      * Runs the program.
@@ -43,12 +47,23 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Cornelcoved()).execute(args));
+        System.exit(run(DaemonParts.standard(), args));
+    }
+
+    /**
+     * Runs the program with parts of choice until the daemon ends.
+     *
+     * @param parts by which the daemon reaches the world
+     * @param args the command line
+     * @return the exit code
+     */
+    public static int run(DaemonParts parts, String... args) {
+        return new CommandLine(new Cornelcoved(parts)).execute(args);
     }
 
     @Override
     public Integer call() {
-        return SettingsReader.read(options).fold(Cornelcoved::report, Cornelcoved::run);
+        return SettingsReader.read(options).fold(Cornelcoved::report, this::run);
     }
 
     private static int report(List<Failure> faults) {
@@ -56,9 +71,9 @@
         return WRONG_USAGE;
     }
 
-    private static int run(Settings settings) {
+    private int run(Settings settings) {
         try {
-            Daemon daemon = Daemon.start(settings);
+            Daemon daemon = Daemon.start(settings, parts);
             PlannedStop stop = PlannedStop.onTermination(daemon);
             Optional<Failure> failure = daemon.stopped().join();
             failure.ifPresent(System.err::println);
--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -38,12 +38,14 @@
     private static final long FORWARD_SLACK_MS = 500;
 
     private final Settings settings;
+    private final DaemonParts world;
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private Optional<ControlHost> control = Optional.empty();
     private Optional<EntryServer> entry = Optional.empty();
 
-    private Daemon(Settings settings) {
+    private Daemon(Settings settings, DaemonParts world) {
         this.settings = settings;
+        this.world = world;
     }
 
     /**
@@ -54,7 +56,19 @@
      * @throws org.cornelcove.model.error.FailureException when a port, the data folder or the log can't be used
      */
     public static Daemon start(Settings settings) {
-        Daemon daemon = new Daemon(settings);
+        return start(settings, DaemonParts.standard());
+    }
+
+    /**
+     * Starts a daemon that reaches the world by other parts.
+     *
+     * @param settings checked settings
+     * @param world the parts
+     * @return the running daemon
+     * @throws org.cornelcove.model.error.FailureException as the other one
+     */
+    public static Daemon start(Settings settings, DaemonParts world) {
+        Daemon daemon = new Daemon(settings, world);
         try {
             daemon.open();
         } catch (RuntimeException e) {
@@ -72,7 +86,7 @@
         addresses.refreshBy(router);
         CallHandlers handlers = CallHandlers.create();
         if (settings.has(Role.CONTROL)) {
-            ControlHost host = ControlHost.create(settings, client);
+            ControlHost host = ControlHost.create(settings, world.folders(), client);
             host.handle(handlers);
             control = Optional.of(host);
         }
@@ -104,7 +118,7 @@
         try {
             return EntryServer.open(
                     options,
-                    LeaderLink.create(router),
+                    world.control().apply(LeaderLink.create(router)),
                     (address, request) ->
                             client.call(address, Calls.FORWARD, request, request.remainingMs() + FORWARD_SLACK_MS));
         } catch (IOException e) {
--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -42,6 +42,8 @@
 
     private record Stop() implements Task {}
 
+    private static final long STOP_LIMIT_MS = 3_000;
+
     private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
     private final Queue<CompletableFuture<byte[]>> wantedStates = new ConcurrentLinkedQueue<>();
     private final MemberStorage storage;
@@ -78,14 +80,20 @@
         return state;
     }
 
-    /** Ends the thread; writes not begun are dropped. */
-    void stop() throws InterruptedException {
+    /**
+     * Ends the thread; writes not begun are dropped. A write or fsync that hangs can't be ended: its files must not be
+     * touched then, since closing one waits for what is under way on it.
+     *
+     * @return whether the thread ended
+     */
+    boolean stop() throws InterruptedException {
         stopped = true;
         tasks.add(new Stop());
         if (Thread.currentThread() != thread) {
-            thread.join();
+            thread.join(STOP_LIMIT_MS);
         }
         wantedStates.forEach(state -> state.cancel(false));
+        return !thread.isAlive() || Thread.currentThread() == thread;
     }
 
     private void run() {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -403,7 +403,7 @@
         try {
             inbox.add(() -> {});
             thread.join();
-            disk.stop();
+            boolean diskIdle = disk.stop();
             applier.stop();
             if (announcedTerm != 0) {
                 listener.leadershipLost(announcedTerm);
@@ -417,8 +417,7 @@
                     status.appliedIndex(),
                     status.snapshotIndex(),
                     status.members());
-            storage.close();
-            folder.close();
+            closeFolder(diskIdle);
         } catch (IOException e) {
             LOG.log(System.Logger.Level.WARNING, "the data folder did not close: {0}", e.getMessage());
         } catch (InterruptedException e) {
@@ -429,6 +428,16 @@
         }
     }
 
+    /** The system closes the files of a disk that hangs, and frees the folder's lock, when the process ends. */
+    private void closeFolder(boolean diskIdle) throws IOException {
+        if (!diskIdle) {
+            LOG.log(System.Logger.Level.ERROR, Failure.of(ErrorKind.STORAGE_FAILED, "a write hangs"));
+            return;
+        }
+        storage.close();
+        folder.close();
+    }
+
     private static Membership membershipOf(ReplicaSettings settings) {
         List<MemberRecord> members = settings.initialMembers().stream()
                 .sorted((a, b) -> Long.compare(a.id(), b.id()))
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -3,6 +3,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 
 import org.awaitility.Awaitility;
@@ -95,6 +97,26 @@
         assertThat(node.stopped().get().get().kind(), is(ErrorKind.STORAGE_FAILED));
     }
 
+    @Test
+    void aMemberWhoseSyncHangsCanBeClosedAndAcknowledgesNothing() throws Exception {
+        MemoryFolder disk = new MemoryFolder();
+        ReplicaNode node = ReplicaNode.open(
+                ReplicaSettings.of(1, LocalGroup.addressOf(1), LocalGroup.members(1)),
+                disk,
+                (address, message) -> {},
+                new LocalGroup.TextMachine(),
+                LocalGroup.UNHEARD);
+        Awaitility.await().until(() -> node.status().leading());
+        CountDownLatch goOn = new CountDownLatch(1);
+        disk.hangSyncs(goOn);
+        CompletableFuture<byte[]> proposal = node.propose(new byte[1]);
+        CompletableFuture<Void> closed = CompletableFuture.runAsync(node::close);
+        Awaitility.await().until(closed::isDone);
+        ExecutionException thrown = assertThrows(ExecutionException.class, proposal::get);
+        assertThat(((FailureException) thrown.getCause()).failure().kind(), is(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN));
+        goOn.countDown();
+    }
+
     @Test
     void aStateMachineThatFailsStopsTheMember() throws Exception {
         ReplicaNode node = ReplicaNode.open(
--- a/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 
 import org.cornelcove.replication.storage.DataFile;
@@ -40,6 +41,8 @@
     private final List<Consumer<TreeMap<String, Content>>> unsyncedNames = new ArrayList<>();
     private int operationsLeft = NEVER;
     private boolean onlySyncsFail;
+    /** Every sync waits for it. */
+    private volatile CountDownLatch syncsGoOn = new CountDownLatch(0);
 
     /**
      * Makes an operation fail, and all after it.
@@ -52,6 +55,15 @@
         onlySyncsFail = onlySyncs;
     }
 
+    /**
+     * Makes every sync hang.
+     *
+     * @param goOn lets them go on
+     */
+    public void hangSyncs(CountDownLatch goOn) {
+        syncsGoOn = goOn;
+    }
+
     /**
      * Loses what was not synced, as a power failure would: any part of the unsynced writes may be there or not.
      *
@@ -125,6 +137,9 @@
     }
 
     private void operate(boolean sync) throws IOException {
+        if (sync) {
+            hang();
+        }
         if (operationsLeft == NEVER || onlySyncsFail && !sync) {
             return;
         }
@@ -134,6 +149,14 @@
         operationsLeft--;
     }
 
+    private void hang() throws IOException {
+        try {
+            syncsGoOn.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private static void settle(Content content, SplittableRandom random) {
         for (Change change : content.unsynced) {
             if (random.nextBoolean()) {
