--- a/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/TargetServer.java
@@ -132,7 +132,7 @@
     }
 
     private void record(String id, String key, String what) {
-        history.write(new TargetEvent(target.value(), id, key, what, System.currentTimeMillis()));
+        history.write(TargetEvent.now(target.value(), id, key, what));
     }
 
     /** Runs one request. */
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
@@ -46,6 +46,8 @@
     private static final int LONG_JOBS = 8;
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS = 10_000;
+    private static final String PROCESS_ZONE = "zone-" + MEMBERS;
+    private static final String STAND_IN = "org.cornelcove.testkit.Standin";
     private static final Duration LIMIT = Duration.ofSeconds(40);
     private static final Resources CAPACITY = Resources.of(4_000, 16L << 30, 0);
 
@@ -57,9 +59,11 @@
     private final SplittableRandom ports =
             new SplittableRandom(ProcessHandle.current().pid());
     private final Path folder;
+    private final Program program;
     private final Map<String, LinkRelay> relays = new HashMap<>();
     private final List<WorkerAgent> workers = new ArrayList<>();
     private final List<Process> workerProcesses = new ArrayList<>();
+    private final List<TargetProcess> targetProcesses = new ArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
     private final ExecutorService load = Executors.newCachedThreadPool();
     private final Balancer balancer;
@@ -68,7 +72,8 @@
     private volatile boolean loadStopped;
     private volatile long changeNumber;
 
-    private Cluster(Path folder, long seed) {
+    private Cluster(Path folder, long seed, Program program) {
+        this.program = program;
         this.folder = folder;
         this.random = new SplittableRandom(seed);
         this.operator = new Operator(this::running, history, seed);
@@ -77,8 +82,8 @@
         this.callers = new Callers(balancer, history);
     }
 
-    static Cluster start(Path folder, long seed) throws Exception {
-        Cluster cluster = new Cluster(folder, seed);
+    static Cluster start(Path folder, long seed, Program program) throws Exception {
+        Cluster cluster = new Cluster(folder, seed, program);
         try {
             cluster.startNodes();
             cluster.awaitReady();
@@ -104,7 +109,8 @@
             }
         }
         for (int i = 1; i <= MEMBERS; i++) {
-            nodes.add(new Node(i, chosen.get(i - 1), folder.resolve("data-" + i), membersSeenBy(i, chosen), history));
+            nodes.add(new Node(
+                    i, chosen.get(i - 1), folder.resolve("data-" + i), membersSeenBy(i, chosen), program, history));
         }
         for (Node node : nodes) {
             node.start();
@@ -157,21 +163,61 @@
     private void startWorkerProcess() throws IOException {
         workerProcesses.add(Node.java(
                 folder.resolve("worker.log"),
-                "org.cornelcove.testkit.Standin",
+                STAND_IN,
                 List.of(
                         "worker",
                         "--name=worker-3",
-                        "--availability-zone=zone-3",
+                        "--availability-zone=" + PROCESS_ZONE,
                         "--cores=4",
                         "--memory-gib=16",
                         "--api=" + String.join(",", apis()),
-                        "--history=" + folder.resolve("worker.history"))));
+                        "--history=" + folder.resolve("worker.history")),
+                Map.of()));
     }
 
     Process workerProcess() {
         return workerProcesses.get(0);
     }
 
+    /** Starts a target in the zone of the worker that is a process, and waits until it runs requests. */
+    TargetProcess startTargetProcess() throws IOException {
+        String name = "process-" + targetProcesses.size();
+        TargetProcess target = TargetProcess.start(name, PROCESS_ZONE, folder, apis(), history);
+        targetProcesses.add(target);
+        await("the target runs requests", () -> target.ran() > 0);
+        return target;
+    }
+
+    /** The daemon in the zone of the stand-ins that are processes. */
+    Node nodeOfProcessZone() {
+        return nodes.get(MEMBERS - 1);
+    }
+
+    /**
+     * Kills the worker that is a process, at an instant at which all that ended on it is acknowledged: of a task that
+     * ended on a lost host before it was told, nobody can know, and it runs again.
+     */
+    void killWorkerWithNothingUntold() throws Exception {
+        Process worker = workerProcess();
+        while (true) {
+            Node.signal(worker, "STOP");
+            if (everyEndTold()) {
+                worker.destroyForcibly().waitFor();
+                return;
+            }
+            Node.signal(worker, "CONT");
+            Callers.pause(100);
+        }
+    }
+
+    private boolean everyEndTold() throws IOException {
+        List<AttemptEvent> events = History.read(folder.resolve("worker.history"), AttemptEvent.class);
+        return events.stream().filter(event -> event.what().equals("finished")).allMatch(end -> events.stream()
+                .anyMatch(event -> event.what().equals("forgotten")
+                        && event.job().equals(end.job())
+                        && event.attempt() == end.attempt()));
+    }
+
     /** Callers, an operator that changes rules all the time, and jobs. */
     void startLoad(long seed) {
         for (int i = 0; i < 4; i++) {
@@ -304,7 +350,7 @@
                         .map(node -> node.member + "=127.0.0.1:" + node.rpcPort)
                         .collect(Collectors.joining(","))
                 + "," + newMember + "=127.0.0.1:" + chosen.get(2);
-        Node node = new Node(newMember, chosen, folder.resolve("data-" + newMember), members, history);
+        Node node = new Node(newMember, chosen, folder.resolve("data-" + newMember), members, program, history);
         node.start();
         await("the new daemon up", () -> Http.get(node.api, "/-/healthy").good());
         byte[] addition = Json.encode(new MemberAddition(newMember, "127.0.0.1:" + node.rpcPort));
@@ -326,6 +372,9 @@
         nodes.stream().filter(Node::running).forEach(operator::show);
         Path written = folder.resolve("worker.history");
         History.read(written, AttemptEvent.class).forEach(history::write);
+        for (TargetProcess target : targetProcesses) {
+            target.written().forEach(history::write);
+        }
     }
 
     @Override
@@ -337,6 +386,7 @@
         targets.forEach(TargetServer::close);
         workers.forEach(WorkerAgent::close);
         workerProcesses.forEach(Process::destroyForcibly);
+        targetProcesses.forEach(TargetProcess::close);
         for (Node node : nodes) {
             node.close();
         }
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
@@ -70,7 +70,7 @@
     }
 
     private static void check(Scenario scenario, Path folder, Set<Guarantee> required) throws Exception {
-        try (Cluster cluster = Cluster.start(folder, SEED)) {
+        try (Cluster cluster = Cluster.start(folder, SEED, scenario.program())) {
             boolean serves = false;
             try {
                 run(scenario, cluster);
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Guarantee.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Guarantee.java
@@ -13,6 +13,8 @@
     ONCE_AT_MOST_ONCE(RequestChecks::onceAtMostOnce),
     EXCLUSIVE_NEVER_OVERLAPS(RequestChecks::exclusiveNeverOverlaps),
     LEAVING_TARGET_GETS_NOTHING(RequestChecks::leavingTargetGetsNothing),
+    SILENT_TARGET_GETS_NOTHING_NEW(RequestChecks::silentTargetGetsNothingNew),
+    FAILED_DISK_STOPS_MEMBER(RequestChecks::failedDiskStopsMember),
     PLANNED_STOP_CUTS_OFF_NOTHING(RequestChecks::plannedStopCutsOffNothing),
     JOB_IN_ONE_PLACE(JobChecks::inOnePlace),
     JOB_FINISHED_ONCE(JobChecks::finishedOnce),
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/GuaranteeTest.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/GuaranteeTest.java
@@ -52,28 +52,37 @@
                 bad(
                         Guarantee.KEY_THAT_RAN_IS_NOT_TOLD_NOT_RUN,
                         "its key ran before",
-                        new TargetEvent("t1", "r0", "k", "started", 0),
+                        event("t1", "r0", "k", "started", 0),
                         answer("once", "k", 1, 9, "not-run", "")),
                 bad(
                         Guarantee.ONCE_AT_MOST_ONCE,
                         "ran twice",
                         ran("started", "k", 2),
                         ran("ended", "k", 3),
-                        new TargetEvent("t2", "r2", "k", "started", 5),
+                        event("t2", "r2", "k", "started", 5),
                         answer("once", "k", 1, 9, "done", "body")),
                 bad(
                         Guarantee.EXCLUSIVE_NEVER_OVERLAPS,
                         "two at once",
                         ran("started", "k", 2),
-                        new TargetEvent("t2", "r2", "k", "started", 3),
+                        event("t2", "r2", "k", "started", 3),
                         ran("ended", "k", 4),
                         answer("exclusive", "k", 1, 9, "done", "body"),
                         answer("r2", "exclusive", "k", 1, 9, "done", "body")),
                 bad(
                         Guarantee.LEAVING_TARGET_GETS_NOTHING,
                         "late work",
-                        new TargetEvent("t1", "", "", "leaving", 1_000),
+                        event("t1", "", "", "leaving", 1_000),
                         ran("started", "k", 4_001)),
+                bad(
+                        Guarantee.SILENT_TARGET_GETS_NOTHING_NEW,
+                        "late work",
+                        event("t1", "", "", "silent", 1_000),
+                        answer("safe", "k", 4_001, 9_000, "unknown", ""),
+                        event("t1", "", "", "heard", 8_000),
+                        ran("started", "k", 8_001)),
+                bad(Guarantee.FAILED_DISK_STOPS_MEMBER, "went on", new Seen.DiskFailed("e1", "FULL", -1, "error(405)")),
+                bad(Guarantee.FAILED_DISK_STOPS_MEMBER, "no remedy", new Seen.DiskFailed("e1", "FULL", 1, "bad disk")),
                 bad(Guarantee.PLANNED_STOP_CUTS_OFF_NOTHING, "exit code", new Seen.Stop("e1", 0, 5, 1)),
                 bad(
                         Guarantee.PLANNED_STOP_CUTS_OFF_NOTHING,
@@ -175,7 +184,11 @@
     }
 
     private static TargetEvent ran(String what, String key, long atMs) {
-        return new TargetEvent("t1", "r1", key, what, atMs);
+        return event("t1", "r1", key, what, atMs);
+    }
+
+    private static TargetEvent event(String target, String requestId, String key, String what, long atMs) {
+        return new TargetEvent(target, requestId, key, what, atMs * 1_000);
     }
 
     private static AttemptEvent attempt(String host, int number, String what, String checkpoint, long atMs) {
@@ -214,12 +227,19 @@
                 ran("ended", "k", 3),
                 answer("once", "k", 1, 9, "done", "body"),
                 answer("r2", "once", "k", 10, 11, "done", "body"),
-                new TargetEvent("t2", "r3", "x", "started", 3),
-                new TargetEvent("t2", "r3", "x", "killed", 4),
+                event("t2", "r3", "x", "started", 3),
+                event("t2", "r3", "x", "killed", 4),
                 answer("r3", "exclusive", "x", 1, 9, "unknown", ""),
                 answer("r4", "exclusive", "x", 1, 9, "not-run", ""),
-                new TargetEvent("t1", "", "", "leaving", 1_000),
-                new TargetEvent("t1", "r5", "y", "started", 2_000),
+                event("t1", "", "", "leaving", 1_000),
+                event("t1", "r5", "y", "started", 2_000),
+                event("t3", "", "", "silent", 3_000),
+                answer("r6", "safe", "z", 5_900, 9_000, "unknown", ""),
+                answer("r7", "safe", "z", 8_100, 9_000, "done", "body"),
+                event("t3", "", "", "heard", 8_000),
+                event("t3", "r6", "z", "started", 8_001),
+                event("t3", "r7", "z", "started", 8_200),
+                new Seen.DiskFailed("e1", "FULL", 1, "error(405): can't write; mend the disk, then rejoin"),
                 new Seen.Stop("e1", 20, 25, 0),
                 new Seen.Submitted("j"),
                 attempt("h1", 1, "started", "0", 10),
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Node.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Node.java
@@ -1,9 +1,11 @@
 package org.cornelcove.testkit.fault;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import org.cornelcove.testkit.History;
@@ -11,6 +13,7 @@
 /** One daemon as a process of its own. */
 final class Node implements AutoCloseable {
     private static final long STOP_LIMIT_S = 150;
+    private static final long FAIL_LIMIT_S = 20;
 
     final int member;
     final String name;
@@ -19,10 +22,11 @@
     final int rpcPort;
     final Path folder;
     private final String controlMembers;
+    private final Program program;
     private final History history;
     private Process process;
 
-    Node(int member, List<Integer> ports, Path folder, String controlMembers, History history) {
+    Node(int member, List<Integer> ports, Path folder, String controlMembers, Program program, History history) {
         this.member = member;
         this.name = "entry-" + member;
         this.caller = "127.0.0.1:" + ports.get(0);
@@ -30,13 +34,14 @@
         this.rpcPort = ports.get(2);
         this.folder = folder;
         this.controlMembers = controlMembers;
+        this.program = program;
         this.history = history;
     }
 
     void start() throws IOException {
         process = java(
-                folder.resolveSibling(name + ".log"),
-                "org.cornelcove.daemon.Cornelcoved",
+                log(),
+                program.mainClass(),
                 List.of(
                         "--name=" + name,
                         "--availability-zone=zone-" + member,
@@ -45,10 +50,16 @@
                         "--rpc-address=127.0.0.1:" + rpcPort,
                         "--data-folder=" + folder,
                         "--member-id=" + member,
-                        "--control-members=" + controlMembers));
+                        "--control-members=" + controlMembers),
+                Map.of(FaultyDaemon.MUTANT_VARIABLE, program.mutant().name()));
     }
 
-    static Process java(Path log, String main, List<String> arguments) throws IOException {
+    private Path log() {
+        return folder.resolveSibling(name + ".log");
+    }
+
+    static Process java(Path log, String main, List<String> arguments, Map<String, String> environment)
+            throws IOException {
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -59,10 +70,11 @@
                 classPath,
                 main));
         command.addAll(arguments);
-        return new ProcessBuilder(command)
+        ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                .start();
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().putAll(environment);
+        return builder.start();
     }
 
     boolean running() {
@@ -87,6 +99,19 @@
                 .waitFor();
     }
 
+    /** Makes the disk fail, and takes down what the daemon makes of it. */
+    void failDisk(DiskFault fault) throws Exception {
+        int linesBefore = Files.readAllLines(log()).size();
+        fault.turnOn(folder);
+        int exitCode = process.waitFor(FAIL_LIMIT_S, TimeUnit.SECONDS) ? process.exitValue() : -1;
+        fault.turnOff(folder);
+        String said = Files.readAllLines(log()).stream()
+                .skip(linesBefore)
+                .filter(line -> line.startsWith("error("))
+                .reduce("", (first, second) -> second);
+        history.write(new Seen.DiskFailed(caller, fault.name(), exitCode, said));
+    }
+
     /** A planned stop, by SIGTERM. */
     void stop() throws InterruptedException {
         long fromMs = System.currentTimeMillis();
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/RequestChecks.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/RequestChecks.java
@@ -1,6 +1,7 @@
 package org.cornelcove.testkit.fault;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.testkit.History;
 import org.cornelcove.testkit.TargetEvent;
 
@@ -80,7 +82,7 @@
                 .toList();
     }
 
-    /** Events come in the order in which targets wrote them; whatever started under a key must end before the next. */
+    /** Events in the order of time; whatever started under a key must end before the next. */
     static List<String> exclusiveNeverOverlaps(History history) {
         Set<String> exclusive = history.events(Seen.Answer.class).stream()
                 .filter(answer -> of("exclusive", answer))
@@ -88,7 +90,7 @@
                 .collect(Collectors.toSet());
         Map<String, TargetEvent> running = new HashMap<>();
         List<String> found = new ArrayList<>();
-        for (TargetEvent event : history.events(TargetEvent.class)) {
+        for (TargetEvent event : inOrderOfTime(history)) {
             if (!exclusive.contains(event.requestId())) {
                 continue;
             }
@@ -105,6 +107,13 @@
         return found;
     }
 
+    /** Stable, so that events of one instant stay in the order in which they were written down. */
+    private static List<TargetEvent> inOrderOfTime(History history) {
+        return history.events(TargetEvent.class).stream()
+                .sorted(Comparator.comparingLong(TargetEvent::atUs))
+                .toList();
+    }
+
     static List<String> leavingTargetGetsNothing(History history) {
         Map<String, Long> leaving = new HashMap<>();
         List<String> found = new ArrayList<>();
@@ -119,6 +128,44 @@
         return found;
     }
 
+    /**
+     * A target that was frozen starts, once it goes on, what was written to it meanwhile. None of that may have been
+     * sent by its caller later than the bound after the silence began.
+     */
+    static List<String> silentTargetGetsNothingNew(History history) {
+        Map<String, Long> sentMs = new HashMap<>();
+        history.events(Seen.Answer.class)
+                .forEach(answer ->
+                        sentMs.put(answer.sent().requestId(), answer.sent().sentMs()));
+        Map<String, Long> heardMs = new HashMap<>();
+        history.events(TargetEvent.class).stream()
+                .filter(event -> event.what().equals("heard"))
+                .forEach(event -> heardMs.put(event.target(), event.atMs()));
+        List<String> found = new ArrayList<>();
+        for (TargetEvent silent : history.events(TargetEvent.class)) {
+            if (!silent.what().equals("silent")) {
+                continue;
+            }
+            long untilMs = heardMs.getOrDefault(silent.target(), Long.MAX_VALUE);
+            started(history).stream()
+                    .filter(event -> event.target().equals(silent.target()))
+                    .filter(event -> sentMs.getOrDefault(event.requestId(), 0L) > silent.atMs() + LEAVING_MS
+                            && sentMs.get(event.requestId()) < untilMs)
+                    .forEach(event -> found.add(event + " sent at " + sentMs.get(event.requestId()) + ", " + silent));
+        }
+        return found;
+    }
+
+    /** A member whose disk failed must not go on as if its data were durable; it ends and names the remedy. */
+    static List<String> failedDiskStopsMember(History history) {
+        return history.events(Seen.DiskFailed.class).stream()
+                .filter(failed -> failed.exitCode() != 1
+                        || !failed.said().startsWith("error(" + ErrorKind.STORAGE_FAILED.number() + ")")
+                        || !failed.said().contains("mend the disk"))
+                .map(Object::toString)
+                .toList();
+    }
+
     /** No answer is lost at the daemon that stops, none is cut off by it elsewhere, and its exit code is 0. */
     static List<String> plannedStopCutsOffNothing(History history) {
         List<String> found = new ArrayList<>();
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
@@ -82,6 +82,38 @@
             cluster.awaitServing();
         }
     }),
+    DISK_FULL(cluster -> {
+        diskFails(cluster, cluster.leader(), DiskFault.FULL);
+        diskFails(cluster, cluster.follower(), DiskFault.FULL);
+    }),
+    FSYNC_FAILS_THEN_HANGS(cluster -> {
+        diskFails(cluster, cluster.leader(), DiskFault.FSYNC_FAILS);
+        diskFails(cluster, cluster.follower(), DiskFault.FSYNC_FAILS);
+        Node hung = cluster.leader();
+        DiskFault.FSYNC_HANGS.turnOn(hung.folder);
+        cluster.awaitServing();
+        hung.stop();
+        DiskFault.FSYNC_HANGS.turnOff(hung.folder);
+        hung.start();
+        cluster.awaitServing();
+    }),
+    TARGET_SILENT(cluster -> {
+        silent(cluster.startTargetProcess());
+        cluster.awaitServing();
+    }),
+    ZONE_DRAINED_THEN_LOST(cluster -> {
+        TargetProcess target = cluster.startTargetProcess();
+        Node node = cluster.nodeOfProcessZone();
+        target.leave();
+        node.stop();
+        node.start();
+        cluster.awaitServing();
+        TargetProcess lost = cluster.startTargetProcess();
+        cluster.killWorkerWithNothingUntold();
+        lost.kill();
+        node.kill();
+        cluster.awaitServing();
+    }),
     OPERATORS_RACE(cluster -> {
         for (int round = 0; round < 4; round++) {
             race(cluster, round == 2);
@@ -102,6 +134,10 @@
         this.fault = fault;
     }
 
+    Program program() {
+        return this == DISK_FULL || this == FSYNC_FAILS_THEN_HANGS ? Program.ON_FAULTY_DISK : Program.SHIPPED;
+    }
+
     boolean replacesMember() {
         return this == DISK_LOST_THEN_SECOND_HOST || this == DISK_LOST_AND_NEW_MEMBER_LEADS;
     }
@@ -112,6 +148,19 @@
         node.thaw();
     }
 
+    private static void silent(TargetProcess target) throws Exception {
+        target.freeze();
+        Callers.pause(FREEZE_MS);
+        target.thaw();
+    }
+
+    private static void diskFails(Cluster cluster, Node node, DiskFault fault) throws Exception {
+        node.failDisk(fault);
+        cluster.awaitServing();
+        node.start();
+        cluster.awaitServing();
+    }
+
     private static void cut(Cluster cluster, Node node, boolean outbound, boolean inbound) {
         cluster.cut(node, outbound, inbound);
         Callers.pause(CUT_MS);
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Seen.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Seen.java
@@ -39,6 +39,9 @@
     /** A job that was accepted. */
     record Submitted(String job) {}
 
+    /** The disk of a daemon failed: its exit code, -1 while it goes on, and the last thing that it said. */
+    record DiskFailed(String entry, String fault, int exitCode, String said) {}
+
     /** A planned stop of a daemon. */
     record Stop(String entry, long fromMs, long toMs, int exitCode) {}
 }
