Mutants: every job ends, and a robust one for releases

Change: LOST_NEVER_ENDED; the mutant takes entry and incarnation of the open grant; fault DUPLICATED_LATE (each message again after 300 to 900 ms), which is in the matrix too; each mutant must be red at 3 seeds of 24 at least, not one.

--- a/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -10,7 +10,6 @@
 
 import org.cornelcove.control.leader.ControlLeader;
 import org.cornelcove.control.leader.Policies;
-import org.cornelcove.control.state.Claim;
 import org.cornelcove.control.state.ControlState;
 import org.cornelcove.model.command.CancelJob;
 import org.cornelcove.model.command.ClaimOnce;
@@ -153,13 +152,15 @@
         if (mutant == Mutant.RELEASE_OF_ANY_GRANT && command instanceof ReleaseClaim) {
             return releaseOfAnyGrant((ReleaseClaim) command);
         }
+        if (mutant == Mutant.LOST_NEVER_ENDED && command instanceof EndAttempt end && end.end() == AttemptEnd.LOST) {
+            return withoutEffect(end.attempt());
+        }
         if (mutant == Mutant.CHECKPOINT_DROPPED && command instanceof EndAttempt) {
             EndAttempt end = (EndAttempt) command;
             return new EndAttempt(end.attempt(), end.end(), Optional.empty(), end.detail());
         }
         if (mutant == Mutant.CHECKPOINT_DROPPED && command instanceof RecordCheckpoint) {
-            return new RecordCheckpoint(
-                    AttemptId.of(((RecordCheckpoint) command).attempt().job(), 0), "none");
+            return withoutEffect(((RecordCheckpoint) command).attempt());
         }
         if (mutant == Mutant.PROPOSALS_RENUMBERED && command instanceof ProposeConfiguration) {
             ProposeConfiguration change = (ProposeConfiguration) command;
@@ -169,13 +170,17 @@
         return command;
     }
 
+    /** A command for an attempt that never was. */
+    private static Command withoutEffect(AttemptId attempt) {
+        return new RecordCheckpoint(AttemptId.of(attempt.job(), 0), "none");
+    }
+
     private Command releaseOfAnyGrant(ReleaseClaim release) {
-        long index = nodes.get(lastLeading).state.read(tables -> tables.ledger().all()).stream()
+        return nodes.get(lastLeading).state.read(tables -> tables.ledger().all()).stream()
                 .filter(claim -> claim.key().equals(release.key()))
-                .mapToLong(Claim::claimNumber)
                 .findFirst()
-                .orElse(release.claimNumber());
-        return new ReleaseClaim(release.key(), release.entry(), release.incarnation(), index);
+                .map(open -> new ReleaseClaim(open.key(), open.entry(), open.incarnation(), open.claimNumber()))
+                .orElse(release);
     }
 
     private Optional<Outcome> catchUp(Node node) {
--- a/control/src/test/java/org/cornelcove/control/sim/Fault.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Fault.java
@@ -50,7 +50,11 @@
     }),
     ENTRY_RESTARTED((sim, job) -> sim.anyEntry().restart()),
     ENTRY_DRAINED((sim, job) -> sim.anyEntry().drain()),
-    OPERATOR_RESENDS((sim, job) -> sim.operator.resendAll());
+    OPERATOR_RESENDS((sim, job) -> sim.operator.resendAll()),
+    DUPLICATED_LATE((sim, job) -> sim.links().forEach(link -> {
+        link.duplicatingLate(true);
+        sim.time.after(12_000, () -> link.duplicatingLate(false));
+    }));
 
     private final BiConsumer<Simulation, JobId> action;
 
--- a/control/src/test/java/org/cornelcove/control/sim/Link.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Link.java
@@ -11,6 +11,7 @@
     private boolean down;
     private boolean answersLost;
     private boolean duplicating;
+    private boolean duplicatingLate;
     private boolean reordering;
 
     Link(Timeline time) {
@@ -29,6 +30,11 @@
         duplicating = doubled;
     }
 
+    /** Has each message come again after a while. */
+    public void duplicatingLate(boolean doubled) {
+        duplicatingLate = doubled;
+    }
+
     public void reordering(boolean shuffled) {
         reordering = shuffled;
     }
@@ -42,6 +48,9 @@
         if (duplicating) {
             deliver(remote, answer);
         }
+        if (duplicatingLate) {
+            time.after(time.between(300, 900), () -> deliver(remote, answer));
+        }
     }
 
     private <T> void deliver(Supplier<CompletableFuture<T>> remote, BiConsumer<T, Throwable> answer) {
--- a/control/src/test/java/org/cornelcove/control/sim/Mutant.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Mutant.java
@@ -18,6 +18,8 @@
     NO_CLAIM,
     /** A release frees whatever grant of the key is open. */
     RELEASE_OF_ANY_GRANT,
+    /** The end of an attempt whose worker was lost is never committed. */
+    LOST_NEVER_ENDED,
     /** Proposals are numbered anew, so that a resend is taken for a new one. */
     PROPOSALS_RENUMBERED
 }
--- a/control/src/test/java/org/cornelcove/control/sim/MutantTest.java
+++ b/control/src/test/java/org/cornelcove/control/sim/MutantTest.java
@@ -8,12 +8,15 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 /** Each checker is red on a system that is deliberately broken, before it is trusted green. */
 class MutantTest {
     private static final long SEEDS = 24;
+    /** Less than this would hang on the luck of a few seeds. */
+    private static final long LEAST_RED = 3;
 
     static Stream<Arguments> mutants() {
         return Stream.of(
@@ -26,7 +29,7 @@
                 arguments(
                         Mutant.RELEASE_OF_ANY_GRANT,
                         Step.SUBMITTED,
-                        Fault.REORDERED_AND_DUPLICATED,
+                        Fault.DUPLICATED_LATE,
                         Checkers.KEY_DISPATCHED_ONCE),
                 arguments(Mutant.NO_BARRIER, Step.PROPOSED, Fault.LEADER_CUT_OFF, Checkers.CONFIGURATION_NEVER_REVERTS),
                 arguments(
@@ -34,6 +37,7 @@
                         Step.IN_FORCE,
                         Fault.OPERATOR_RESENDS,
                         Checkers.CONFIGURATION_NEVER_REVERTS),
+                arguments(Mutant.LOST_NEVER_ENDED, Step.STARTED, Fault.WORKER_CUT_LONG, Checkers.EVERY_JOB_ENDS),
                 arguments(Mutant.SHORT_WAIT, Step.IN_FORCE, Fault.ENTRY_CUT, Checkers.ONE_OWNER),
                 arguments(Mutant.NO_BARRIER, Step.CANCELLED, Fault.LEADER_CUT_OFF, Checkers.JOB_DECIDED_ONCE));
     }
@@ -41,9 +45,10 @@
     @ParameterizedTest
     @MethodSource("mutants")
     void checkerIsRed(Mutant mutant, Step step, Fault fault, Checkers checker) {
-        boolean red = LongStream.range(0, SEEDS)
+        long red = LongStream.range(0, SEEDS)
                 .mapToObj(seed -> Simulation.run(seed, mutant, step, fault, null))
-                .anyMatch(sim -> !checker.violations(sim.history).isEmpty());
-        assertThat("red within " + SEEDS + " seeds", red, is(true));
+                .filter(sim -> !checker.violations(sim.history).isEmpty())
+                .count();
+        assertThat("red seeds of " + SEEDS, red, is(greaterThanOrEqualTo(LEAST_RED)));
     }
 }
