A member whose write hangs stops by itself

Cause: an entry is applied only when it is durable at home, so a leader whose fsync hung went on to lead and nothing was applied any more. Shown failing first in one process too: ReplicaNodeTest.aMemberWhoseSyncHangsStopsByItself, 'not fulfilled within 10 seconds'. Ruled out: a limit by the clock; a process frozen during an fsync would stop for nothing. Stepping down without a stop: the member would vote and acknowledge nothing and never tell why.

--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +52,8 @@
     private final Listener listener;
     private final Thread thread;
     private volatile boolean stopped;
+    /** Even between batches, odd while one is under way; changed by the disk's thread only. */
+    private volatile long progress;
 
     DiskWorker(MemberStorage storage, int maxBatch, Listener listener, String name) {
         this.storage = storage;
@@ -96,6 +99,12 @@
         return !thread.isAlive() || Thread.currentThread() == thread;
     }
 
+    /** Returns the number of the batch that is under way; empty while there is none. */
+    OptionalLong underWay() {
+        long now = progress;
+        return now % 2 == 0 ? OptionalLong.empty() : OptionalLong.of(now);
+    }
+
     private void run() {
         List<Task> batch = new ArrayList<>();
         try {
@@ -103,7 +112,9 @@
                 batch.clear();
                 batch.add(tasks.take());
                 tasks.drainTo(batch, maxBatch - 1);
+                progress = progress + 1;
                 carryOut(batch);
+                progress = progress + 1;
             }
         } catch (IOException | RuntimeException e) {
             listener.failed(e);
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -41,7 +41,7 @@
  * machine. The {@link DiskWorker} carries out writes, the {@link Applier} calls the state machine. Both report back
  * through the inbox.
  *
- * <p>A member whose disk fails stops at once: it answers nothing more, and {@link #stopped()} tells why. Futures are
+ * <p>A member whose disk fails or hangs stops: it answers nothing more, and {@link #stopped()} tells why. Futures are
  * completed on the applier's or the core's thread; what depends on them must not block.
  */
 public final class ReplicaNode implements Replica {
@@ -64,6 +64,7 @@
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CompletableFuture<Optional<Failure>> stopped = new CompletableFuture<>();
     private final DiskWorker disk;
+    private final HangWatch hangs;
     private final Applier applier;
     private final Thread thread;
     private volatile ReplicaStatus status;
@@ -88,6 +89,7 @@
                 ReplicaCore.start(settings.coreOptions(), storage.stored(), membershipOf(settings), nowMs.getAsLong());
         String name = "replica-" + settings.selfId();
         this.disk = new DiskWorker(storage, settings.maxBatch(), new DiskReports(), name + "-disk");
+        this.hangs = new HangWatch(settings.tickMs());
         this.applier = new Applier(machine, new ApplierReports(), name + "-apply");
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
@@ -289,6 +291,7 @@
                 long now = nowMs.getAsLong();
                 if (now >= tickDueMs) {
                     core.tick(now);
+                    stopIfHung();
                     tickDueMs = now + settings.tickMs();
                 }
                 Ready ready = core.drain(now);
@@ -303,6 +306,13 @@
         }
     }
 
+    private void stopIfHung() {
+        if (hangs.tick(disk.underWay())) {
+            String what = "a write or fsync took more than " + HangWatch.LIMIT_MS + " ms";
+            stop(Optional.of(Failure.of(ErrorKind.STORAGE_FAILED, what)));
+        }
+    }
+
     private void carryOut(Ready ready) {
         ready.messages().forEach(this::send);
         ready.chunkReads().forEach(disk::read);
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.awaitility.Awaitility;
 import org.cornelcove.model.error.ErrorKind;
@@ -117,6 +118,28 @@
         goOn.countDown();
     }
 
+    @Test
+    void aMemberWhoseSyncHangsStopsByItself() throws Exception {
+        MemoryFolder disk = new MemoryFolder();
+        AtomicLong nowMs = new AtomicLong();
+        AtomicLong stepMs = new AtomicLong(1);
+        ReplicaNode node = ReplicaNode.open(
+                ReplicaSettings.of(1, LocalGroup.addressOf(1), LocalGroup.members(1)),
+                disk,
+                (address, message) -> {},
+                new LocalGroup.TextMachine(),
+                LocalGroup.UNHEARD,
+                () -> nowMs.addAndGet(stepMs.get()));
+        Awaitility.await().until(() -> node.status().leading());
+        CountDownLatch goOn = new CountDownLatch(1);
+        disk.hangSyncs(goOn);
+        node.propose(new byte[1]);
+        stepMs.set(1_000);
+        Awaitility.await().until(node.stopped()::isDone);
+        assertThat(node.stopped().get().get().kind(), is(ErrorKind.STORAGE_FAILED));
+        goOn.countDown();
+    }
+
     @Test
     void aStateMachineThatFailsStopsTheMember() throws Exception {
         ReplicaNode node = ReplicaNode.open(
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
@@ -246,6 +246,11 @@
         }
     }
 
+    /** Sends a request of class once under the key until it runs. */
+    void sendOnce(String key, String entry) {
+        await("an answer", () -> callers.sendOnce(key, entry).equals("done"));
+    }
+
     /** Gives each worker a long batch job, and waits until all of them run. */
     void fillWorkers(long runMs) throws IOException {
         for (int i = 0; i < LONG_JOBS && !everyWorkerRanLongJob(); i++) {
