--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Callers.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Callers.java
@@ -57,8 +57,8 @@
     }
 
     /** Returns the run state of the answer. */
-    String sendOnce(String key, String entry) {
-        return send("once", key, "body", entry, key + "-at-" + entry, "/booking/x?runMs=0");
+    String sendOnce(String key, Node node) {
+        return send("once", key, "body", node.caller, key + "-at-" + node.name, "/booking/x?runMs=0");
     }
 
     private String send(String requestClass, String key, String body, String entry, String id, String path) {
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
@@ -247,8 +247,8 @@
     }
 
     /** Sends a request of class once under the key until it runs. */
-    void sendOnce(String key, String entry) {
-        await("an answer", () -> callers.sendOnce(key, entry).equals("done"));
+    void sendOnce(String key, Node node) {
+        await("an answer", () -> callers.sendOnce(key, node).equals("done"));
     }
 
     /** Gives each worker a long batch job, and waits until all of them run. */
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
@@ -54,7 +54,7 @@
     static Stream<Arguments> mutants() {
         Scenario.Fault sameKeyEverywhere = cluster -> {
             for (Node node : cluster.nodes) {
-                cluster.sendOnce("key", node.caller);
+                cluster.sendOnce("key", node);
             }
         };
         Scenario.Fault anotherChange = Cluster::change;
