--- a/control/src/test/java/org/cornelcove/control/sim/Mutant.java
+++ b/control/src/test/java/org/cornelcove/control/sim/Mutant.java
@@ -20,6 +20,8 @@
     RELEASE_OF_ANY_GRANT,
     /** An entry keeps the targets that a change of its list takes away. */
     WITHDRAWALS_IGNORED,
+    /** The end of an attempt whose worker was lost is never committed. */
+    LOST_NEVER_ENDED,
     /** Proposals are numbered anew, so that a resend is taken for a new one. */
     PROPOSALS_RENUMBERED
 }
--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -42,6 +43,8 @@
 
     private record Stop() implements Task {}
 
+    private static final long STOP_LIMIT_MS = 3_000;
+
     private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
     private final Queue<CompletableFuture<byte[]>> wantedStates = new ConcurrentLinkedQueue<>();
     private final MemberStorage storage;
@@ -49,6 +52,8 @@
     private final Listener listener;
     private final Thread thread;
     private volatile boolean stopped;
+    /** Even between batches, odd while one is under way; changed by the disk's thread only. */
+    private volatile long progress;
 
     DiskWorker(MemberStorage storage, int maxBatch, Listener listener, String name) {
         this.storage = storage;
@@ -78,14 +83,26 @@
         return state;
     }
 
-    /** Ends the thread; writes not begun are dropped. */
-    void stop() throws InterruptedException {
+    /**
+     * Ends the thread; writes not begun are dropped. A write or fsync that hangs can't be ended: its files must not be
+     * touched then, since closing one waits for what is under way on it.
+     *
+     * @return whether the thread ended
+     */
+    boolean stop() throws InterruptedException {
         stopped = true;
         tasks.add(new Stop());
         if (Thread.currentThread() != thread) {
-            thread.join();
+            thread.join(STOP_LIMIT_MS);
         }
         wantedStates.forEach(state -> state.cancel(false));
+        return !thread.isAlive() || Thread.currentThread() == thread;
+    }
+
+    /** Returns the number of the batch that is under way; empty while there is none. */
+    OptionalLong underWay() {
+        long now = progress;
+        return now % 2 == 0 ? OptionalLong.empty() : OptionalLong.of(now);
     }
 
     private void run() {
@@ -95,7 +112,9 @@
                 batch.clear();
                 batch.add(tasks.take());
                 tasks.drainTo(batch, maxBatch - 1);
+                progress = progress + 1;
                 carryOut(batch);
+                progress = progress + 1;
             }
         } catch (IOException | RuntimeException e) {
             listener.failed(e);
--- a/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 
 import org.cornelcove.replication.storage.DataFile;
@@ -47,6 +48,8 @@
     private final List<Consumer<TreeMap<String, Content>>> unsyncedNames = new ArrayList<>();
     private int operationsLeft = NEVER;
     private boolean onlySyncsFail;
+    /** Every sync waits for it. */
+    private volatile CountDownLatch syncsGoOn = new CountDownLatch(0);
 
     /**
      * Makes an operation fail, and all after it.
@@ -59,6 +62,15 @@
         onlySyncsFail = onlySyncs;
     }
 
+    /**
+     * Makes every sync hang.
+     *
+     * @param goOn lets them go on
+     */
+    public void hangSyncs(CountDownLatch goOn) {
+        syncsGoOn = goOn;
+    }
+
     /**
      * Loses what was not synced, as a power failure would: any part of the unsynced writes may be there or not.
      *
@@ -155,6 +167,9 @@
     }
 
     private void operate(boolean sync) throws IOException {
+        if (sync) {
+            hang();
+        }
         if (operationsLeft == NEVER || onlySyncsFail && !sync) {
             return;
         }
@@ -164,6 +179,14 @@
         operationsLeft--;
     }
 
+    private void hang() throws IOException {
+        try {
+            syncsGoOn.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private static void settle(Content content, SplittableRandom random) {
         for (Change change : content.unsynced) {
             if (random.nextBoolean()) {
--- a/testkit/src/main/java/org/cornelcove/testkit/JavaProcess.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/JavaProcess.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** Starts programs of this build as processes of their own, by the class path of the running one. */
 public final class JavaProcess {
@@ -21,6 +22,23 @@
      */
     public static Process start(Path log, List<String> options, String main, List<String> arguments)
             throws IOException {
+        return start(log, options, main, arguments, Map.of());
+    }
+
+    /**
+     * Starts a program with variables added to its environment.
+     *
+     * @param log the file to which both of its outputs are added
+     * @param options options of the Java machine
+     * @param main the name of its main class
+     * @param arguments its command line
+     * @param environment the variables by name
+     * @return the running process
+     * @throws IOException when it can't be started
+     */
+    public static Process start(
+            Path log, List<String> options, String main, List<String> arguments, Map<String, String> environment)
+            throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(options);
@@ -28,9 +46,10 @@
         command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
         command.add(main);
         command.addAll(arguments);
-        return new ProcessBuilder(command)
+        ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                .start();
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().putAll(environment);
+        return builder.start();
     }
 }
--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Scenario.java
@@ -82,6 +82,29 @@
             cluster.awaitServing();
         }
     }),
+    DISKS_FAIL(cluster -> {
+        for (DiskFault kind : DiskFault.values()) {
+            diskFails(cluster, cluster.leader(), kind);
+            if (kind != DiskFault.FSYNC_HANGS) {
+                diskFails(cluster, cluster.follower(), kind);
+            }
+        }
+    }),
+    TARGET_SILENT_THEN_ZONE_DRAINED_AND_LOST(cluster -> {
+        TargetProcess target = cluster.startTargetProcess();
+        silent(target);
+        cluster.awaitServing();
+        Node node = cluster.nodeOfProcessZone();
+        target.leave();
+        node.stop();
+        node.start();
+        TargetProcess lost = cluster.startTargetProcess();
+        cluster.awaitServing();
+        cluster.killWorkerWithNothingUntold();
+        lost.kill();
+        node.kill();
+        cluster.awaitServing();
+    }),
     OPERATORS_RACE(cluster -> {
         for (int round = 0; round < 4; round++) {
             race(cluster, round == 2);
@@ -102,6 +125,10 @@
         this.fault = fault;
     }
 
+    Program program() {
+        return this == DISKS_FAIL ? Program.ON_FAULTY_DISK : Program.SHIPPED;
+    }
+
     boolean replacesMember() {
         return this == DISK_LOST_THEN_SECOND_HOST || this == DISK_LOST_AND_NEW_MEMBER_LEADS;
     }
@@ -112,6 +139,19 @@
         node.thaw();
     }
 
+    private static void silent(TargetProcess target) throws Exception {
+        target.freeze();
+        Callers.pause(FREEZE_MS);
+        target.thaw();
+    }
+
+    private static void diskFails(Cluster cluster, Node node, DiskFault fault) throws Exception {
+        node.failDisk(fault);
+        cluster.awaitServing();
+        node.start();
+        cluster.awaitReady();
+    }
+
     private static void cut(Cluster cluster, Node node, boolean outbound, boolean inbound) {
         cluster.cut(node, outbound, inbound);
         Callers.pause(CUT_MS);
