--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -11,7 +11,6 @@
 import java.util.function.Supplier;
 
 import org.cornelcove.control.state.ControlState;
-import org.cornelcove.control.state.Job;
 import org.cornelcove.control.state.Tables;
 import org.cornelcove.control.state.WorkerRecord;
 import org.cornelcove.control.view.ControlStatus;
@@ -21,8 +20,6 @@
 import org.cornelcove.model.command.CancelJob;
 import org.cornelcove.model.command.ClaimOnce;
 import org.cornelcove.model.command.Command;
-import org.cornelcove.model.command.Done;
-import org.cornelcove.model.command.EndAttempt;
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.command.PlaceAttempt;
 import org.cornelcove.model.command.ProposeConfiguration;
@@ -30,11 +27,11 @@
 import org.cornelcove.model.command.Refused;
 import org.cornelcove.model.command.RegisterEntry;
 import org.cornelcove.model.command.RegisterWorker;
+import org.cornelcove.model.command.RejectJob;
 import org.cornelcove.model.command.ReleaseClaim;
 import org.cornelcove.model.command.SubmitJob;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
-import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobView;
 import org.cornelcove.model.message.EntryHeartbeat;
@@ -78,7 +75,6 @@
     private final LongSupplier clock;
     private final Supplier<CompletableFuture<Long>> barrier;
     private final Proposals proposals;
-    private final WorkerQuarantine quarantine;
     private final LeaderCounters counters = new LeaderCounters();
     private final EntryBoard entries = new EntryBoard();
     private final EntryLoop entryLoop = new EntryLoop(entries);
@@ -106,11 +102,10 @@
         this.clock = clock;
         this.barrier = barrier;
         this.proposals = new Proposals(proposer);
-        this.quarantine = policies.quarantine();
         this.workers = new WorkerBoard(policies.throttle());
-        this.placement = new PlacementLoop(workers, policies, counters);
-        this.queries = new Queries(entries, workers, quarantine);
-        this.explainer = new JobExplainer(workers, quarantine);
+        this.placement = new PlacementLoop(workers, counters);
+        this.queries = new Queries(entries, workers, placement);
+        this.explainer = new JobExplainer(workers, placement);
     }
 
     /**
@@ -144,7 +139,10 @@
         proposals.clear();
         entries.reset(nowMs);
         workers.reset(nowMs);
-        placement.reset(nowMs);
+        state.read(tables -> {
+            placement.reset(tables, nowMs);
+            return nowMs;
+        });
         claimClock.reset();
         counters.add(LeaderCounters.Counter.LEADERSHIPS);
         LOGGER.log(System.Logger.Level.INFO, "this control host leads");
@@ -259,27 +257,12 @@
                         isCurrent(heartbeat, tables) ? workers.hear(heartbeat, tables, nowMs) : List.<Command>of());
         List<CompletableFuture<?>> recorded = new ArrayList<>();
         for (Command command : commands) {
-            recorded.add(
-                    command instanceof EndAttempt
-                            ? recordEnd((EndAttempt) command, heartbeat.host())
-                            : proposals.propose(command));
+            recorded.add(proposals.propose(command));
         }
         return CompletableFuture.allOf(recorded.toArray(CompletableFuture[]::new))
                 .exceptionally(fault -> null);
     }
 
-    private CompletableFuture<?> recordEnd(EndAttempt end, HostId host) {
-        Optional<Job> job =
-                state.read(tables -> tables.jobs().find(end.attempt().job()));
-        return proposals.propose(end).thenAccept(outcome -> {
-            if (outcome instanceof Done && job.isPresent()) {
-                synchronized (this) {
-                    quarantine.ended(host, job.get().spec(), end.end(), clock.getAsLong());
-                }
-            }
-        });
-    }
-
     private WorkerOrders orders(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
         counters.add(LeaderCounters.Counter.WORKER_ORDERS);
         return isCurrent(heartbeat, tables) ? workers.orders(heartbeat, tables, nowMs) : WorkerBoard.stopAll(heartbeat);
@@ -298,9 +281,8 @@
         for (Command command : commands) {
             counters.countProposal(command);
             CompletableFuture<Outcome> proposed = proposals.propose(command);
-            if (command instanceof PlaceAttempt) {
-                proposed.whenComplete((outcome, fault) -> placementDecided((PlaceAttempt) command));
-            }
+            decidedJob(command)
+                    .ifPresent(job -> proposed.whenComplete((outcome, fault) -> answered(mine.getAsLong(), job)));
             if (command instanceof AssignTarget || command instanceof AssignRange) {
                 ownership.add(proposed);
             }
@@ -316,8 +298,17 @@
         }
     }
 
-    private synchronized void placementDecided(PlaceAttempt command) {
-        placement.decided(command);
+    private static Optional<JobId> decidedJob(Command command) {
+        if (command instanceof PlaceAttempt) {
+            return Optional.of(((PlaceAttempt) command).attempt().job());
+        }
+        return command instanceof RejectJob ? Optional.of(((RejectJob) command).job()) : Optional.empty();
+    }
+
+    private synchronized void answered(long mine, JobId job) {
+        if (reign == mine) {
+            placement.answered(job);
+        }
     }
 
     private List<Command> due(Tables tables, long nowMs) {
--- a/control/src/main/java/org/cornelcove/control/leader/JobExplainer.java
+++ b/control/src/main/java/org/cornelcove/control/leader/JobExplainer.java
@@ -20,11 +20,11 @@
 /** Says why a job is where it is. */
 final class JobExplainer {
     private final WorkerBoard workers;
-    private final WorkerQuarantine quarantine;
+    private final PlacementLoop placement;
 
-    JobExplainer(WorkerBoard workers, WorkerQuarantine quarantine) {
+    JobExplainer(WorkerBoard workers, PlacementLoop placement) {
         this.workers = workers;
-        this.quarantine = quarantine;
+        this.placement = placement;
     }
 
     ExplainView explain(JobId id, Tables tables, long nowMs) {
@@ -68,7 +68,7 @@
         int taking = 0;
         for (WorkerRecord worker : tables.workers().all()) {
             if (!workers.takesWork(worker.host(), worker.incarnation(), nowMs)
-                    || quarantine.mostAttempts(worker.host(), nowMs) == 0) {
+                    || placement.isQuarantined(worker.host(), nowMs)) {
                 continue;
             }
             taking++;
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -1,147 +1,140 @@
 package org.cornelcove.control.leader;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.Optional;
 
-import org.cornelcove.control.state.Holding;
 import org.cornelcove.control.state.Job;
-import org.cornelcove.control.state.PendingKey;
 import org.cornelcove.control.state.Tables;
-import org.cornelcove.control.state.WorkerRecord;
 import org.cornelcove.model.command.Command;
 import org.cornelcove.model.command.PlaceAttempt;
 import org.cornelcove.model.command.RejectJob;
-import org.cornelcove.model.error.ErrorKind;
-import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
-import org.cornelcove.model.job.JobKind;
-import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.job.JobState;
 import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.policy.evict.EvictionBudget;
+import org.cornelcove.policy.pace.StartPace;
+import org.cornelcove.policy.place.PlacementDecision;
+import org.cornelcove.policy.place.Placer;
 
-/** Gathers what a round of placement looks at, runs it, and has room made for jobs that may displace others. */
+/**
+ * Runs the placement policy for the leader: keeps it up to date, turns its decisions into commands, and has attempts make
+ * room.
+ *
+ * <p>A new leader starts with an empty policy that is filled from the durable state. Where more waits than the first
+ * second of the pace would start, and when more attempts than that come back within a second, starts are paced until the
+ * backlog is gone.
+ */
 final class PlacementLoop {
-    private static final int URGENT_LOOKAHEAD = 64;
-    private static final int TEAM_LOOKAHEAD = 32;
+    private static final int MOST_DECISIONS = 32;
+    private static final long BACKLOG_WINDOW_MS = 1_000;
 
     private final WorkerBoard workers;
-    private final WorkerQuarantine quarantine;
-    private final Placer placer;
-    private final Evictor evictor;
+    private final LeaderCounters counters;
+    private Placer placer;
+    private PlacerFeed feed;
+    private EvictionBudget evictions;
+    private RuleSet rules;
+    private long windowEndMs;
+    private int cameBack;
 
-    PlacementLoop(WorkerBoard workers, Policies policies, LeaderCounters counters) {
+    PlacementLoop(WorkerBoard workers, LeaderCounters counters) {
         this.workers = workers;
-        this.quarantine = policies.quarantine();
-        this.placer = new Placer(policies.placement());
-        this.evictor = new Evictor(policies.eviction(), workers, counters);
+        this.counters = counters;
+        clear(RuleSet.empty(), 0);
     }
 
-    void reset(long nowMs) {
-        placer.reset(nowMs);
-        evictor.reset(nowMs);
+    private void clear(RuleSet newRules, long nowMs) {
+        rules = newRules;
+        placer = Placer.of(newRules);
+        feed = new PlacerFeed(placer);
+        evictions = EvictionBudget.ofNewLeader(newRules.batch().evictionsPerMinute(), nowMs);
+        windowEndMs = nowMs + BACKLOG_WINDOW_MS;
+        cameBack = 0;
     }
 
-    /** Notes that a placement was decided. */
-    void decided(PlaceAttempt placement) {
-        placer.decided(placement.attempt());
+    /** Begins anew for a new leader. */
+    void reset(Tables tables, long nowMs) {
+        clear(tables.configuration().newest().rules(), nowMs);
+        update(tables, nowMs);
+        recoverFrom(placer.waiting(), tables, nowMs);
     }
 
-    /** Returns the placements and rejections that are due. */
+    /** Notes that the outcome of a placement or rejection came back, or that none will. */
+    void answered(JobId job) {
+        feed.answered(job);
+    }
+
+    /** Returns the placements and rejections that are due, and tells attempts to make room. */
     List<Command> due(Tables tables, long nowMs) {
-        evictor.relieve(tables, nowMs);
-        if (tables.jobs().pendingUrgent().isEmpty()
-                && tables.jobs().pendingByTeam().isEmpty()) {
-            return List.of();
-        }
-        PlacementInput input = input(tables, nowMs);
-        PlacementRound round = placer.plan(input, nowMs);
-        evictor.makeRoom(round.withoutRoom(), input.rooms(), tables, nowMs);
-        List<Command> commands = new ArrayList<>(round.placements());
-        round.withoutRoom().forEach(job -> reject(job, tables, commands));
+        update(tables, nowMs);
+        noteBacklog(tables, nowMs);
+        List<Command> commands = new ArrayList<>();
+        placer.decide(nowMs, MOST_DECISIONS).forEach(decision -> commands.add(command(decision)));
+        placer.relieve(id -> mayLeave(id, tables), nowMs).forEach(id -> evict(id, tables));
+        placer.makeRoom(id -> mayLeave(id, tables), evictions, nowMs).forEach(id -> evict(id, tables));
         return commands;
     }
 
-    private static void reject(Job job, Tables tables, List<Command> commands) {
-        RuleSet rules = tables.configuration().newest().rules();
-        boolean never = !tables.workers().all().isEmpty()
-                && tables.workers().couldHold(job.spec(), rules.batch()).isEmpty();
-        if (never) {
-            String reason = Failure.of(ErrorKind.JOB_NEVER_FITS, job.id()).message();
-            commands.add(new RejectJob(job.id(), reason));
+    private void update(Tables tables, long nowMs) {
+        RuleSet newest = tables.configuration().newest().rules();
+        if (newest != rules) {
+            rules = newest;
+            placer.setRules(newest);
+            evictions.setPerMinute(newest.batch().evictionsPerMinute(), nowMs);
         }
+        feed.update(tables, worker -> workers.takesWork(worker.host(), worker.incarnation(), nowMs), nowMs);
     }
 
-    private PlacementInput input(Tables tables, long nowMs) {
-        Map<HostId, HostRoom> all = new TreeMap<>();
-        Map<HostId, HostRoom> open = new TreeMap<>();
-        quarantine.setMaxPercent(tables.configuration().newest().rules().batch().quarantinePercent());
-        for (WorkerRecord worker : tables.workers().all()) {
-            int mostAttempts = quarantine.mostAttempts(worker.host(), nowMs);
-            HostRoom room = HostRoom.of(worker, mostAttempts, tables);
-            all.put(worker.host(), room);
-            if (workers.takesWork(worker.host(), worker.incarnation(), nowMs) && room.takesOneMore()) {
-                open.put(worker.host(), room);
-            }
-        }
-        List<Job> urgent = first(tables.jobs().pendingUrgent(), URGENT_LOOKAHEAD, tables);
-        Map<String, List<Job>> waiting = new TreeMap<>();
-        for (Map.Entry<String, TreeSet<PendingKey>> team :
-                tables.jobs().pendingByTeam().entrySet()) {
-            waiting.put(team.getKey(), first(team.getValue(), TEAM_LOOKAHEAD, tables));
+    private void noteBacklog(Tables tables, long nowMs) {
+        if (nowMs >= windowEndMs) {
+            windowEndMs = nowMs + BACKLOG_WINDOW_MS;
+            cameBack = 0;
         }
-        return new PlacementInput(
-                tables.configuration().newest().rules(),
-                open,
-                urgent,
-                waiting,
-                heldByTeam(urgent, waiting.values(), tables),
-                replicas(urgent, waiting.values(), all, tables),
-                evictor.kept());
+        cameBack += feed.takeCameBack();
+        recoverFrom(cameBack, tables, nowMs);
     }
 
-    private static List<Job> first(Collection<PendingKey> queue, int most, Tables tables) {
-        return queue.stream()
-                .limit(most)
-                .map(key -> tables.jobs().find(key.job()).orElseThrow())
-                .toList();
+    private void recoverFrom(int backlog, Tables tables, long nowMs) {
+        if (!placer.isRecovering()
+                && backlog > StartPace.firstPerSecond(tables.workers().all().size())) {
+            placer.recover(nowMs);
+        }
     }
 
-    private static Map<String, Holding> heldByTeam(List<Job> urgent, Collection<List<Job>> waiting, Tables tables) {
-        Map<String, Holding> held = new HashMap<>();
-        urgent.forEach(job ->
-                held.put(job.spec().team(), tables.jobs().heldBy(job.spec().team())));
-        for (List<Job> jobs : waiting) {
-            String team = jobs.get(0).spec().team();
-            held.put(team, tables.jobs().heldBy(team));
+    private Command command(PlacementDecision decision) {
+        JobId job = decision.job().id();
+        if (decision instanceof PlacementDecision.Start) {
+            HostId host = ((PlacementDecision.Start) decision).host();
+            return new PlaceAttempt(feed.decided(job, Optional.of(host)), host);
         }
-        return held;
+        feed.decided(job, Optional.empty());
+        return new RejectJob(job, ((PlacementDecision.GiveUp) decision).reason().message());
     }
 
-    private static Map<String, List<HostRoom>> replicas(
-            List<Job> urgent, Collection<List<Job>> waiting, Map<HostId, HostRoom> rooms, Tables tables) {
-        Map<String, List<HostRoom>> byTask = new HashMap<>();
-        List<Job> asked = new ArrayList<>(urgent);
-        waiting.forEach(asked::addAll);
-        asked.stream()
-                .map(Job::spec)
-                .filter(spec -> spec.kind() == JobKind.SERVICE)
-                .forEach(spec -> byTask.put(spec.task(), new ArrayList<>()));
-        if (byTask.isEmpty()) {
-            return byTask;
-        }
-        for (HostId host : tables.jobs().hostsInUse()) {
-            for (JobId id : tables.jobs().jobsOn(host)) {
-                JobSpec spec = tables.jobs().find(id).orElseThrow().spec();
-                if (spec.kind() == JobKind.SERVICE && byTask.containsKey(spec.task()) && rooms.containsKey(host)) {
-                    byTask.get(spec.task()).add(rooms.get(host));
-                }
-            }
-        }
-        return byTask;
+    private boolean mayLeave(JobId id, Tables tables) {
+        Job job = tables.jobs().find(id).orElse(null);
+        return job != null
+                && job.state() == JobState.PLACED
+                && !workers.isEvicting(job.attemptId())
+                && workers.attempt(job.attemptId())
+                        .filter(RunningAttempt::reported)
+                        .isPresent();
+    }
+
+    private void evict(JobId id, Tables tables) {
+        workers.evict(tables.jobs().find(id).orElseThrow().attemptId());
+        counters.add(LeaderCounters.Counter.EVICTIONS);
+    }
+
+    /** Returns how many attempts a worker may run at once because of its failures, 0 in quarantine. */
+    int mostAttempts(HostId host, long nowMs) {
+        return placer.health().maxAttempts(host, nowMs);
+    }
+
+    /** Tells whether a worker is in quarantine. */
+    boolean isQuarantined(HostId host, long nowMs) {
+        return mostAttempts(host, nowMs) == 0;
     }
 }
--- a/control/src/main/java/org/cornelcove/control/leader/Queries.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Queries.java
@@ -27,12 +27,12 @@
 final class Queries {
     private final EntryBoard entries;
     private final WorkerBoard workers;
-    private final WorkerQuarantine quarantine;
+    private final PlacementLoop placement;
 
-    Queries(EntryBoard entries, WorkerBoard workers, WorkerQuarantine quarantine) {
+    Queries(EntryBoard entries, WorkerBoard workers, PlacementLoop placement) {
         this.entries = entries;
         this.workers = workers;
-        this.quarantine = quarantine;
+        this.placement = placement;
     }
 
     static Optional<JobView> job(JobId id, Tables tables) {
@@ -103,7 +103,7 @@
                 worker.rack(),
                 known.isPresent() && nowMs - known.get().heardMs() <= Leases.WORKER_SILENCE_MS,
                 known.map(LiveWorker::leaving).orElse(false),
-                quarantine.mostAttempts(worker.host(), nowMs) == 0,
+                placement.isQuarantined(worker.host(), nowMs),
                 worker.capacity(),
                 tables.jobs().heldOn(worker.host()).total(),
                 tables.jobs().heldOn(worker.host()).attempts());
--- a/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
@@ -243,13 +243,6 @@
         evicting.add(id);
     }
 
-    /** Tells whether an attempt of one of the jobs is being evicted. */
-    boolean evicts(Set<JobId> jobs, Tables tables) {
-        return jobs.stream()
-                .map(id -> tables.jobs().find(id).orElseThrow().attemptId())
-                .anyMatch(evicting::contains);
-    }
-
     boolean isEvicting(AttemptId id) {
         return evicting.contains(id);
     }
--- a/control/src/main/java/org/cornelcove/control/state/JobIndex.java
+++ b/control/src/main/java/org/cornelcove/control/state/JobIndex.java
@@ -6,17 +6,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
-import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobKind;
-import org.cornelcove.model.job.JobState;
 
 /**
- * All jobs with the figures derived from them: what each host and each team holds, which jobs wait, which have ended.
+ * All jobs with the figures derived from them: what each host and each team holds, which have ended.
  * Every change goes through {@link #put} or {@link #remove}, which take the old job's share out of each figure and add
  * the new one's, so that the figures can't drift from the jobs.
  */
@@ -25,8 +23,12 @@
     private final Map<HostId, Holding> heldByHost = new HashMap<>();
     private final Map<HostId, TreeSet<JobId>> jobsByHost = new HashMap<>();
     private final Map<String, Holding> heldByTeam = new HashMap<>();
-    private final TreeSet<PendingKey> pendingUrgent = new TreeSet<>();
-    private final TreeMap<String, TreeSet<PendingKey>> pendingByTeam = new TreeMap<>();
+
+    /** The jobs by the number of their last change, for readers that follow the changes. Derived, in no snapshot. */
+    private final TreeMap<Long, JobId> changes = new TreeMap<>();
+
+    private final Map<JobId, Long> changeOf = new HashMap<>();
+    private long lastChange;
 
     /** Ended jobs that hold nothing, by the log index at which they ended. */
     private final TreeMap<Long, JobId> ended = new TreeMap<>();
@@ -56,21 +58,18 @@
         return heldByTeam.getOrDefault(team, Holding.NONE);
     }
 
-    SortedSet<PendingKey> pendingUrgent() {
-        return Collections.unmodifiableSortedSet(pendingUrgent);
-    }
-
-    SortedMap<String, TreeSet<PendingKey>> pendingByTeam() {
-        return Collections.unmodifiableSortedMap(pendingByTeam);
+    /** Returns the jobs that were changed after the given change, by the number of their last one. */
+    SortedMap<Long, JobId> changedAfter(long change) {
+        return Collections.unmodifiableSortedMap(changes.tailMap(change + 1));
     }
 
     void clear() {
+        changes.clear();
+        changeOf.clear();
         jobs.clear();
         heldByHost.clear();
         jobsByHost.clear();
         heldByTeam.clear();
-        pendingUrgent.clear();
-        pendingByTeam.clear();
         ended.clear();
     }
 
@@ -80,6 +79,15 @@
             withdraw(old);
         }
         add(job);
+        noteChange(job.id());
+    }
+
+    private void noteChange(JobId id) {
+        Long before = changeOf.put(id, ++lastChange);
+        if (before != null) {
+            changes.remove(before);
+        }
+        changes.put(lastChange, id);
     }
 
     /** Forgets the jobs that ended first until at most the given number of ended ones is left. */
@@ -87,14 +95,12 @@
         while (ended.size() > most) {
             Job old = jobs.remove(ended.firstEntry().getValue());
             withdraw(old);
+            changes.remove(changeOf.remove(old.id()));
         }
     }
 
     private void add(Job job) {
         job.host().ifPresent(host -> hold(job, host));
-        if (job.state() == JobState.PENDING) {
-            queue(job).add(keyOf(job));
-        }
         if (job.state().isFinal() && !job.holds()) {
             ended.put(job.endedIndex(), job.id());
         }
@@ -102,10 +108,6 @@
 
     private void withdraw(Job job) {
         job.host().ifPresent(host -> release(job, host));
-        if (job.state() == JobState.PENDING) {
-            queue(job).remove(keyOf(job));
-            dropEmptyQueue(job.spec().team());
-        }
         if (job.state().isFinal() && !job.holds()) {
             ended.remove(job.endedIndex());
         }
@@ -138,22 +140,4 @@
         Holding rest = held.minus(job.spec().resources(), job.spec().kind() == JobKind.BATCH);
         return rest.attempts() == 0 ? null : rest;
     }
-
-    private TreeSet<PendingKey> queue(Job job) {
-        if (job.spec().urgent()) {
-            return pendingUrgent;
-        }
-        return pendingByTeam.computeIfAbsent(job.spec().team(), any -> new TreeSet<>());
-    }
-
-    private void dropEmptyQueue(String team) {
-        TreeSet<PendingKey> queue = pendingByTeam.get(team);
-        if (queue != null && queue.isEmpty()) {
-            pendingByTeam.remove(team);
-        }
-    }
-
-    private static PendingKey keyOf(Job job) {
-        return new PendingKey(job.submittedIndex(), job.id());
-    }
 }
--- a/control/src/main/java/org/cornelcove/control/state/JobTable.java
+++ b/control/src/main/java/org/cornelcove/control/state/JobTable.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
-import java.util.SortedSet;
-import java.util.TreeSet;
 
 import org.cornelcove.model.command.CancelJob;
 import org.cornelcove.model.command.Done;
@@ -282,20 +280,12 @@
     }
 
     /**
-     * Returns the urgent jobs that wait, first submitted first.
+     * Returns the jobs that were changed after a given change. The numbers are those of this host, not of the log.
      *
-     * @return the urgent jobs that wait, first submitted first
+     * @param change the number of the last change that the reader knows, 0 for none
+     * @return the jobs by the number of their last change
      */
-    public SortedSet<PendingKey> pendingUrgent() {
-        return index.pendingUrgent();
-    }
-
-    /**
-     * Returns the other jobs that wait, by team, first submitted first.
-     *
-     * @return the other jobs that wait, by team, first submitted first
-     */
-    public SortedMap<String, TreeSet<PendingKey>> pendingByTeam() {
-        return index.pendingByTeam();
+    public SortedMap<Long, JobId> changedAfter(long change) {
+        return index.changedAfter(change);
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/evict/EvictionBudget.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/EvictionBudget.java
@@ -10,8 +10,11 @@
     private final TokenBucket permits;
 
     private EvictionBudget(int perMinute) {
-        double stored = Math.max(Math.min(1, perMinute), perMinute * STORED_SHARE);
-        permits = TokenBucket.full(perMinute / SECONDS_A_MINUTE, stored);
+        permits = TokenBucket.full(perMinute / SECONDS_A_MINUTE, mostStored(perMinute));
+    }
+
+    private static double mostStored(int perMinute) {
+        return Math.max(Math.min(1, perMinute), perMinute * STORED_SHARE);
     }
 
     /**
@@ -24,6 +27,41 @@
         return new EvictionBudget(perMinute);
     }
 
+    /**
+     * Returns the budget of a new leader: one eviction, and what comes in from now on. A full one would let each change of
+     * leader evict a quarter of a minute's again.
+     *
+     * @param perMinute the most evictions a minute over the cluster, 0 for none at all
+     * @param nowMs the current instant
+     * @return the budget
+     */
+    public static EvictionBudget ofNewLeader(int perMinute, long nowMs) {
+        EvictionBudget budget = new EvictionBudget(perMinute);
+        budget.permits.leave(Math.min(1, perMinute), nowMs);
+        return budget;
+    }
+
+    /**
+     * Changes the bound, for a new configuration.
+     *
+     * @param perMinute the most evictions a minute over the cluster, 0 for none at all
+     * @param nowMs the current instant
+     */
+    public void setPerMinute(int perMinute, long nowMs) {
+        permits.setPace(perMinute / SECONDS_A_MINUTE, nowMs);
+        permits.setMaxStored(mostStored(perMinute));
+    }
+
+    /**
+     * Tells whether an eviction is left.
+     *
+     * @param nowMs the current instant
+     * @return whether one is
+     */
+    public boolean hasOne(long nowMs) {
+        return permits.hasOne(nowMs);
+    }
+
     /**
      * Takes one eviction.
      *
--- a/policy/src/main/java/org/cornelcove/policy/pace/StartPace.java
+++ b/policy/src/main/java/org/cornelcove/policy/pace/StartPace.java
@@ -4,8 +4,10 @@
  * The pace of starts. Unbounded in ordinary times; after a fault it begins low and doubles step by step.
  *
  * <p>A new leader, a lost availability zone or a restart leave a backlog that would otherwise start in one instant: image
- * loads, checkpoint reads and reports of thousands of attempts hit the same hosts at once. Urgent work may take every
- * permit; other work leaves {@code URGENT_KEEP} of a second's permits for it. A fixed pace lost: one that is gentle enough
+ * loads, checkpoint reads and reports of thousands of attempts hit the same hosts at once. Urgent work starts at once and
+ * its permits are owed, up to those that are stored at most; other work leaves {@code URGENT_KEEP} of a second's permits
+ * for it. Urgent work that waited for permits lost: on a small cluster, with a permit a second, the third job of a backlog
+ * comes too late. A fixed pace lost: one that is gentle enough
  * for the first seconds takes too long over a large backlog. The pace is set by the number of hosts, because it is there
  * that starts cost.
  *
@@ -41,14 +43,23 @@
      * @param nowMs the current instant
      */
     public void recover(int hosts, long nowMs) {
-        perSecond = Math.max(1, FIRST_PER_HOST * hosts);
+        perSecond = firstPerSecond(hosts);
         lastPerSecond = Math.max(1, LAST_PER_HOST * hosts);
         permits = TokenBucket.full(perSecond, lastPerSecond / 4 + 1);
-        permits.tryTake(0, nowMs);
-        permits.empty();
+        permits.leave(0, nowMs);
         nextStepMs = nowMs + DOUBLE_AFTER_MS;
     }
 
+    /**
+     * Returns the starts of the first second after a fault.
+     *
+     * @param hosts the hosts that the backlog starts on
+     * @return the starts
+     */
+    public static double firstPerSecond(int hosts) {
+        return Math.max(1, FIRST_PER_HOST * hosts);
+    }
+
     /** Notes that nothing waits any more: the pace is unbounded again. */
     public void backlogGone() {
         permits = null;
@@ -79,6 +90,10 @@
             permits.setPace(perSecond, nextStepMs);
             nextStepMs += DOUBLE_AFTER_MS;
         }
-        return permits.tryTake(urgent ? 0 : URGENT_KEEP * perSecond, nowMs);
+        if (urgent) {
+            permits.owe(nowMs);
+            return true;
+        }
+        return permits.tryTake(URGENT_KEEP * perSecond, nowMs);
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/pace/TokenBucket.java
+++ b/policy/src/main/java/org/cornelcove/policy/pace/TokenBucket.java
@@ -2,7 +2,7 @@
 
 /** A store of permits that fills at a steady pace up to a bound. Not thread-safe. */
 public final class TokenBucket {
-    private final double maxStored;
+    private double maxStored;
     private double perSecond;
     private double stored;
     private long filledAtMs;
@@ -51,9 +51,47 @@
         return true;
     }
 
-    /** Throws away what is stored. */
-    public void empty() {
-        stored = 0;
+    /**
+     * Takes one permit in any case, down to as many below none as are stored at most. What is owed is paid off before the
+     * next permit is left for others.
+     *
+     * @param nowMs the current instant
+     */
+    public void owe(long nowMs) {
+        fill(nowMs);
+        stored = Math.max(-maxStored, stored - 1);
+    }
+
+    /**
+     * Tells whether there is a permit.
+     *
+     * @param nowMs the current instant
+     * @return whether there is one
+     */
+    public boolean hasOne(long nowMs) {
+        fill(nowMs);
+        return stored >= 1;
+    }
+
+    /**
+     * Throws away what is stored beyond an amount.
+     *
+     * @param most what is left at most
+     * @param nowMs the current instant
+     */
+    public void leave(double most, long nowMs) {
+        fill(nowMs);
+        stored = Math.min(most, stored);
+    }
+
+    /**
+     * Changes the most that is stored.
+     *
+     * @param most the most
+     */
+    public void setMaxStored(double most) {
+        maxStored = most;
+        stored = Math.min(stored, most);
     }
 
     private void fill(long nowMs) {
--- a/policy/src/main/java/org/cornelcove/policy/place/Host.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Host.java
@@ -14,6 +14,7 @@
 /** One host of the table: what it holds, what is free, and which kinds of work run on it. */
 final class Host {
     private static final double THROTTLED_RATE = 0.25;
+    private static final int PERCENT = 100;
 
     private final HostId id;
     private final String availabilityZone;
@@ -24,9 +25,13 @@
     private final Map<String, Integer> throttled = new HashMap<>();
     private Resources free;
     private Resources serviceHeld = Resources.NONE;
+    private long batchMillicores;
     private int attempts;
     /** The most attempts that it may run at once; below what fits while it is suspected. */
     private int maxAttempts = Integer.MAX_VALUE;
+    /** False while it is silent or leaving. */
+    private boolean takesWork = true;
+
     /** False while its services are at the crest. */
     private boolean openForBatch = true;
 
@@ -115,6 +120,15 @@
         maxAttempts = most;
     }
 
+    void setTakesWork(boolean takes) {
+        takesWork = takes;
+    }
+
+    /** Tells whether it takes work of some kind now. */
+    boolean isOpen() {
+        return takesWork && maxAttempts > 0;
+    }
+
     boolean isTrusted() {
         return maxAttempts == Integer.MAX_VALUE;
     }
@@ -127,22 +141,46 @@
         serviceLoad = band;
     }
 
-    /** Tells whether the job may start here now. Batch work leaves the reserve free, unless it is urgent. */
+    /** Returns what work of the kind may take now: what is free, and for batch work what it may hold together. */
+    Resources roomFor(JobKind kind, int reservePercent) {
+        if (kind == JobKind.SERVICE) {
+            return free;
+        }
+        long forBatch = batchLimitMillicores(reservePercent) - batchMillicores;
+        return Resources.of(Math.min(free.cpuMillicores(), forBatch), free.memoryBytes(), free.accelerators());
+    }
+
+    /** Returns what batch work may hold together. Rounded down, as the state machine does that checks each start. */
+    private long batchLimitMillicores(int reservePercent) {
+        return capacity.cpuMillicores() * (PERCENT - reservePercent) / PERCENT;
+    }
+
+    /** Tells whether the job would fit if nothing ran here. */
+    boolean fitsEmpty(JobSpec job, int reservePercent) {
+        long most = job.kind() == JobKind.SERVICE ? capacity.cpuMillicores() : batchLimitMillicores(reservePercent);
+        return job.resources().fitsIn(Resources.of(most, capacity.memoryBytes(), capacity.accelerators()));
+    }
+
+    /**
+     * Tells whether the job may start here now. Batch work holds no more than the capacity less the reserve; unless it is
+     * urgent, it leaves the reserve free of services' use too.
+     */
     boolean admits(JobSpec job, int reservePercent) {
-        if (attempts >= maxAttempts || !job.resources().fitsIn(free)) {
+        if (!takesWork || attempts >= maxAttempts || !job.resources().fitsIn(roomFor(job.kind(), reservePercent))) {
             return false;
         }
         if (job.kind() == JobKind.SERVICE || job.urgent()) {
             return true;
         }
         boolean isMine = heldFor == null || heldFor.equals(job.id());
-        long reserve = capacity.cpuMillicores() * reservePercent / 100;
+        long reserve = capacity.cpuMillicores() - batchLimitMillicores(reservePercent);
         return openForBatch && isMine && free.cpuMillicores() - job.resources().cpuMillicores() >= reserve;
     }
 
     /** Tells whether the job would fit beside the services alone. */
     boolean couldHold(JobSpec job, int reservePercent) {
-        long reserve = job.kind() == JobKind.SERVICE ? 0 : capacity.cpuMillicores() * reservePercent / 100;
+        long reserve =
+                job.kind() == JobKind.SERVICE ? 0 : capacity.cpuMillicores() - batchLimitMillicores(reservePercent);
         Resources room = capacity.minus(Resources.of(reserve, 0, 0)).minus(serviceHeld);
         return job.resources().fitsIn(room);
     }
@@ -158,6 +196,7 @@
     void take(JobSpec job) {
         free = free.minus(job.resources());
         serviceHeld = job.kind() == JobKind.SERVICE ? serviceHeld.plus(job.resources()) : serviceHeld;
+        batchMillicores += job.kind() == JobKind.BATCH ? job.resources().cpuMillicores() : 0;
         attempts++;
         kindsOf(job).merge(job.task(), 1, Integer::sum);
     }
@@ -165,6 +204,7 @@
     void release(JobSpec job) {
         free = free.plus(job.resources());
         serviceHeld = job.kind() == JobKind.SERVICE ? serviceHeld.minus(job.resources()) : serviceHeld;
+        batchMillicores -= job.kind() == JobKind.BATCH ? job.resources().cpuMillicores() : 0;
         attempts--;
         kindsOf(job).computeIfPresent(job.task(), (t, n) -> n == 1 ? null : n - 1);
     }
--- a/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/HostTable.java
@@ -9,9 +9,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.cornelcove.model.id.HostId;
+import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
@@ -39,6 +42,7 @@
     private static final double HARMLESS_ADDED = 0.15;
     private static final double HARMFUL_ADDED = 0.4;
     private static final double UNKNOWN_COST = 0.1;
+    private static final int PERCENT = 100;
 
     private final Map<HostId, Host> hosts = new HashMap<>();
     private final Map<String, ZoneIndex> zones = new TreeMap<>();
@@ -153,6 +157,16 @@
         Optional.ofNullable(hosts.get(id)).ifPresent(h -> h.limitAttempts(most));
     }
 
+    /**
+     * Opens or closes a host for all work: closed while it is silent or leaving.
+     *
+     * @param id the host
+     * @param takesWork whether it takes some
+     */
+    public void setTakesWork(HostId id, boolean takesWork) {
+        Optional.ofNullable(hosts.get(id)).ifPresent(h -> h.setTakesWork(takesWork));
+    }
+
     /**
      * Opens or closes a host for batch work that is not urgent.
      *
@@ -226,6 +240,30 @@
         return host == null ? Resources.NONE : host.free();
     }
 
+    /**
+     * Returns what a job could take on a host now.
+     *
+     * @param id the host
+     * @param job the job
+     * @return what is free for its kind of work, nothing for an unknown host
+     */
+    public Resources roomFor(HostId id, JobSpec job) {
+        Host host = hosts.get(id);
+        return host == null ? Resources.NONE : host.roomFor(job.kind(), reservePercent);
+    }
+
+    /**
+     * Returns the hosts on which more is held than their capacity, since they told of a smaller one.
+     *
+     * @return the hosts
+     */
+    public Set<HostId> overfull() {
+        return hosts.values().stream()
+                .filter(host -> host.free().isNegative())
+                .map(Host::id)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
     /**
      * Returns the number of hosts.
      *
@@ -242,7 +280,40 @@
      * @return whether one exists
      */
     public boolean fitsAnyHost(JobSpec job) {
-        return hosts.values().stream().anyMatch(h -> job.resources().fitsIn(h.capacity()));
+        return hosts.values().stream().anyMatch(h -> h.fitsEmpty(job, reservePercent));
+    }
+
+    /**
+     * Tells whether the job would fit, if it were empty, some host that takes work and is none of the given ones.
+     *
+     * @param job the job
+     * @param others the hosts that don't count
+     * @return whether one exists
+     */
+    public boolean fitsOpenHostBut(JobSpec job, Set<HostId> others) {
+        return hosts.values().stream()
+                .anyMatch(h -> h.isOpen() && !others.contains(h.id()) && h.fitsEmpty(job, reservePercent));
+    }
+
+    /**
+     * Tells whether a host is open and not kept free, so that room can be made on it.
+     *
+     * @param id the host
+     * @return whether it is
+     */
+    public boolean mayGiveRoom(HostId id) {
+        Host host = hosts.get(id);
+        return host != null && host.isOpen() && !host.isHeld();
+    }
+
+    /**
+     * Keeps a host free of other ordinary batch work.
+     *
+     * @param id the host
+     * @param job the job for which it is kept
+     */
+    public void keepFor(HostId id, JobId job) {
+        Optional.ofNullable(hosts.get(id)).ifPresent(h -> h.holdFor(job));
     }
 
     /**
@@ -253,7 +324,7 @@
      */
     public Optional<HostId> hold(JobSpec job) {
         Optional<Host> emptiest = hosts.values().stream()
-                .filter(h -> h.isTrusted() && !h.isHeld() && h.couldHold(job, reservePercent))
+                .filter(h -> h.isOpen() && h.isTrusted() && !h.isHeld() && h.couldHold(job, reservePercent))
                 .max(Comparator.comparingLong((Host h) -> h.free().cpuMillicores())
                         .thenComparing(Host::id));
         emptiest.ifPresent(h -> h.holdFor(job.id()));
@@ -313,7 +384,7 @@
 
     private ZoneIndex.Search search(JobSpec job, boolean accelerators) {
         boolean isService = job.kind() == JobKind.SERVICE;
-        long reserve = isService || job.urgent() ? 0 : smallestMillicores * reservePercent / 100;
+        long reserve = isService || job.urgent() ? 0 : smallestMillicores * reservePercent / PERCENT;
         return new ZoneIndex.Search(job.resources().cpuMillicores() + reserve, accelerators, isService);
     }
 
--- a/policy/src/main/java/org/cornelcove/policy/place/PendingJobs.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/PendingJobs.java
@@ -2,30 +2,37 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
+import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 
 /**
- * Jobs that wait for a place, by urgency and team, in the order of their submission within a team. Adding and removing
- * take constant time, so that a wave of cancellations costs no scan. Not thread-safe.
+ * Jobs that wait for a place, by whether they go first and by team, in the order of their ranks within a team. Adding and
+ * removing look at no other job, so that a wave of cancellations costs no scan. Not thread-safe.
  */
 final class PendingJobs {
+    private static final Comparator<PendingJob> LINE = Comparator.comparingLong(PendingJob::rank)
+            .thenComparing(job -> job.spec().id());
+
     private final Map<JobId, PendingJob> all = new HashMap<>();
-    private final TreeMap<String, LinkedHashMap<JobId, PendingJob>> urgent = new TreeMap<>();
-    private final TreeMap<String, LinkedHashMap<JobId, PendingJob>> ordinary = new TreeMap<>();
+    private final TreeMap<String, TreeSet<PendingJob>> first = new TreeMap<>();
+    private final TreeMap<String, TreeSet<PendingJob>> ordinary = new TreeMap<>();
 
     void add(PendingJob job) {
         if (all.putIfAbsent(job.spec().id(), job) == null) {
             teamsOf(job.spec())
-                    .computeIfAbsent(job.spec().team(), t -> new LinkedHashMap<>())
-                    .put(job.spec().id(), job);
+                    .computeIfAbsent(job.spec().team(), t -> new TreeSet<>(LINE))
+                    .add(job);
         }
     }
 
@@ -34,9 +41,9 @@
         if (job == null) {
             return Optional.empty();
         }
-        TreeMap<String, LinkedHashMap<JobId, PendingJob>> teams = teamsOf(job.spec());
-        LinkedHashMap<JobId, PendingJob> jobs = teams.get(job.spec().team());
-        jobs.remove(id);
+        TreeMap<String, TreeSet<PendingJob>> teams = teamsOf(job.spec());
+        TreeSet<PendingJob> jobs = teams.get(job.spec().team());
+        jobs.remove(job);
         if (jobs.isEmpty()) {
             teams.remove(job.spec().team());
         }
@@ -51,33 +58,40 @@
         return all.size();
     }
 
-    List<String> teams(boolean urgentOnes) {
-        return new ArrayList<>((urgentOnes ? urgent : ordinary).keySet());
+    List<String> teams(boolean goingFirst) {
+        return new ArrayList<>((goingFirst ? first : ordinary).keySet());
     }
 
     /** Returns the first jobs of a team, oldest first. */
-    List<PendingJob> first(String team, boolean urgentOnes, int most) {
-        LinkedHashMap<JobId, PendingJob> jobs = (urgentOnes ? urgent : ordinary).get(team);
-        Collection<PendingJob> line = jobs == null ? List.of() : jobs.values();
-        List<PendingJob> first = new ArrayList<>(Math.min(most, line.size()));
+    List<PendingJob> first(String team, boolean goingFirst, int most) {
+        TreeSet<PendingJob> jobs = (goingFirst ? first : ordinary).get(team);
+        Collection<PendingJob> line = jobs == null ? List.of() : jobs;
+        List<PendingJob> found = new ArrayList<>(Math.min(most, line.size()));
         for (PendingJob job : line) {
-            if (first.size() == most) {
+            if (found.size() == most) {
                 break;
             }
-            first.add(job);
+            found.add(job);
         }
-        return first;
+        return found;
+    }
+
+    private TreeMap<String, TreeSet<PendingJob>> teamsOf(JobSpec spec) {
+        return goesFirst(spec) ? first : ordinary;
     }
 
-    private TreeMap<String, LinkedHashMap<JobId, PendingJob>> teamsOf(JobSpec spec) {
-        return spec.urgent() ? urgent : ordinary;
+    /** Tells whether a job goes before ordinary batch work, which makes room for it where none is left. */
+    static boolean goesFirst(JobSpec spec) {
+        return spec.urgent() || spec.kind() == JobKind.SERVICE;
     }
 
     /**
      * A job that waits.
      *
      * @param spec what was asked for
+     * @param rank its place in the line of its team, lowest first
+     * @param failedOn hosts that it failed on under an earlier leader
      * @param sinceMs since when
      */
-    record PendingJob(JobSpec spec, long sinceMs) {}
+    record PendingJob(JobSpec spec, long rank, Set<HostId> failedOn, long sinceMs) {}
 }
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -15,6 +15,7 @@
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.AttemptEnd;
+import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.RuleSet;
@@ -31,14 +32,16 @@
 /**
  * The leader's placement: which waiting jobs start, and where.
  *
- * <p>Urgent jobs go first; then the team with the smallest dominant share for its weight. Within a team the oldest job
- * goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass. A shape (kind, amount) that
+ * <p>Urgent jobs and services go first, then batch work; each time the team with the smallest dominant share for its
+ * weight. Within a team the oldest job goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass. A shape (kind, amount) that
  * fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. For a
  * job that waited long a host is kept free of other batch work until the job fits there, on a bounded number of hosts.
  *
+ * <p>A job is not placed again on a worker that it failed on, as long as another that takes work could hold it.
+ *
  * <p>Held in memory by the leader, and rebuilt by a new one: {@code putHost} and {@code restore} from the replicated
- * state, {@code submit} for what waits, {@code recover} to bound the pace. The state machine checks every start again.
- * Not thread-safe.
+ * state, {@code submit} for what waits, {@code recover} to bound the pace. The state machine checks every start again; one
+ * that it refuses is taken back with {@code ended} and submitted again. Not thread-safe.
  */
 public final class Placer {
     private static final String ANY_TASK = "";
@@ -48,6 +51,8 @@
     private static final int LOOK_AHEAD = 16;
     private static final long HOLD_AFTER_MS = 120_000;
     private static final int HOSTS_TO_A_HELD_ONE = 50;
+    /** How long a host is kept free on which room is made. */
+    private static final long KEEP_ROOM_MS = 10_000;
 
     private final InterferenceModel interference = InterferenceModel.create();
     private final PlacementHistory history = PlacementHistory.create();
@@ -59,13 +64,17 @@
     private final TeamQuotas quotas;
     private final RunningJobs running;
     private final WorkerHealth health;
-    /** Hosts on which work is evicted for an urgent job. */
-    private final Map<JobId, HostId> roomFor = new HashMap<>();
+    /** Hosts on which work is evicted for a job that goes first, kept free for it meanwhile. */
+    private final Map<JobId, Kept> roomFor = new HashMap<>();
 
     /** Hosts kept free of other batch work for jobs that waited long. */
     private final Map<JobId, HostId> held = new HashMap<>();
 
+    /** Jobs that go first and found no host in the last round. */
+    private final List<PendingJob> withoutRoom = new ArrayList<>();
+
     private RuleSet rules;
+    private long nextRank;
     private Set<HostId> limited = Set.of();
     private Resources cluster = Resources.NONE;
 
@@ -115,6 +124,20 @@
         health.add(host);
     }
 
+    /**
+     * Adds a host, or changes one, that goes on with what is known to run there.
+     *
+     * @param host the host
+     * @param availabilityZone where it stands
+     * @param rack its rack
+     * @param capacity what it holds now; may be less than what runs there takes
+     * @param nowMs the current instant
+     */
+    public void changeHost(HostId host, String availabilityZone, String rack, Resources capacity, long nowMs) {
+        putHost(host, availabilityZone, rack, capacity);
+        running.takeAgain(host, nowMs);
+    }
+
     /**
      * Forgets a host that is gone. What ran there is reported through {@link #ended}.
      *
@@ -135,7 +158,17 @@
     }
 
     /**
-     * Opens or closes a host for batch work that is not urgent; closed while it gives way or asks to leave.
+     * Opens or closes a host for all work; closed while it is silent or asks to leave.
+     *
+     * @param host the host
+     * @param takesWork whether it takes some
+     */
+    public void setTakesWork(HostId host, boolean takesWork) {
+        hosts.setTakesWork(host, takesWork);
+    }
+
+    /**
+     * Opens or closes a host for batch work that is not urgent; closed while it gives way.
      *
      * @param host the host
      * @param open whether it takes some
@@ -145,13 +178,25 @@
     }
 
     /**
-     * Notes a job that waits.
+     * Notes a job that waits, behind those that wait already.
      *
      * @param job the job
      * @param sinceMs since when
      */
     public void submit(JobSpec job, long sinceMs) {
-        pending.add(new PendingJob(job, sinceMs));
+        submit(job, nextRank++, Set.of(), sinceMs);
+    }
+
+    /**
+     * Notes a job that waits.
+     *
+     * @param job the job
+     * @param rank its place in the line of its team, lowest first
+     * @param failedOn the hosts that it is known to have failed on
+     * @param sinceMs since when
+     */
+    public void submit(JobSpec job, long rank, Set<HostId> failedOn, long sinceMs) {
+        pending.add(new PendingJob(job, rank, failedOn, sinceMs));
     }
 
     /**
@@ -188,6 +233,15 @@
         pace.recover(hosts.size(), nowMs);
     }
 
+    /**
+     * Tells whether starts are bounded since a fault.
+     *
+     * @return whether they are
+     */
+    public boolean isRecovering() {
+        return pace.isRecovering();
+    }
+
     /**
      * Learns from the end of an attempt and frees what it held. A job that is to run again is submitted again.
      *
@@ -272,6 +326,7 @@
             return decisions;
         }
         refreshLimits(nowMs);
+        withoutRoom.clear();
         Round round = new Round(nowMs, most, decisions);
         round.run(true);
         round.run(false);
@@ -289,44 +344,115 @@
     }
 
     /**
-     * Chooses what to evict so that urgent jobs that fit nowhere find room: on the host where least work is lost.
+     * Chooses what to evict so that urgent jobs that fit nowhere find room, see the other method; any attempt may leave.
      *
      * @param budget the cluster's budget
      * @param nowMs the current instant
      * @return the jobs to checkpoint and evict; each is named once
      */
     public List<JobId> makeRoom(EvictionBudget budget, long nowMs) {
+        return makeRoom(job -> true, budget, nowMs);
+    }
+
+    /**
+     * Chooses what to evict so that urgent jobs and services find room that fitted nowhere in the last round of decisions:
+     * on the host where least work is lost. That host is kept for the job until it starts there, at most for
+     * {@code KEEP_ROOM_MS}.
+     *
+     * @param mayLeave the jobs that may be evicted
+     * @param budget the cluster's budget
+     * @param nowMs the current instant
+     * @return the jobs to checkpoint and evict; each is named once
+     */
+    public List<JobId> makeRoom(Predicate<JobId> mayLeave, EvictionBudget budget, long nowMs) {
+        giveUpRoom(nowMs);
         List<JobId> victims = new ArrayList<>();
         int searches = 0;
-        for (String team : pending.teams(true)) {
-            for (PendingJob job : pending.first(team, true, LOOK_AHEAD)) {
-                boolean waitsForRoom = !roomFor.containsKey(job.spec().id())
-                        && quotas.allows(team, job.spec().resources())
-                        && hosts.choose(job.spec(), Set.of()).isEmpty();
-                if (waitsForRoom && searches < MAX_SEARCHES) {
-                    searches++;
-                    victims.addAll(makeRoomFor(job.spec(), budget, nowMs));
-                }
+        for (PendingJob job : withoutRoom) {
+            if (searches == MAX_SEARCHES || !budget.hasOne(nowMs)) {
+                break;
+            }
+            if (!roomFor.containsKey(job.spec().id())) {
+                searches++;
+                victims.addAll(makeRoomFor(job, mayLeave, budget, nowMs));
             }
         }
         return victims;
     }
 
-    private List<JobId> makeRoomFor(JobSpec urgent, EvictionBudget budget, long nowMs) {
-        Predicate<HostId> mayGive =
-                host -> !roomFor.containsValue(host) && health.maxAttempts(host, nowMs) == WorkerHealth.UNLIMITED;
-        List<Preemption.Candidate> chosen = Preemption.choose(urgent, running.evictable(mayGive, nowMs), hosts::free);
+    private void giveUpRoom(long nowMs) {
+        List<JobId> over = new ArrayList<>();
+        roomFor.forEach((job, kept) -> {
+            if (kept.untilMs <= nowMs) {
+                over.add(job);
+            }
+        });
+        over.forEach(job -> hosts.unhold(roomFor.remove(job).host));
+    }
+
+    private List<JobId> makeRoomFor(PendingJob waiting, Predicate<JobId> mayLeave, EvictionBudget budget, long nowMs) {
+        JobSpec job = waiting.spec();
+        Set<HostId> avoid = avoid(waiting);
+        Predicate<HostId> mayGive = host -> hosts.mayGiveRoom(host)
+                && !avoid.contains(host)
+                && health.maxAttempts(host, nowMs) == WorkerHealth.UNLIMITED;
+        List<Preemption.Candidate> chosen =
+                Preemption.choose(job, running.evictable(mayGive, mayLeave, nowMs), host -> expectedRoom(host, job));
         List<JobId> victims = new ArrayList<>();
         for (Preemption.Candidate victim : chosen) {
             if (!budget.tryTake(nowMs)) {
                 break;
             }
-            victims.add(victim.job().id());
-            roomFor.put(urgent.id(), victim.host());
+            leave(victim.job().id(), victims);
+            roomFor.put(job.id(), new Kept(victim.host(), nowMs + KEEP_ROOM_MS));
+            hosts.keepFor(victim.host(), job.id());
         }
         return victims;
     }
 
+    private Resources expectedRoom(HostId host, JobSpec job) {
+        return hosts.roomFor(host, job).plus(running.leavingOn(host));
+    }
+
+    private void leave(JobId job, List<JobId> victims) {
+        running.leave(job);
+        victims.add(job);
+    }
+
+    /**
+     * Notes that a running job was told to make room, so that it is not asked for it again.
+     *
+     * @param job the job
+     */
+    public void leaves(JobId job) {
+        running.leave(job);
+    }
+
+    /**
+     * Chooses what to evict on hosts that hold more than their capacity, since they told of a smaller one. That is outside
+     * the budget, because such a host can't go on.
+     *
+     * @param mayLeave the jobs that may be evicted
+     * @param nowMs the current instant
+     * @return the jobs to checkpoint and evict; each is named once
+     */
+    public List<JobId> relieve(Predicate<JobId> mayLeave, long nowMs) {
+        List<JobId> victims = new ArrayList<>();
+        for (HostId host : hosts.overfull()) {
+            List<Preemption.Candidate> here = running.evictable(host::equals, mayLeave, nowMs);
+            Resources expected = hosts.free(host).plus(running.leavingOn(host));
+            Preemption.onHost(Resources.NONE, here, expected)
+                    .forEach(victim -> leave(victim.job().id(), victims));
+        }
+        return victims;
+    }
+
+    private Set<HostId> avoid(PendingJob waiting) {
+        Set<HostId> avoid = new HashSet<>(health.workersFailedOn(waiting.spec().id()));
+        avoid.addAll(waiting.failedOn());
+        return avoid.isEmpty() || hosts.fitsOpenHostBut(waiting.spec(), avoid) ? avoid : Set.of();
+    }
+
     /**
      * Returns how many jobs wait.
      *
@@ -380,11 +506,8 @@
     }
 
     private void unhold(JobId job) {
-        roomFor.remove(job);
-        HostId host = held.remove(job);
-        if (host != null) {
-            hosts.unhold(host);
-        }
+        Optional.ofNullable(roomFor.remove(job)).ifPresent(kept -> hosts.unhold(kept.host));
+        Optional.ofNullable(held.remove(job)).ifPresent(hosts::unhold);
     }
 
     private void take(JobSpec job, HostId host, long nowMs) {
@@ -393,6 +516,9 @@
         trials.started(job.task());
     }
 
+    /** A host that is kept free for a job. */
+    private record Kept(HostId host, long untilMs) {}
+
     private record TeamTurn(String team, double dominantShare) implements Comparable<TeamTurn> {
         @Override
         public int compareTo(TeamTurn other) {
@@ -402,7 +528,7 @@
     }
 
     /** What a search depends on; one that found nothing is not repeated within a round. */
-    private record Shape(String task, Resources resources, boolean urgent) {}
+    private record Shape(JobKind kind, String task, Resources resources, boolean urgent) {}
 
     /** One round of decisions. */
     private final class Round {
@@ -419,15 +545,15 @@
             this.decisions = decisions;
         }
 
-        void run(boolean urgent) {
+        void run(boolean goingFirst) {
             PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
-            for (String team : pending.teams(urgent)) {
+            for (String team : pending.teams(goingFirst)) {
                 turns.add(turnOf(team));
             }
             paced = false;
             while (!turns.isEmpty() && decisions.size() < most && !paced) {
                 String team = turns.poll().team;
-                if (decideForTeam(team, urgent)) {
+                if (decideForTeam(team, goingFirst)) {
                     turns.add(turnOf(team));
                 }
             }
@@ -438,9 +564,9 @@
         }
 
         /** Decides on one job of the team; false when none of its first jobs can start now. */
-        private boolean decideForTeam(String team, boolean urgent) {
-            for (PendingJob job : pending.first(team, urgent, LOOK_AHEAD)) {
-                Optional<PlacementDecision> decision = decideFor(job.spec());
+        private boolean decideForTeam(String team, boolean goingFirst) {
+            for (PendingJob job : pending.first(team, goingFirst, LOOK_AHEAD)) {
+                Optional<PlacementDecision> decision = decideFor(job);
                 if (decision.isPresent()) {
                     pending.remove(job.spec().id());
                     decisions.add(decision.get());
@@ -456,24 +582,29 @@
             return false;
         }
 
-        private Optional<PlacementDecision> decideFor(JobSpec job) {
-            Shape shape = new Shape(job.task(), job.resources(), job.urgent());
-            Shape ofAnyTask = new Shape(ANY_TASK, job.resources(), job.urgent());
+        private Optional<PlacementDecision> decideFor(PendingJob waiting) {
+            JobSpec job = waiting.spec();
             boolean mayStart = job.urgent() || trials.mayStart(job.task());
-            boolean triedBefore = unfit.contains(ofAnyTask) || unfit.contains(shape);
-            if (!mayStart || triedBefore || !quotas.allows(job.team(), job.resources())) {
+            if (!mayStart || !quotas.allows(job.team(), job.resources())) {
                 return Optional.empty();
             }
-            Set<HostId> avoid = health.workersFailedOn(job.id());
+            Shape shape = new Shape(job.kind(), job.task(), job.resources(), job.urgent());
+            Shape ofAnyTask = new Shape(job.kind(), ANY_TASK, job.resources(), job.urgent());
+            if (unfit.contains(ofAnyTask) || unfit.contains(shape)) {
+                noteWithoutRoom(waiting);
+                return Optional.empty();
+            }
+            Set<HostId> avoid = avoid(waiting);
             Optional<HostId> host = hosts.choose(job, avoid);
             if (host.isEmpty()) {
-                if (!hosts.fitsAnyHost(job)) {
+                if (hosts.size() > 0 && !hosts.fitsAnyHost(job)) {
                     return Optional.of(
                             new PlacementDecision.GiveUp(job, Failure.of(ErrorKind.JOB_NEVER_FITS, job.id())));
                 }
                 if (avoid.isEmpty()) {
                     unfit.add(hosts.hasRoom(job) ? shape : ofAnyTask);
                 }
+                noteWithoutRoom(waiting);
                 return Optional.empty();
             }
             if (!pace.tryStart(job.urgent(), nowMs)) {
@@ -483,5 +614,11 @@
             take(job, host.get(), nowMs);
             return Optional.of(new PlacementDecision.Start(job, host.get()));
         }
+
+        private void noteWithoutRoom(PendingJob waiting) {
+            if (PendingJobs.goesFirst(waiting.spec())) {
+                withoutRoom.add(waiting);
+            }
+        }
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/place/Preemption.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Preemption.java
@@ -26,7 +26,7 @@
         }
         List<Candidate> best = List.of();
         for (Map.Entry<HostId, List<Candidate>> host : byHost.entrySet()) {
-            List<Candidate> victims = onHost(urgent, host.getValue(), free.apply(host.getKey()));
+            List<Candidate> victims = onHost(urgent.resources(), host.getValue(), free.apply(host.getKey()));
             if (!victims.isEmpty() && (best.isEmpty() || lostWork(victims) < lostWork(best))) {
                 best = victims;
             }
@@ -34,37 +34,38 @@
         return best;
     }
 
-    private static List<Candidate> onHost(JobSpec urgent, List<Candidate> candidates, Resources freeNow) {
+    /** Returns the attempts to evict on one host so that an amount fits in what is free there. */
+    static List<Candidate> onHost(Resources needed, List<Candidate> candidates, Resources freeNow) {
         List<Candidate> cheapestFirst = new ArrayList<>(candidates);
         cheapestFirst.sort(Comparator.comparingDouble(Candidate::lostWork)
                 .thenComparing(c -> c.job().id()));
         List<Candidate> victims = new ArrayList<>();
         Resources room = freeNow;
         for (Candidate candidate : cheapestFirst) {
-            if (urgent.resources().fitsIn(room)) {
+            if (needed.fitsIn(room)) {
                 break;
             }
             victims.add(candidate);
             room = room.plus(candidate.job().resources());
         }
-        if (!urgent.resources().fitsIn(room)) {
+        if (!needed.fitsIn(room)) {
             return List.of();
         }
-        return withoutSpare(urgent, victims, room);
+        return withoutSpare(needed, victims, room);
     }
 
     /** Leaves out those whose room is not needed, the dearest first. */
-    private static List<Candidate> withoutSpare(JobSpec urgent, List<Candidate> victims, Resources freed) {
-        List<Candidate> needed = new ArrayList<>(victims);
+    private static List<Candidate> withoutSpare(Resources needed, List<Candidate> victims, Resources freed) {
+        List<Candidate> chosen = new ArrayList<>(victims);
         Resources room = freed;
         for (int i = victims.size() - 1; i >= 0; i--) {
             Resources without = room.minus(victims.get(i).job().resources());
-            if (urgent.resources().fitsIn(without)) {
-                needed.remove(victims.get(i));
+            if (needed.fitsIn(without)) {
+                chosen.remove(victims.get(i));
                 room = without;
             }
         }
-        return needed;
+        return chosen;
     }
 
     private static double lostWork(List<Candidate> victims) {
--- a/policy/src/main/java/org/cornelcove/policy/place/RunningJobs.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/RunningJobs.java
@@ -13,6 +13,7 @@
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
+import org.cornelcove.model.resource.Resources;
 import org.cornelcove.policy.learn.PlacementHistory;
 
 /** The jobs that hold resources, kept in step with the hosts, the quotas and the history. Not thread-safe. */
@@ -22,6 +23,8 @@
     private final PlacementHistory history;
     private final Map<JobId, RunningJob> running = new HashMap<>();
     private final Set<JobId> throttled = new HashSet<>();
+    /** Those that were told to make room. */
+    private final Set<JobId> leaving = new HashSet<>();
 
     RunningJobs(HostTable hosts, TeamQuotas quotas, PlacementHistory history) {
         this.hosts = hosts;
@@ -41,6 +44,7 @@
         if (was == null) {
             return Optional.empty();
         }
+        leaving.remove(job);
         if (throttled.remove(job)) {
             hosts.setThrottled(was.host, was.spec, false);
         }
@@ -50,6 +54,35 @@
         return Optional.of(was);
     }
 
+    /** Notes on a host that was put into the table anew what runs there. */
+    void takeAgain(HostId host, long nowMs) {
+        for (RunningJob was : running.values()) {
+            if (was.host.equals(host)) {
+                hosts.take(host, was.spec);
+                if (throttled.contains(was.spec.id())) {
+                    hosts.setThrottled(host, was.spec, true);
+                }
+            }
+        }
+        history.note(host, hosts.batchRates(host), nowMs);
+    }
+
+    void leave(JobId job) {
+        if (running.containsKey(job)) {
+            leaving.add(job);
+        }
+    }
+
+    /** Returns what is given back on the host by those that were told to make room. */
+    Resources leavingOn(HostId host) {
+        Resources amount = Resources.NONE;
+        for (JobId job : leaving) {
+            RunningJob was = running.get(job);
+            amount = was.host.equals(host) ? amount.plus(was.spec.resources()) : amount;
+        }
+        return amount;
+    }
+
     void checkpointed(JobId job, long nowMs) {
         running.computeIfPresent(job, (id, was) -> new RunningJob(was.spec, was.host, nowMs));
     }
@@ -73,11 +106,13 @@
         return was == null ? 0 : hosts.disturbance(was.host, was.spec.task());
     }
 
-    /** Returns the batch work that is not urgent, on hosts that pass. */
-    List<Preemption.Candidate> evictable(Predicate<HostId> mayGive, long nowMs) {
+    /** Returns the batch work that is not urgent and may leave, on hosts that pass. */
+    List<Preemption.Candidate> evictable(Predicate<HostId> mayGive, Predicate<JobId> mayLeave, long nowMs) {
         List<Preemption.Candidate> candidates = new ArrayList<>();
         for (RunningJob was : running.values()) {
-            if (was.spec.kind() == JobKind.BATCH && !was.spec.urgent() && mayGive.test(was.host)) {
+            boolean ordinary = was.spec.kind() == JobKind.BATCH && !was.spec.urgent();
+            boolean stays = leaving.contains(was.spec.id()) || !mayLeave.test(was.spec.id());
+            if (ordinary && !stays && mayGive.test(was.host)) {
                 candidates.add(new Preemption.Candidate(was.spec, was.host, nowMs - was.savedMs));
             }
         }
--- a/policy/src/main/java/org/cornelcove/policy/place/TeamQuotas.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/TeamQuotas.java
@@ -19,10 +19,10 @@
         rules = newRules;
     }
 
-    /** Tells whether the team may hold this much more; a team without a rule has no quota. */
+    /** Tells whether the team may hold this much more. Where no team has a rule, there are no quotas. */
     boolean allows(String team, Resources more) {
         TeamRule rule = rules.get(team);
-        return rule == null || heldBy(team).plus(more).fitsIn(rule.quota());
+        return rules.isEmpty() || rule != null && heldBy(team).plus(more).fitsIn(rule.quota());
     }
 
     void take(String team, Resources amount) {
