Batch work gives way by the measured policy

Change: each heartbeat's measurements go to GiveWay; its orders throttle, evict and bring back single attempts, evictions draw on the one budget of the cluster, and a host that gives way takes no ordinary batch work. UsageThrottle, its interface, HostRoom and Policies are deleted; ControlLeader takes no policies any more. GiveWay now leaves hosts alone whose services use nothing: the leader never throttled batch work that keeps nobody waiting, and must not begin to.

New cases in OrdersTest: return after three calm seconds, eviction after ten seconds throttled in vain, memory, batch work alone.

Left: a new leader does not know what its predecessor throttled, so such work runs at full rate until its worker's next measurement; no message carries a service's slowdown, so Placer.measured is not fed.

--- a/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.cornelcove.control.leader.ControlLeader;
-import org.cornelcove.control.leader.Policies;
 import org.cornelcove.control.state.ControlState;
 import org.cornelcove.model.command.Command;
 import org.cornelcove.model.command.Outcome;
@@ -59,8 +58,8 @@
 
     private Fleet(FleetSize size) {
         this.size = size;
-        this.leader = ControlLeader.create(
-                state, () -> nowMs, this::commit, () -> CompletableFuture.completedFuture(index), Policies.standard());
+        this.leader =
+                ControlLeader.create(state, () -> nowMs, this::commit, () -> CompletableFuture.completedFuture(index));
         for (int i = 0; i < size.workers(); i++) {
             reports.add(new ArrayList<>());
         }
--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -93,16 +93,12 @@
     private CompletableFuture<Void> entryRound = CompletableFuture.completedFuture(null);
 
     private ControlLeader(
-            ControlState state,
-            LongSupplier clock,
-            Proposer proposer,
-            Supplier<CompletableFuture<Long>> barrier,
-            Policies policies) {
+            ControlState state, LongSupplier clock, Proposer proposer, Supplier<CompletableFuture<Long>> barrier) {
         this.state = state;
         this.clock = clock;
         this.barrier = barrier;
         this.proposals = new Proposals(proposer);
-        this.workers = new WorkerBoard(policies.throttle());
+        this.workers = new WorkerBoard();
         this.placement = new PlacementLoop(workers, counters);
         this.queries = new Queries(entries, workers, placement);
         this.explainer = new JobExplainer(workers, placement);
@@ -115,16 +111,11 @@
      * @param clock a monotonic clock in milliseconds
      * @param proposer has commands committed
      * @param barrier waits until everything answered before the call is applied here; fails where this host doesn't lead
-     * @param policies the decisions
      * @return the leader's part
      */
     public static ControlLeader create(
-            ControlState state,
-            LongSupplier clock,
-            Proposer proposer,
-            Supplier<CompletableFuture<Long>> barrier,
-            Policies policies) {
-        return new ControlLeader(state, clock, proposer, barrier, policies);
+            ControlState state, LongSupplier clock, Proposer proposer, Supplier<CompletableFuture<Long>> barrier) {
+        return new ControlLeader(state, clock, proposer, barrier);
     }
 
     /**
@@ -253,8 +244,7 @@
     private CompletableFuture<Void> recordReports(long mine, WorkerHeartbeat heartbeat) {
         List<Command> commands = underLock(
                 mine,
-                (tables, nowMs) ->
-                        isCurrent(heartbeat, tables) ? workers.hear(heartbeat, tables, nowMs) : List.<Command>of());
+                (tables, nowMs) -> isCurrent(heartbeat, tables) ? hear(heartbeat, tables, nowMs) : List.<Command>of());
         List<CompletableFuture<?>> recorded = new ArrayList<>();
         for (Command command : commands) {
             recorded.add(proposals.propose(command));
@@ -263,6 +253,12 @@
                 .exceptionally(fault -> null);
     }
 
+    private List<Command> hear(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
+        List<Command> commands = workers.hear(heartbeat, tables, nowMs);
+        placement.measured(heartbeat, tables, nowMs);
+        return commands;
+    }
+
     private WorkerOrders orders(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
         counters.add(LeaderCounters.Counter.WORKER_ORDERS);
         return isCurrent(heartbeat, tables) ? workers.orders(heartbeat, tables, nowMs) : WorkerBoard.stopAll(heartbeat);
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -11,16 +11,25 @@
 import org.cornelcove.model.command.RejectJob;
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
+import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobState;
+import org.cornelcove.model.message.AttemptAction;
+import org.cornelcove.model.message.AttemptReport;
+import org.cornelcove.model.message.WorkerHeartbeat;
+import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.policy.evict.BatchAttempt;
 import org.cornelcove.policy.evict.EvictionBudget;
+import org.cornelcove.policy.evict.GiveWay;
+import org.cornelcove.policy.evict.GiveWayOrder;
+import org.cornelcove.policy.evict.HostLoad;
 import org.cornelcove.policy.pace.StartPace;
 import org.cornelcove.policy.place.PlacementDecision;
 import org.cornelcove.policy.place.Placer;
 
 /**
  * Runs the placement policy for the leader: keeps it up to date, turns its decisions into commands, and has attempts make
- * room.
+ * room, give way and come back.
  *
  * <p>A new leader starts with an empty policy that is filled from the durable state. Where more waits than the first
  * second of the pace would start, and when more attempts than that come back within a second, starts are paced until the
@@ -35,6 +44,7 @@
     private Placer placer;
     private PlacerFeed feed;
     private EvictionBudget evictions;
+    private GiveWay giveWay;
     private RuleSet rules;
     private long windowEndMs;
     private int cameBack;
@@ -48,8 +58,9 @@
     private void clear(RuleSet newRules, long nowMs) {
         rules = newRules;
         placer = Placer.of(newRules);
-        feed = new PlacerFeed(placer);
         evictions = EvictionBudget.ofNewLeader(newRules.batch().evictionsPerMinute(), nowMs);
+        giveWay = GiveWay.of(evictions);
+        feed = new PlacerFeed(placer, giveWay::forget);
         windowEndMs = nowMs + BACKLOG_WINDOW_MS;
         cameBack = 0;
     }
@@ -77,6 +88,57 @@
         return commands;
     }
 
+    /** Has batch work give way on a worker or come back, by what the worker measured. */
+    void measured(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
+        HostLoad load = load(heartbeat, tables, nowMs);
+        for (GiveWayOrder order : giveWay.decide(load, nowMs)) {
+            JobId job = order.attempt().job();
+            if (order.action() == AttemptAction.EVICT) {
+                placer.leaves(job);
+                evict(job, tables);
+            } else {
+                boolean isThrottled = order.action() == AttemptAction.THROTTLE;
+                workers.setThrottled(order.attempt(), isThrottled);
+                placer.setThrottled(job, isThrottled, nowMs);
+            }
+        }
+        placer.setOpenForBatch(heartbeat.host(), giveWay.isOpenForBatch(heartbeat.host()));
+    }
+
+    private HostLoad load(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
+        Resources services = Resources.NONE;
+        List<BatchAttempt> batch = new ArrayList<>();
+        long oldestMs = 0;
+        for (AttemptReport report : heartbeat.attempts()) {
+            Job job =
+                    WorkerBoard.held(report.attempt(), heartbeat.host(), tables).orElse(null);
+            if (job == null || report.end().isPresent()) {
+                continue;
+            }
+            oldestMs = Math.max(oldestMs, report.measuredAgeMs());
+            if (job.spec().kind() == JobKind.SERVICE) {
+                services = services.plus(Resources.of(report.usedCpuMillicores(), report.usedMemoryBytes(), 0));
+            } else if (job.state() == JobState.PLACED && !workers.isEvicting(report.attempt())) {
+                batch.add(batchAttempt(report, job, nowMs));
+            }
+        }
+        return new HostLoad(heartbeat.host(), heartbeat.capacity(), services, nowMs - oldestMs, batch);
+    }
+
+    private BatchAttempt batchAttempt(AttemptReport report, Job job, long nowMs) {
+        long savedMs =
+                workers.attempt(report.attempt()).map(RunningAttempt::savedMs).orElse(nowMs);
+        return new BatchAttempt(
+                report.attempt(),
+                report.usedCpuMillicores(),
+                report.usedMemoryBytes(),
+                job.spec().resources().memoryBytes(),
+                nowMs - savedMs,
+                job.spec().urgent(),
+                workers.isThrottled(report.attempt()),
+                placer.disturbance(job.id()));
+    }
+
     private void update(Tables tables, long nowMs) {
         RuleSet newest = tables.configuration().newest().rules();
         if (newest != rules) {
--- a/control/src/main/java/org/cornelcove/control/leader/PlacerFeed.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacerFeed.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import org.cornelcove.control.state.Job;
@@ -75,14 +76,18 @@
     }
 
     private final Placer placer;
+    /** Told of each worker that is gone. */
+    private final Consumer<HostId> gone;
+
     private final Map<JobId, Told> told = new HashMap<>();
     private final Map<HostId, WorkerRecord> workers = new HashMap<>();
     private final Set<JobId> answered = new LinkedHashSet<>();
     private long lastChange;
     private int cameBack;
 
-    PlacerFeed(Placer placer) {
+    PlacerFeed(Placer placer, Consumer<HostId> gone) {
         this.placer = placer;
+        this.gone = gone;
     }
 
     /** Brings the placement up to date. */
@@ -100,19 +105,20 @@
     }
 
     private void updateHosts(Tables tables, Predicate<WorkerRecord> takesWork, long nowMs) {
-        Set<HostId> gone = new HashSet<>(workers.keySet());
+        Set<HostId> missing = new HashSet<>(workers.keySet());
         for (WorkerRecord worker : tables.workers().all()) {
             HostId host = worker.host();
-            gone.remove(host);
+            missing.remove(host);
             WorkerRecord before = workers.put(host, worker);
             if (!worker.equals(before)) {
                 placer.changeHost(host, worker.availabilityZone(), worker.rack(), worker.capacity(), nowMs);
             }
             placer.setTakesWork(host, takesWork.test(worker));
         }
-        gone.forEach(host -> {
+        missing.forEach(host -> {
             workers.remove(host);
             placer.removeHost(host);
+            gone.accept(host);
         });
     }
 
--- a/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
@@ -20,7 +20,6 @@
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.AttemptEnd;
-import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobState;
 import org.cornelcove.model.message.AttemptAction;
 import org.cornelcove.model.message.AttemptOrder;
@@ -48,14 +47,9 @@
     private final Map<HostId, LiveWorker> workers = new TreeMap<>();
     private final Map<AttemptId, RunningAttempt> attempts = new HashMap<>();
     private final Set<AttemptId> evicting = new HashSet<>();
-    private final Set<HostId> throttled = new HashSet<>();
-    private final ThrottlePolicy throttle;
+    private final Set<AttemptId> throttled = new HashSet<>();
     private long gainedMs;
 
-    WorkerBoard(ThrottlePolicy throttle) {
-        this.throttle = throttle;
-    }
-
     void reset(long nowMs) {
         workers.clear();
         attempts.clear();
@@ -77,25 +71,11 @@
             held(report.attempt(), heartbeat.host(), tables).ifPresent(job -> record(report, job, nowMs, commands));
         }
         loseForgotten(heartbeat, reported, tables, nowMs, commands);
-        measure(heartbeat, tables);
         return commands;
     }
 
-    private void measure(WorkerHeartbeat heartbeat, Tables tables) {
-        long usedCpuMillicores = heartbeat.attempts().stream()
-                .filter(report -> report.end().isEmpty())
-                .mapToLong(AttemptReport::usedCpuMillicores)
-                .sum();
-        HostId host = heartbeat.host();
-        HostRoom room = HostRoom.of(tables.workers().find(host).orElseThrow(), tables);
-        if (throttle.throttles(room, usedCpuMillicores, throttled.contains(host))) {
-            throttled.add(host);
-        } else {
-            throttled.remove(host);
-        }
-    }
-
-    private static Optional<Job> held(AttemptId attempt, HostId host, Tables tables) {
+    /** Returns the job of an attempt that holds resources on the host. */
+    static Optional<Job> held(AttemptId attempt, HostId host, Tables tables) {
         return tables.jobs()
                 .find(attempt.job())
                 .filter(job -> job.holds(attempt) && job.host().equals(Optional.of(host)));
@@ -176,8 +156,7 @@
         if (heartbeat.leaving() || evicting.contains(job.attemptId())) {
             return AttemptAction.EVICT;
         }
-        boolean reduced = job.spec().kind() == JobKind.BATCH && throttled.contains(heartbeat.host());
-        return reduced ? AttemptAction.THROTTLE : AttemptAction.RUN;
+        return throttled.contains(job.attemptId()) ? AttemptAction.THROTTLE : AttemptAction.RUN;
     }
 
     /** Returns orders that stop everything, for a start that was superseded. */
@@ -206,6 +185,7 @@
         }
         attempts.keySet().retainAll(holding);
         evicting.retainAll(holding);
+        throttled.retainAll(holding);
         removeWorkers(tables, nowMs, commands);
         return commands;
     }
@@ -243,6 +223,19 @@
         evicting.add(id);
     }
 
+    /** Has an attempt run at a reduced rate, or at full rate again. */
+    void setThrottled(AttemptId id, boolean isThrottled) {
+        if (isThrottled) {
+            throttled.add(id);
+        } else {
+            throttled.remove(id);
+        }
+    }
+
+    boolean isThrottled(AttemptId id) {
+        return throttled.contains(id);
+    }
+
     boolean isEvicting(AttemptId id) {
         return evicting.contains(id);
     }
--- a/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
@@ -40,11 +40,7 @@
     private static final class Cluster {
         private final ControlState state = ControlState.create();
         private final ControlLeader leader = ControlLeader.create(
-                state,
-                () -> this.nowMs,
-                this::commit,
-                () -> CompletableFuture.completedFuture(0L),
-                Policies.standard());
+                state, () -> this.nowMs, this::commit, () -> CompletableFuture.completedFuture(0L));
         private long nowMs = 1_000;
         private long index;
         private WorkerOrders last;
@@ -105,6 +101,10 @@
         return report(job, attempt, usedCpuMillicores, Optional.empty(), Optional.empty());
     }
 
+    private static AttemptReport usesMemory(String job, long bytes) {
+        return new AttemptReport(AttemptId.of(JobId.of(job), 1), 0, bytes, 0, Optional.empty(), Optional.empty(), "");
+    }
+
     private static AttemptReport ended(String job, int attempt, AttemptEnd end, String checkpoint) {
         return report(job, attempt, 0, Optional.of(checkpoint), Optional.of(end));
     }
@@ -170,6 +170,50 @@
                                 pass(50),
                                 beat(runs("b", 1, 1_000), runs("s", 1, 950)),
                                 beat(runs("b", 1, 700), runs("s", 1, 950)))),
+                given(
+                        "batch work alone runs on at full rate",
+                        "RUN b#1, RUN c#1",
+                        List.of(
+                                beat(),
+                                batch,
+                                submit("c", JobKind.BATCH),
+                                pass(50),
+                                beat(runs("b", 1, 1_000), runs("c", 1, 990)))),
+                given(
+                        "throttled work comes back once the worker was calm for three seconds",
+                        "RUN b#1, RUN s#1",
+                        List.of(
+                                beat(),
+                                batch,
+                                submit("s", JobKind.SERVICE),
+                                pass(50),
+                                beat(runs("b", 1, 1_000), runs("s", 1, 950)),
+                                pass(1_000),
+                                beat(runs("b", 1, 250), runs("s", 1, 300)),
+                                pass(3_000),
+                                beat(runs("b", 1, 250), runs("s", 1, 300)))),
+                given(
+                        "what was throttled in vain for ten seconds is evicted",
+                        "EVICT b#1, RUN s#1",
+                        List.of(
+                                beat(),
+                                batch,
+                                submit("s", JobKind.SERVICE),
+                                pass(50),
+                                beat(runs("b", 1, 500), runs("s", 1, 1_800)),
+                                pass(5_000),
+                                beat(runs("b", 1, 200), runs("s", 1, 1_800)),
+                                pass(5_000),
+                                beat(runs("b", 1, 200), runs("s", 1, 1_800)))),
+                given(
+                        "a worker short of memory evicts what is above its size",
+                        "EVICT b#1, RUN c#1",
+                        List.of(
+                                beat(),
+                                batch,
+                                submit("c", JobKind.BATCH),
+                                pass(50),
+                                beat(usesMemory("b", 95), usesMemory("c", 1)))),
                 given(
                         "a worker that shrank evicts",
                         "EVICT b#1, RUN c#1",
--- a/control/src/test/java/org/cornelcove/control/leader/PlacementLoopTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/PlacementLoopTest.java
@@ -51,7 +51,7 @@
     private static final BatchRule NO_RESERVE = new BatchRule(0, 60, 4, 10);
 
     private final ControlState state = ControlState.create();
-    private final WorkerBoard workers = new WorkerBoard(UsageThrottle.INSTANCE);
+    private final WorkerBoard workers = new WorkerBoard();
     private final PlacementLoop loop = new PlacementLoop(workers, new LeaderCounters());
     private long index;
     private long nowMs;
--- a/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
@@ -47,11 +47,7 @@
     private final AtomicLong nowMs = new AtomicLong(1_000);
     private final AtomicBoolean done = new AtomicBoolean();
     private final ControlLeader leader = ControlLeader.create(
-            state,
-            nowMs::get,
-            this::commit,
-            () -> CompletableFuture.supplyAsync(() -> 0L, applier),
-            Policies.standard());
+            state, nowMs::get, this::commit, () -> CompletableFuture.supplyAsync(() -> 0L, applier));
     private long index;
 
     private CompletableFuture<Outcome> commit(Command command) {
--- a/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -9,7 +9,6 @@
 import java.util.logging.Logger;
 
 import org.cornelcove.control.leader.ControlLeader;
-import org.cornelcove.control.leader.Policies;
 import org.cornelcove.control.state.Claim;
 import org.cornelcove.control.state.ControlState;
 import org.cornelcove.model.command.CancelJob;
@@ -61,11 +60,7 @@
         for (int i = 0; i < SIZE; i++) {
             Node node = new Node();
             node.leader = ControlLeader.create(
-                    node.state,
-                    this::leaderClockMs,
-                    command -> propose(node, command),
-                    () -> barrier(node),
-                    Policies.standard());
+                    node.state, this::leaderClockMs, command -> propose(node, command), () -> barrier(node));
             nodes.add(node);
             time.every(50, node.leader::tick);
         }
--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -10,7 +10,6 @@
 import java.util.function.Function;
 
 import org.cornelcove.control.leader.ControlLeader;
-import org.cornelcove.control.leader.Policies;
 import org.cornelcove.control.state.ControlState;
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
@@ -37,8 +36,7 @@
     private static final long TICK_MS = 50;
 
     private final ControlState state = ControlState.create();
-    private final ControlLeader leader =
-            ControlLeader.create(state, ControlHost::nowMs, this::propose, this::barrier, Policies.standard());
+    private final ControlLeader leader = ControlLeader.create(state, ControlHost::nowMs, this::propose, this::barrier);
     private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "control-tick");
         thread.setDaemon(true);
--- a/policy/src/main/java/org/cornelcove/policy/evict/HostLoad.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/HostLoad.java
@@ -16,8 +16,14 @@
  */
 public record HostLoad(
         HostId host, Resources capacity, Resources services, long measuredAtMs, List<BatchAttempt> batch) {
-    /** Returns the used share of the processors, services and batch work together. */
+    /**
+     * Returns the used share of the processors, services and batch work together; 0 where services use none, since batch
+     * work alone keeps nobody waiting.
+     */
     public double pressure() {
+        if (services.cpuMillicores() == 0) {
+            return 0;
+        }
         long batchMillicores =
                 batch.stream().mapToLong(BatchAttempt::usedCpuMillicores).sum();
         return (double) (services.cpuMillicores() + batchMillicores) / Math.max(1, capacity.cpuMillicores());
--- a/policy/src/test/java/org/cornelcove/policy/evict/GiveWayTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/evict/GiveWayTest.java
@@ -51,6 +51,8 @@
     static Stream<Arguments> firstOrders() {
         return Stream.of(
                 arguments("calm", load(3000, 0, attempt("a", 2000, 0, false)), List.of()),
+                arguments(
+                        "batch work alone keeps nobody waiting", load(0, 0, attempt("a", 10_000, 0, false)), List.of()),
                 arguments(
                         "the smallest that is enough",
                         load(7000, 0, attempt("a", 2000, 0, false), attempt("b", 1500, 0, false)),
