--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -9,6 +9,7 @@
 import org.cornelcove.bench.policy.ColocationBenchmark;
 import org.cornelcove.bench.policy.CrestBenchmark;
 import org.cornelcove.bench.policy.HeadOfLineBenchmark;
+import org.cornelcove.bench.policy.LeaderPlacementBenchmark;
 import org.cornelcove.bench.policy.PlacementBenchmark;
 import org.cornelcove.bench.policy.RetriesBenchmark;
 import org.cornelcove.bench.policy.SwingBenchmark;
@@ -24,6 +25,7 @@
             new HeadOfLineBenchmark(),
             new RetriesBenchmark(),
             new PlacementBenchmark(),
+            new LeaderPlacementBenchmark(),
             new BlackHoleBenchmark(),
             new ColocationBenchmark(),
             new CommitBenchmark(),
--- a/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
@@ -290,6 +290,8 @@
             for (int i = 0; i < 100; i++) {
                 teams.put("team" + i, new TeamRule("team" + i, Resources.of(2_000_000, 4000 * JobStream.GIB, 40), 1));
             }
+            Resources unbounded = Resources.of(1_000_000_000, Long.MAX_VALUE / 4, 0);
+            teams.put("services", new TeamRule("services", unbounded, 1));
             return new RuleSet(new TreeMap<>(), new TreeMap<>(), teams, BatchRule.DEFAULT);
         }
     }
