--- a/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
@@ -32,8 +32,8 @@
             new TargetAnnouncement(TargetId.of("t"), "booking", "127.0.0.1:1", "z", 8, 60, 3, false);
 
     private final ControlState state = ControlState.create();
-    private final ControlLeader leader = ControlLeader.create(
-            state, () -> this.nowMs, this::commit, () -> CompletableFuture.completedFuture(0L), Policies.standard());
+    private final ControlLeader leader =
+            ControlLeader.create(state, () -> this.nowMs, this::commit, () -> CompletableFuture.completedFuture(0L));
     private long nowMs = 1_000;
     private long index;
     private long number;
