--- a/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import org.cornelcove.control.leader.Leases;
 import org.cornelcove.control.view.ControlStatus;
@@ -15,6 +16,9 @@
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
 import org.cornelcove.daemon.call.LeaderRouter;
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
 import org.cornelcove.model.job.JobState;
 import org.cornelcove.model.view.ClusterStatus;
 import org.cornelcove.model.view.EntryView;
@@ -36,18 +40,34 @@
 
     static CompletableFuture<ClusterStatus> read(LeaderRouter router) {
         CompletableFuture<ControlStatus> control = router.read(Calls.STATUS, Empty.INSTANCE, TIMEOUT_MS);
-        CompletableFuture<ReplicaStatus> group = router.read(Calls.LEADER_GROUP, Empty.INSTANCE, TIMEOUT_MS);
+        CompletableFuture<ReplicaStatus> group = group(router, ClusterReport::isOlder);
         return control.thenCombine(group, ClusterReport::compose);
     }
 
-    /** Asks the leader, and where none answers any control host, which knows the members but not how they fare. */
     static CompletableFuture<List<MemberView>> members(LeaderRouter router) {
+        return group(router, any -> true).thenApply(ClusterReport::members);
+    }
+
+    /** Asks the leader, or else any control host, which knows the members but not how they fare. */
+    private static CompletableFuture<ReplicaStatus> group(LeaderRouter router, Predicate<Throwable> askAny) {
         return router.read(Calls.LEADER_GROUP, Empty.INSTANCE, TIMEOUT_MS)
-                .handle((group, thrown) -> thrown == null
-                        ? CompletableFuture.completedFuture(group)
-                        : router.read(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS))
-                .thenCompose(next -> next)
-                .thenApply(ClusterReport::members);
+                .handle((group, thrown) -> {
+                    if (thrown == null) {
+                        return CompletableFuture.completedFuture(group);
+                    }
+                    return askAny.test(thrown)
+                            ? router.read(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS)
+                            : CompletableFuture.<ReplicaStatus>failedFuture(FailureException.causeOf(thrown));
+                })
+                .thenCompose(next -> next);
+    }
+
+    /** Tells whether the asked control host is of a version that can't tell how the members fare. */
+    private static boolean isOlder(Throwable thrown) {
+        return FailureException.carriedBy(thrown)
+                .map(Failure::kind)
+                .filter(kind -> kind == ErrorKind.METHOD_UNKNOWN)
+                .isPresent();
     }
 
     static ClusterStatus compose(ControlStatus control, ReplicaStatus group) {
--- a/daemon/src/test/java/org/cornelcove/daemon/api/ClusterReportTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/api/ClusterReportTest.java
@@ -1,13 +1,18 @@
 package org.cornelcove.daemon.api;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.cornelcove.control.leader.Leases;
 import org.cornelcove.control.view.ControlStatus;
 import org.cornelcove.control.view.JobCounts;
 import org.cornelcove.control.view.TargetStatus;
+import org.cornelcove.daemon.call.Calls;
+import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.model.id.TargetId;
+import org.cornelcove.model.view.ClusterStatus;
 import org.cornelcove.model.view.MemberState;
 import org.cornelcove.model.view.MemberView;
 import org.cornelcove.model.view.TargetState;
@@ -15,6 +20,9 @@
 import org.cornelcove.replication.Member;
 import org.cornelcove.replication.MemberProgress;
 import org.cornelcove.replication.ReplicaStatus;
+import org.cornelcove.wire.CallClient;
+import org.cornelcove.wire.CallHandlers;
+import org.cornelcove.wire.CallServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -69,6 +77,24 @@
         assertThat(shown, is(List.of(new TargetView(TargetId.of("t"), "booking", "surat", Optional.empty(), state))));
     }
 
+    @Test
+    void duringAnUpgradeAnOlderControlHostStillGivesAStatus() {
+        ReplicaStatus older = new ReplicaStatus(LEADER, Optional.of(LEADER), true, 3, 9, 9, 0, members(true), null);
+        ControlStatus control =
+                new ControlStatus(9, 1, List.of(), List.of(), List.of(), new JobCounts(0, 0, 0, 0, 0), 0);
+        CallHandlers handlers = CallHandlers.create()
+                .answer(Calls.STATUS, any -> CompletableFuture.completedFuture(control))
+                .answer(Calls.GROUP, any -> CompletableFuture.completedFuture(older));
+        try (CallServer server = CallServer.open(new InetSocketAddress("127.0.0.1", 0), handlers);
+                CallClient client = CallClient.create()) {
+            String address = "127.0.0.1:" + server.address().getPort();
+            ClusterStatus status = ClusterReport.read(LeaderRouter.create(client, () -> List.of(address)))
+                    .join();
+            assertThat(status.leader(), is(Optional.of(LEADER)));
+            assertThat(status.members().get(1).state(), is(MemberState.UNKNOWN));
+        }
+    }
+
     private static ReplicaStatus group(long self, boolean otherVotes, List<MemberProgress> progress) {
         return new ReplicaStatus(self, Optional.of(self), true, 3, 9, 9, 0, members(otherVotes), progress);
     }
