--- a/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/ClusterFaultTest.java
@@ -77,7 +77,7 @@
     }
 
     /** The checkers are red on daemons that are really broken. */
-    @ParameterizedTest
+    @ParameterizedTest(name = "{0}, {1}")
     @MethodSource("mutants")
     void checkerIsRedOnABrokenDaemon(
             EntryMutant mutant,
