--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -71,7 +72,7 @@
     private final Map<JobId, HostId> held = new HashMap<>();
 
     /** Jobs that go first and found no host in the last round. */
-    private final List<PendingJob> withoutRoom = new ArrayList<>();
+    private final Map<JobId, PendingJob> withoutRoom = new LinkedHashMap<>();
 
     private RuleSet rules;
     private long nextRank;
@@ -207,6 +208,7 @@
      */
     public void forget(JobId job, long nowMs) {
         pending.remove(job);
+        withoutRoom.remove(job);
         unhold(job);
         running.free(job, nowMs).ifPresent(r -> trials.ended(r.spec().task()));
         health.forget(job);
@@ -321,12 +323,12 @@
      */
     public List<PlacementDecision> decide(long nowMs, int most) {
         List<PlacementDecision> decisions = new ArrayList<>();
+        withoutRoom.clear();
         if (pending.isEmpty()) {
             pace.backlogGone();
             return decisions;
         }
         refreshLimits(nowMs);
-        withoutRoom.clear();
         Round round = new Round(nowMs, most, decisions);
         round.run(true);
         round.run(false);
@@ -368,7 +370,7 @@
         giveUpRoom(nowMs);
         List<JobId> victims = new ArrayList<>();
         int searches = 0;
-        for (PendingJob job : withoutRoom) {
+        for (PendingJob job : withoutRoom.values()) {
             if (searches == MAX_SEARCHES || !budget.hasOne(nowMs)) {
                 break;
             }
@@ -617,7 +619,7 @@
 
         private void noteWithoutRoom(PendingJob waiting) {
             if (PendingJobs.goesFirst(waiting.spec())) {
-                withoutRoom.add(waiting);
+                withoutRoom.put(waiting.spec().id(), waiting);
             }
         }
     }
--- a/policy/src/test/java/org/cornelcove/policy/place/PlacerTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/place/PlacerTest.java
@@ -191,6 +191,17 @@
         assertThat(started(placer, 2), contains(JobId.of("s")));
     }
 
+    @Test
+    void noRoomIsMadeForAJobThatWasCancelled() {
+        Placer placer = placer(1);
+        placer.restore(batch("b", 28_000), host(0), 0);
+        placer.submit(job("u", JobKind.BATCH, "cut", Resources.of(8000, 1, 0), true), 0);
+        assertThat(started(placer, 0), is(empty()));
+        placer.forget(JobId.of("u"), 1);
+        assertThat(started(placer, 1), is(empty()));
+        assertThat(placer.makeRoom(EvictionBudget.of(60), 1), is(empty()));
+    }
+
     @Test
     void jobThatFitsNoHostGetsItsFinalAnswer() {
         Placer placer = placer(3);
