--- a/control/src/main/java/org/cornelcove/control/state/JobIndex.java
+++ b/control/src/main/java/org/cornelcove/control/state/JobIndex.java
@@ -14,8 +14,8 @@
 import org.cornelcove.model.job.JobKind;
 
 /**
- * All jobs with the figures derived from them: what each host and each team holds, which have ended.
- * Every change goes through {@link #put} or {@link #remove}, which take the old job's share out of each figure and add
+ * All jobs with the figures derived from them: what each host and each team holds, which have ended, which changed last.
+ * Every change goes through {@link #put} or {@link #keepEnded}, which take the old job's share out of each figure and add
  * the new one's, so that the figures can't drift from the jobs.
  */
 final class JobIndex {
--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -46,14 +46,10 @@
  */
 public final class Placer {
     private static final String ANY_TASK = "";
-    /** Searches for room in one call, since each looks at all that runs. */
-    private static final int MAX_SEARCHES = 4;
 
     private static final int LOOK_AHEAD = 16;
     private static final long HOLD_AFTER_MS = 120_000;
     private static final int HOSTS_TO_A_HELD_ONE = 50;
-    /** How long a host is kept free on which room is made. */
-    private static final long KEEP_ROOM_MS = 10_000;
 
     private final InterferenceModel interference = InterferenceModel.create();
     private final PlacementHistory history = PlacementHistory.create();
@@ -65,9 +61,7 @@
     private final TeamQuotas quotas;
     private final RunningJobs running;
     private final WorkerHealth health;
-    /** Hosts on which work is evicted for a job that goes first, kept free for it meanwhile. */
-    private final Map<JobId, Kept> roomFor = new HashMap<>();
-
+    private final RoomMaker roomMaker;
     /** Hosts kept free of other batch work for jobs that waited long. */
     private final Map<JobId, HostId> held = new HashMap<>();
 
@@ -85,6 +79,7 @@
         this.quotas = new TeamQuotas(rules.teams());
         this.running = new RunningJobs(hosts, quotas, history);
         this.health = WorkerHealth.of(rules.batch().quarantinePercent());
+        this.roomMaker = new RoomMaker(hosts, running, health, this::avoid);
     }
 
     /**
@@ -359,7 +354,7 @@
     /**
      * Chooses what to evict so that urgent jobs and services find room that fitted nowhere in the last round of decisions:
      * on the host where least work is lost. That host is kept for the job until it starts there, at most for
-     * {@code KEEP_ROOM_MS}.
+     * ten seconds.
      *
      * @param mayLeave the jobs that may be evicted
      * @param budget the cluster's budget
@@ -367,58 +362,7 @@
      * @return the jobs to checkpoint and evict; each is named once
      */
     public List<JobId> makeRoom(Predicate<JobId> mayLeave, EvictionBudget budget, long nowMs) {
-        giveUpRoom(nowMs);
-        List<JobId> victims = new ArrayList<>();
-        int searches = 0;
-        for (PendingJob job : withoutRoom.values()) {
-            if (searches == MAX_SEARCHES || !budget.hasOne(nowMs)) {
-                break;
-            }
-            if (!roomFor.containsKey(job.spec().id())) {
-                searches++;
-                victims.addAll(makeRoomFor(job, mayLeave, budget, nowMs));
-            }
-        }
-        return victims;
-    }
-
-    private void giveUpRoom(long nowMs) {
-        List<JobId> over = new ArrayList<>();
-        roomFor.forEach((job, kept) -> {
-            if (kept.untilMs <= nowMs) {
-                over.add(job);
-            }
-        });
-        over.forEach(job -> hosts.unhold(roomFor.remove(job).host));
-    }
-
-    private List<JobId> makeRoomFor(PendingJob waiting, Predicate<JobId> mayLeave, EvictionBudget budget, long nowMs) {
-        JobSpec job = waiting.spec();
-        Set<HostId> avoid = avoid(waiting);
-        Predicate<HostId> mayGive = host -> hosts.mayGiveRoom(host)
-                && !avoid.contains(host)
-                && health.maxAttempts(host, nowMs) == WorkerHealth.UNLIMITED;
-        List<Preemption.Candidate> chosen =
-                Preemption.choose(job, running.evictable(mayGive, mayLeave, nowMs), host -> expectedRoom(host, job));
-        List<JobId> victims = new ArrayList<>();
-        for (Preemption.Candidate victim : chosen) {
-            if (!budget.tryTake(nowMs)) {
-                break;
-            }
-            leave(victim.job().id(), victims);
-            roomFor.put(job.id(), new Kept(victim.host(), nowMs + KEEP_ROOM_MS));
-            hosts.keepFor(victim.host(), job.id());
-        }
-        return victims;
-    }
-
-    private Resources expectedRoom(HostId host, JobSpec job) {
-        return hosts.roomFor(host, job).plus(running.leavingOn(host));
-    }
-
-    private void leave(JobId job, List<JobId> victims) {
-        running.leave(job);
-        victims.add(job);
+        return roomMaker.makeRoom(withoutRoom.values(), mayLeave, budget, nowMs);
     }
 
     /**
@@ -439,14 +383,7 @@
      * @return the jobs to checkpoint and evict; each is named once
      */
     public List<JobId> relieve(Predicate<JobId> mayLeave, long nowMs) {
-        List<JobId> victims = new ArrayList<>();
-        for (HostId host : hosts.overfull()) {
-            List<Preemption.Candidate> here = running.evictable(host::equals, mayLeave, nowMs);
-            Resources expected = hosts.free(host).plus(running.leavingOn(host));
-            Preemption.onHost(Resources.NONE, here, expected)
-                    .forEach(victim -> leave(victim.job().id(), victims));
-        }
-        return victims;
+        return roomMaker.relieve(mayLeave, nowMs);
     }
 
     private Set<HostId> avoid(PendingJob waiting) {
@@ -508,7 +445,7 @@
     }
 
     private void unhold(JobId job) {
-        Optional.ofNullable(roomFor.remove(job)).ifPresent(kept -> hosts.unhold(kept.host));
+        roomMaker.forget(job);
         Optional.ofNullable(held.remove(job)).ifPresent(hosts::unhold);
     }
 
@@ -518,9 +455,6 @@
         trials.started(job.task());
     }
 
-    /** A host that is kept free for a job. */
-    private record Kept(HostId host, long untilMs) {}
-
     private record TeamTurn(String team, double dominantShare) implements Comparable<TeamTurn> {
         @Override
         public int compareTo(TeamTurn other) {
