The leader learns of interference from what workers measure

Cause: Placer.measured was never called, since no message carried a service's slowdown.

Change: AttemptReport carries slowdownPercent, 0 when not measured. The leader credits it, net of a lack of processors, to the placement in force when it was measured, each measurement once. AttemptReport.of is for reports without one.

Tests: slowdownIsCreditedToWhatRanWhenItWasMeasured; sameMeasurementIsLearnedOnce, red with the rule taken out ("Expected: is <[b#1 h]> but: was <[]>"). Ran: model, wire, policy, control with fault matrix and mutants: green.

Left: the testkit's worker does not measure a slowdown, so no process scenario covers it; JSON size of a heartbeat grows by some 20 bytes for each attempt.

--- a/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
@@ -112,7 +112,7 @@
                 throw new IllegalStateException(refused.failure().message());
             }
             reports.get(worker)
-                    .add(new AttemptReport(attempt, 700, 2L << 30, 900, Optional.empty(), Optional.empty(), ""));
+                    .add(AttemptReport.of(attempt, 700, 2L << 30, 900, Optional.empty(), Optional.empty(), ""));
         }
     }
 
--- a/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
@@ -256,7 +256,7 @@
 
         private AttemptReport report(AttemptId id, Running attempt) {
             Resources amount = attempt.job.resources();
-            return new AttemptReport(
+            return AttemptReport.of(
                     id,
                     Math.round(amount.cpuMillicores() * USED_SHARE),
                     Math.round(amount.memoryBytes() * USED_SHARE),
--- a/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/PlacementLoop.java
@@ -1,7 +1,9 @@
 package org.cornelcove.control.leader;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.cornelcove.control.state.Job;
@@ -38,9 +40,15 @@
 final class PlacementLoop {
     private static final int MOST_DECISIONS = 32;
     private static final long BACKLOG_WINDOW_MS = 1_000;
+    private static final double PERCENT = 100;
+    /** Measurements as close as this are the same one, told in two heartbeats. */
+    private static final long SAME_MEASUREMENT_MS = 100;
 
     private final WorkerBoard workers;
     private final LeaderCounters counters;
+    /** When the last measurement was taken of which was learned, for each worker. */
+    private final Map<HostId, Long> learnedMs = new HashMap<>();
+
     private Placer placer;
     private PlacerFeed feed;
     private EvictionBudget evictions;
@@ -60,11 +68,17 @@
         placer = Placer.of(newRules);
         evictions = EvictionBudget.ofNewLeader(newRules.batch().evictionsPerMinute(), nowMs);
         giveWay = GiveWay.of(evictions);
-        feed = new PlacerFeed(placer, giveWay::forget);
+        feed = new PlacerFeed(placer, this::forget);
+        learnedMs.clear();
         windowEndMs = nowMs + BACKLOG_WINDOW_MS;
         cameBack = 0;
     }
 
+    private void forget(HostId host) {
+        giveWay.forget(host);
+        learnedMs.remove(host);
+    }
+
     /** Begins anew for a new leader. */
     void reset(Tables tables, long nowMs) {
         clear(tables.configuration().newest().rules(), nowMs);
@@ -91,6 +105,7 @@
     /** Has batch work give way on a worker or come back, by what the worker measured. */
     void measured(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
         HostLoad load = load(heartbeat, tables, nowMs);
+        learn(heartbeat, load, tables, nowMs);
         for (GiveWayOrder order : giveWay.decide(load, nowMs)) {
             JobId job = order.attempt().job();
             if (order.action() == AttemptAction.EVICT) {
@@ -105,6 +120,29 @@
         placer.setOpenForBatch(heartbeat.host(), giveWay.isOpenForBatch(heartbeat.host()));
     }
 
+    /** Learns from what services were slowed down, net of a lack of processors, at the placement of that instant. */
+    private void learn(WorkerHeartbeat heartbeat, HostLoad load, Tables tables, long nowMs) {
+        if (load.measuredAtMs() - learnedMs.getOrDefault(load.host(), -SAME_MEASUREMENT_MS) < SAME_MEASUREMENT_MS) {
+            return;
+        }
+        learnedMs.put(load.host(), load.measuredAtMs());
+        double busyShare = (double) load.services().cpuMillicores()
+                / Math.max(1, load.capacity().cpuMillicores());
+        for (AttemptReport report : heartbeat.attempts()) {
+            if (report.slowdownPercent() > 0 && report.end().isEmpty()) {
+                double slowdown = report.slowdownPercent() / PERCENT / Math.max(1, load.pressure());
+                WorkerBoard.held(report.attempt(), heartbeat.host(), tables)
+                        .filter(job -> job.spec().kind() == JobKind.SERVICE)
+                        .ifPresent(job -> placer.measured(
+                                heartbeat.host(),
+                                job.spec().task(),
+                                busyShare,
+                                slowdown,
+                                nowMs - report.measuredAgeMs()));
+            }
+        }
+    }
+
     private HostLoad load(WorkerHeartbeat heartbeat, Tables tables, long nowMs) {
         Resources services = Resources.NONE;
         List<BatchAttempt> batch = new ArrayList<>();
--- a/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
@@ -102,7 +102,7 @@
     }
 
     private static AttemptReport usesMemory(String job, long bytes) {
-        return new AttemptReport(AttemptId.of(JobId.of(job), 1), 0, bytes, 0, Optional.empty(), Optional.empty(), "");
+        return AttemptReport.of(AttemptId.of(JobId.of(job), 1), 0, bytes, 0, Optional.empty(), Optional.empty(), "");
     }
 
     private static AttemptReport ended(String job, int attempt, AttemptEnd end, String checkpoint) {
@@ -111,7 +111,7 @@
 
     private static AttemptReport report(
             String job, int attempt, long used, Optional<String> checkpoint, Optional<AttemptEnd> end) {
-        return new AttemptReport(AttemptId.of(JobId.of(job), attempt), used, 0, 0, checkpoint, end, "");
+        return AttemptReport.of(AttemptId.of(JobId.of(job), attempt), used, 0, 0, checkpoint, end, "");
     }
 
     private static Arguments given(String name, String expected, List<Consumer<Cluster>> actions) {
--- a/control/src/test/java/org/cornelcove/control/leader/PlacementLoopTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/PlacementLoopTest.java
@@ -94,7 +94,7 @@
     }
 
     private static AttemptReport runs(String job) {
-        return new AttemptReport(AttemptId.of(JobId.of(job), 1), 0, 0, 0, Optional.empty(), Optional.empty(), "");
+        return AttemptReport.of(AttemptId.of(JobId.of(job), 1), 0, 0, 0, Optional.empty(), Optional.empty(), "");
     }
 
     private List<Command> due() {
@@ -348,6 +348,62 @@
         assertThat("one a minute", evicting("a", "b"), hasSize(1));
     }
 
+    /** Measured 3 s late: what ran then is learned of, not what runs now; a kind that harms is not placed there again. */
+    @ParameterizedTest
+    @CsvSource({"100, 1", "200, 0", "0, 1"})
+    void slowdownIsCreditedToWhatRanWhenItWasMeasured(int slowdownPercent, int placed) {
+        rules(NO_RESERVE);
+        gain();
+        worker("h", 8_000);
+        submit("s", "blue", JobKind.SERVICE, false);
+        batch("a");
+        round();
+        AttemptId service = AttemptId.of(JobId.of("s"), 1);
+        for (int i = 0; i < 20; i++) {
+            nowMs += 3_000;
+            if (i == 19) {
+                end("a", 1, AttemptEnd.FINISHED);
+                round();
+            }
+            measured(
+                    "h",
+                    new AttemptReport(service, 900, 0, slowdownPercent, 3_000, Optional.empty(), Optional.empty(), ""));
+        }
+        Resources amount = Resources.of(1_000, 1, 0);
+        apply(new SubmitJob(new JobSpec(JobId.of("b"), "blue", JobKind.BATCH, "task-a", amount, 1, false, "")));
+        apply(new SubmitJob(new JobSpec(JobId.of("c"), "blue", JobKind.BATCH, "task-c", amount, 1, false, "")));
+        assertThat(round(), hasSize(1 + placed));
+    }
+
+    /** A measurement of seven seconds ago told again and again is one. */
+    @Test
+    void sameMeasurementIsLearnedOnce() {
+        rules(NO_RESERVE);
+        gain();
+        worker("h", 8_000);
+        submit("s", "blue", JobKind.SERVICE, false);
+        batch("a");
+        round();
+        AttemptId service = AttemptId.of(JobId.of("s"), 1);
+        for (int ageMs = 0; ageMs < 7_000; ageMs += 350) {
+            measured("h", new AttemptReport(service, 900, 0, 200, ageMs, Optional.empty(), Optional.empty(), ""));
+            nowMs += 350;
+        }
+        Resources amount = Resources.of(1_000, 1, 0);
+        apply(new SubmitJob(new JobSpec(JobId.of("b"), "blue", JobKind.BATCH, "task-a", amount, 1, false, "")));
+        assertThat(round(), is(List.of("b#1 h")));
+    }
+
+    private void measured(String host, AttemptReport... reports) {
+        worker(host, 8_000, reports);
+        WorkerHeartbeat heartbeat = new WorkerHeartbeat(
+                HostId.of(host), 1, "z-" + host, "r", Resources.of(8_000, 100, 0), false, List.of(reports));
+        state.read(tables -> {
+            loop.measured(heartbeat, tables, nowMs);
+            return null;
+        });
+    }
+
     private List<String> evicting(String... jobs) {
         return Stream.of(jobs)
                 .filter(job -> workers.isEvicting(AttemptId.of(JobId.of(job), 1)))
--- a/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
@@ -60,7 +60,7 @@
         Map<AttemptId, Optional<AttemptEnd>> attempts = new HashMap<>();
         while (!done.get()) {
             List<AttemptReport> reports = new ArrayList<>();
-            attempts.forEach((id, end) -> reports.add(new AttemptReport(id, 0, 0, 0, Optional.empty(), end, "")));
+            attempts.forEach((id, end) -> reports.add(AttemptReport.of(id, 0, 0, 0, Optional.empty(), end, "")));
             WorkerHeartbeat heartbeat =
                     new WorkerHeartbeat(host, 1, "z", "r", Resources.of(8_000, 100, 0), false, reports);
             attempts.replaceAll((id, end) -> Optional.of(AttemptEnd.FINISHED));
--- a/control/src/test/java/org/cornelcove/control/sim/FakeWorker.java
+++ b/control/src/test/java/org/cornelcove/control/sim/FakeWorker.java
@@ -73,7 +73,7 @@
         }
         List<AttemptReport> reports = new ArrayList<>();
         for (Task task : tasks.values()) {
-            reports.add(new AttemptReport(
+            reports.add(AttemptReport.of(
                     task.id,
                     0,
                     0,
--- a/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
+++ b/testkit/src/main/java/org/cornelcove/testkit/WorkerAgent.java
@@ -183,7 +183,7 @@
         }
 
         AttemptReport report() {
-            return new AttemptReport(
+            return AttemptReport.of(
                     attempt,
                     spec.resources().cpuMillicores(),
                     spec.resources().memoryBytes(),
