A host that is full of memory as placed evicts nothing

Cause: GiveWay evicts above 0.95 of the memory, while placement fills a host with declared sizes up to all of it. Work that used just what it declared would be evicted, placed there again and evicted again, as long as the budget lasts.

Test first: "full of memory as it was placed" printed "Expected: is <[]> but: was <[a EVICT]>". Beside it a case where services took more than they declared, which still evicts.

Change: a host evicts for memory only when an attempt is above its declared size, or services leave less than batch work was placed with.

--- a/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/GiveWay.java
@@ -14,12 +14,14 @@
 /**
  * How batch work gives way to services on a loaded host, and comes back.
  *
- * <p>Above {@code HIGH} the largest attempts are throttled until the expected use is below the mark: that takes effect at
- * once and loses no work. An attempt that is known to disturb a service at its load now is throttled whatever the use. Only
- * when the host stays above it with all attempts throttled for {@code EVICT_AFTER_MS} is one
- * attempt evicted, the one with least work since its checkpoint for the processor time that it frees. A
- * host short of memory evicts at once, first what exceeds its declared size. Evictions draw on one budget for the cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return, paced over the cluster, and
- * only as long as the host is expected to stay below {@code HIGH}.
+ * <p>Above {@code HIGH} the largest attempts are throttled until the expected use is below the mark: that takes effect
+ * at once and loses no work. An attempt that is known to disturb a service at its load now is throttled whatever the
+ * use. Only when the host stays above it with all attempts throttled for {@code EVICT_AFTER_MS} is one attempt
+ * evicted, the one with least work since its checkpoint for the processor time that it frees. A host short of memory
+ * evicts at once, first what exceeds its declared size; one that is full because all use what they were placed with is
+ * left alone, else its work would be evicted and placed there again for ever. Evictions draw on one budget for the
+ * cluster. Below {@code LOW} for {@code CALM_MS} throttled attempts return, paced over the cluster, and only as long
+ * as the host is expected to stay below {@code HIGH}.
  *
  * <p>Measurements are late. One taken before the last order to a host took effect is not acted upon, so that the same
  * load is not answered twice. The gap between the marks keeps a load that swings around one of them from throttling and
@@ -111,9 +113,12 @@
         if (load.memoryPressure() <= HIGH) {
             return Optional.empty();
         }
-        state.open = false;
         List<BatchAttempt> above =
                 load.batch().stream().filter(BatchAttempt::exceedsMemory).toList();
+        if (above.isEmpty() && !load.isShortOfPlacedMemory()) {
+            return Optional.empty();
+        }
+        state.open = false;
         Optional<BatchAttempt> victim = victim(above).or(() -> victim(load.batch()));
         if (victim.isEmpty() || !evictions.tryTake(nowMs)) {
             return Optional.empty();
--- a/policy/src/main/java/org/cornelcove/policy/evict/HostLoad.java
+++ b/policy/src/main/java/org/cornelcove/policy/evict/HostLoad.java
@@ -29,6 +29,13 @@
         return (double) (services.cpuMillicores() + batchMillicores) / Math.max(1, capacity.cpuMillicores());
     }
 
+    /** Tells whether services leave less memory than batch work was placed with, so that they took more than they declared. */
+    public boolean isShortOfPlacedMemory() {
+        long declaredBytes =
+                batch.stream().mapToLong(BatchAttempt::declaredMemoryBytes).sum();
+        return services.memoryBytes() + declaredBytes > capacity.memoryBytes();
+    }
+
     /** Returns the used share of the memory, services and batch work together. */
     public double memoryPressure() {
         long batchBytes =
--- a/policy/src/test/java/org/cornelcove/policy/evict/GiveWayTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/evict/GiveWayTest.java
@@ -68,7 +68,15 @@
                 arguments(
                         "short of memory: the one above its size",
                         load(1000, 0, memory("a", 100, 0), memory("b", 950, 5000)),
-                        List.of("b EVICT")));
+                        List.of("b EVICT")),
+                arguments(
+                        "full of memory as it was placed",
+                        new HostLoad(HOST, CAPACITY, Resources.of(10, 900, 0), 0, List.of(memory("a", 100, 0))),
+                        List.of()),
+                arguments(
+                        "short of memory by its services",
+                        new HostLoad(HOST, CAPACITY, Resources.of(10, 910, 0), 0, List.of(memory("a", 90, 0))),
+                        List.of("a EVICT")));
     }
 
     @ParameterizedTest(name = "{0}")
