--- a/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
+++ b/entry/src/main/java/org/cornelcove/entry/OwnedTarget.java
@@ -23,7 +23,7 @@
     private final InetSocketAddress address;
     private final SingleEndpointPool<SocketAddress> connections;
     private final TargetSlots slots;
-    /** Guarded by the lock of the {@link ServiceLine}. */
+    /** Targets are ejected under the exclusive lock of the {@link ServiceLine} only. */
     private final TargetHealth health = TargetHealth.create();
 
     private volatile Standing standing;
@@ -129,6 +129,11 @@
         return mayOpen(nowNs, silenceNs) ? health.usableSlots(Math.max(0, slots.limit()), nowNs / NANOS_PER_MS) : 0;
     }
 
+    /** Takes a slot if one may be used now. */
+    boolean tryTake(long nowNs, long silenceNs) {
+        return slots.tryTake(usableSlots(nowNs, silenceNs));
+    }
+
     int freeSlots(long nowNs, long silenceNs) {
         return Math.max(0, usableSlots(nowNs, silenceNs) - slots.active());
     }
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.StampedLock;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.cornelcove.model.request.RequestClass;
 import org.cornelcove.model.rule.ServiceRule;
@@ -24,13 +27,25 @@
 import org.cornelcove.policy.route.LeastLoaded;
 import org.cornelcove.policy.route.SendOutcome;
 import org.cornelcove.policy.route.Sent;
+import org.cornelcove.policy.route.TargetHealth;
 
 /**
- * The requests of one service at this entry: the policy's queue and the slots of the owned targets under one lock.
+ * The requests of one service at this entry: the policy's queue and the slots of the owned targets under one lock with
+ * two modes.
+ *
+ * <p>In the <em>shared</em> mode short requests start and end while nothing waits, any number at once: the slot is taken
+ * by compare-and-set, and what the queue keeps of them commutes; see {@link RequestQueue}. All else is decided in the
+ * <em>exclusive</em> mode, by one thread alone: whatever has to wait, be displaced, refused or ejected, and long work.
+ * Example: while 24 quotes run on 32 slots, quotes come and go in the shared mode; a search, which is long, starts in
+ * the exclusive one, and if it has to wait, quotes start in the exclusive one too until it has started.
+ *
+ * <p>What must hold, follows from the modes excluding each other. Nothing waits while a request starts in the shared mode,
+ * so that it overtakes nobody; whoever starts to wait does so after all slots taken or given back there, and looks for a
+ * free one himself, so that no wake-up is lost; long work is counted against bounds that hold still meanwhile.
  *
  * <p>A start takes a target's slot and a place among the queue's running requests in one step, an ending gives both
  * back in one step. So the queue's count of running requests is at any moment the sum of the active slots, those of
- * targets that left included. Nothing is sent, answered or logged under the lock.
+ * targets that left included, seen from the exclusive mode. Nothing is sent, answered or logged under the lock.
  *
  * <p>What may start now is what runs plus what is free at open targets: runs at a target that was closed take no slot
  * away from the others. What an arriving request is measured against are the slots of the open targets; while there are
@@ -54,9 +69,11 @@
     /** The queue's clock counts from here. */
     private final long originNs;
 
+    private final StampedLock lock = new StampedLock();
+    private final AtomicInteger turn = new AtomicInteger();
+
     private volatile boolean working;
     private volatile boolean givesBack;
-    private int turn;
 
     /**
      * A request that holds a target's slot.
@@ -147,20 +164,41 @@
             return Optional.empty();
         }
         Arrival<Run> arrival = arrival(run, nowNs);
-        synchronized (queue) {
-            Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
-            if (target.isEmpty()) {
-                return Optional.empty();
-            }
-            queue.setRule(run.request().service());
-            // The slot taken above is no longer free, and not yet the queue's.
-            int slots = queue.busy() + 1 + free(owned, nowNs);
-            Optional<Waiting<Run>> place = queue.startNow(arrival, slots, micros(nowNs));
-            if (place.isEmpty()) {
-                target.get().slots().release();
-            }
-            return place.map(one -> new Start(one, target.get()));
+        Optional<Start> start = working ? Optional.empty() : startShared(arrival, owned, nowNs);
+        return start.isPresent() ? start : exclusively(() -> startAlone(arrival, owned, nowNs));
+    }
+
+    private Optional<Start> startShared(Arrival<Run> arrival, List<OwnedTarget> owned, long nowNs) {
+        Run run = arrival.payload();
+        long nowUs = micros(nowNs);
+        long stamp = lock.readLock();
+        try {
+            Optional<Waiting<Run>> place =
+                    queue.admitShared(arrival, run.request().service(), nowUs);
+            Optional<OwnedTarget> target = place.flatMap(admitted -> take(owned, run.lastFailed(), nowNs));
+            return target.map(taken -> {
+                queue.startShared(place.get(), nowUs);
+                return new Start(place.get(), taken);
+            });
+        } finally {
+            lock.unlockRead(stamp);
+        }
+    }
+
+    private Optional<Start> startAlone(Arrival<Run> arrival, List<OwnedTarget> owned, long nowNs) {
+        Run run = arrival.payload();
+        Optional<OwnedTarget> target = take(owned, run.lastFailed(), nowNs);
+        if (target.isEmpty()) {
+            return Optional.empty();
+        }
+        queue.setRule(run.request().service());
+        // The slot taken above is no longer free, and not yet the queue's.
+        int slots = queue.busy() + 1 + free(owned, nowNs);
+        Optional<Waiting<Run>> place = queue.startNow(arrival, slots, micros(nowNs));
+        if (place.isEmpty()) {
+            target.get().slots().release();
         }
+        return place.map(one -> new Start(one, target.get()));
     }
 
     /**
@@ -169,14 +207,14 @@
      */
     Offered offer(Run run, List<OwnedTarget> owned, long nowNs) {
         Arrival<Run> arrival = arrival(run, nowNs);
-        synchronized (queue) {
+        return exclusively(() -> {
             queue.setRule(run.request().service());
             int slots = Math.max(1, usable(owned, nowNs));
             Offer<Run> offer = queue.offer(arrival, slots, micros(nowNs));
             offer.request().ifPresent(run::queuedAt);
             Optional<Start> next = pollNext(owned, nowNs);
             return new Offered(offer.verdict(), next);
-        }
+        });
     }
 
     /**
@@ -187,9 +225,7 @@
         if (!anySlotFree(owned)) {
             return Optional.empty();
         }
-        synchronized (queue) {
-            return pollNext(owned, nowNs);
-        }
+        return exclusively(() -> pollNext(owned, nowNs));
     }
 
     private Optional<Start> pollNext(List<OwnedTarget> owned, long nowNs) {
@@ -212,7 +248,11 @@
         if (end.ran()) {
             runTimes.record(service, run.kind(), sent.tookUs());
         }
-        synchronized (queue) {
+        Optional<Boolean> unfit = end == End.RAN ? finishShared(start, owned, sent, nowNs) : Optional.empty();
+        if (unfit.isPresent()) {
+            return new Ended(unfit.get() && ejectIfUnfit(target, owned, nowNs), OVER);
+        }
+        return exclusively(() -> {
             CompletableFuture<Void> over = OVER;
             if (end.isOver()) {
                 target.slots().release();
@@ -222,7 +262,30 @@
             queue.finished(start.place(), micros(nowNs));
             long nowMs = nowNs / NANOS_PER_MS;
             return new Ended(HealthJudge.note(target.health(), owned, OwnedTarget::health, sent, nowMs), over);
+        });
+    }
+
+    /** Returns whether the target looks unfit; empty when the run has to be ended in the exclusive mode. */
+    private Optional<Boolean> finishShared(Start start, List<OwnedTarget> owned, Sent sent, long nowNs) {
+        if (working) {
+            return Optional.empty();
         }
+        TargetHealth health = start.target().health();
+        long stamp = lock.readLock();
+        try {
+            if (!queue.finishShared(start.place())) {
+                return Optional.empty();
+            }
+            start.target().slots().release();
+            return Optional.of(HealthJudge.noteAnswer(health, owned, OwnedTarget::health, sent, nowNs / NANOS_PER_MS));
+        } finally {
+            lock.unlockRead(stamp);
+        }
+    }
+
+    private boolean ejectIfUnfit(OwnedTarget target, List<OwnedTarget> owned, long nowNs) {
+        long nowMs = nowNs / NANOS_PER_MS;
+        return exclusively(() -> HealthJudge.ejectIfUnfit(target.health(), owned, OwnedTarget::health, nowMs));
     }
 
     private Sent sent(Run run, End end, long nowNs) {
@@ -245,12 +308,11 @@
 
     /** Takes a request out of the queue if it waits there. */
     void cancel(Run run) {
-        synchronized (queue) {
-            if (run.place() != null) {
-                queue.cancel(run.place());
-                noteWork();
-            }
-        }
+        exclusively(() -> {
+            boolean waited = run.place() != null && queue.cancel(run.place());
+            noteWork();
+            return waited;
+        });
     }
 
     /** Takes what can no longer be answered in time, or had to make room. */
@@ -273,14 +335,23 @@
     }
 
     private List<Run> takeBack(long nowUs) {
-        List<Waiting<Run>> taken;
-        synchronized (queue) {
-            taken = queue.takeExpired(nowUs);
+        List<Waiting<Run>> taken = exclusively(() -> {
+            List<Waiting<Run>> expired = queue.takeExpired(nowUs);
             noteWork();
-        }
+            return expired;
+        });
         return taken.stream().map(Waiting::payload).toList();
     }
 
+    private <R> R exclusively(Supplier<R> step) {
+        long stamp = lock.writeLock();
+        try {
+            return step.get();
+        } finally {
+            lock.unlockWrite(stamp);
+        }
+    }
+
     private void noteWork() {
         givesBack = queue.hasDisplaced();
         working = givesBack || queue.size() > 0;
@@ -306,10 +377,10 @@
 
     private Optional<OwnedTarget> take(List<OwnedTarget> owned, Optional<OwnedTarget> avoid, long nowNs) {
         List<OwnedTarget> free = withFreeSlot(owned, avoid, nowNs);
-        int from = turn++;
+        int from = turn.getAndIncrement();
         while (true) {
             Optional<OwnedTarget> target = LeastLoaded.choose(free, OwnedTarget::load, this::isNear, from);
-            if (target.isEmpty() || target.get().slots().tryTake()) {
+            if (target.isEmpty() || target.get().tryTake(nowNs, silenceNs)) {
                 return target;
             }
             free.remove(target.get());
--- a/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
+++ b/entry/src/main/java/org/cornelcove/entry/TargetSlots.java
@@ -31,11 +31,11 @@
         this.total = total;
     }
 
-    /** Takes a slot if one is free. */
-    boolean tryTake() {
+    /** Takes a slot if one is free and fewer than the given number are active. */
+    boolean tryTake(int usable) {
         while (true) {
             int taken = active.get();
-            if (taken >= limit()) {
+            if (taken >= Math.min(usable, limit())) {
                 return false;
             }
             if (active.compareAndSet(taken, taken + 1)) {
--- a/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
+++ b/policy/src/main/java/org/cornelcove/policy/queue/RequestQueue.java
@@ -1,10 +1,11 @@
 package org.cornelcove.policy.queue;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -33,7 +34,15 @@
  * moment, after which short ones wait for a whole long run whatever the order of the queue.
  *
  * <p>Use: {@code startNow} and else {@code offer} at arrival; whenever a target has a free slot {@code poll}; {@code finished} when a run ended;
- * {@code takeExpired} after each poll. Not thread-safe: the entry guards it by one lock or confines it.
+ * {@code takeExpired} after each poll.
+ *
+ * <p>Threads: one alone, but for {@link #admitShared}, {@link #startShared} and {@link #finishShared}, which several threads may call at once
+ * while none is in any other method; a lock with a shared and an exclusive mode does that. They serve the usual case,
+ * short work while nothing waits. There every start is allowed that has a slot, and neither starts nor endings ask for
+ * an order among themselves: whatever their order, the queue is the same afterwards. All that does ask for one (long
+ * work, a lane that isn't empty, a short run that has become long) they leave to the exclusive methods. One lock for
+ * all was the alternative. It lost in the benchmark {@code relay}: with more threads than cores its holder is often not
+ * running, and all others wait for it.
  *
  * @param <T> what the caller attaches to each request
  */
@@ -42,19 +51,22 @@
     private static final double WAIT_MARGIN = 1.6;
     private static final int MIN_LONG_PERCENT = 10;
     private static final int PERCENT = 100;
+    /** The place in the order of arrival of requests that never stand in it. */
+    private static final long NEVER_QUEUED = -1;
 
     private final Function<String, TenantRule> tenants;
     private final RunTimes runTimes;
     private final ReturnSpread returns;
     private final FairLane<T> shortLane;
     private final FairLane<T> longLane;
-    private final Deque<Waiting<T>> shortRunning = new ArrayDeque<>();
+    private final Set<Waiting<T>> shortRunning = ConcurrentHashMap.newKeySet();
     private final ShortDemand shortDemand = new ShortDemand();
     private final List<Waiting<T>> displaced = new ArrayList<>();
     private ServiceRule rule;
     private long sequence;
-    private int busyShort;
     private int busyLong;
+    /** No request that runs as short was started before this instant. */
+    private long oldestStartUs = Long.MAX_VALUE;
 
     private RequestQueue(ServiceRule rule, Function<String, TenantRule> tenants, RunTimes runTimes, long seed) {
         this.rule = rule;
@@ -154,6 +166,53 @@
         return Optional.of(request);
     }
 
+    /**
+     * Decides as {@link #startNow} would, by several threads at once, on short work while nothing waits: such a request
+     * may start if there is a slot. {@link #startShared} follows once a slot was taken, without the lock's mode changing
+     * in between.
+     *
+     * @param arrival the request
+     * @param newRule the service's rule as the request knows it
+     * @param nowUs the current instant
+     * @return the request, not started yet; empty when {@code startNow} has to decide
+     */
+    public Optional<Waiting<T>> admitShared(Arrival<T> arrival, ServiceRule newRule, long nowUs) {
+        if (size() > 0 || !newRule.equals(rule) || anyStraggler(nowUs) || !shortDemand.isShareable(nowUs)) {
+            return Optional.empty();
+        }
+        RunTimeEstimate estimate = runTimes.estimate(rule.name(), arrival.kind(), arrival.declaredRunUs());
+        return isLong(estimate) ? Optional.empty() : Optional.of(new Waiting<>(arrival, estimate, false, NEVER_QUEUED));
+    }
+
+    /**
+     * Notes that a request of {@link #admitShared} starts.
+     *
+     * @param request the request
+     * @param nowUs the instant given there
+     */
+    public void startShared(Waiting<T> request, long nowUs) {
+        request.start(nowUs);
+        shortRunning.add(request);
+        shortDemand.noteShared(request.expectedUs(), nowUs);
+    }
+
+    /**
+     * Does what {@link #finished} would, by several threads at once, for short work while nothing waits: without anybody
+     * in a lane there is nobody to be charged.
+     *
+     * @param request the request as taken by {@link #startShared}, {@link #startNow} or {@link #poll}
+     * @return whether it is noted; otherwise {@code finished} has to be called
+     */
+    public boolean finishShared(Waiting<T> request) {
+        if (size() > 0 || request.isLong()) {
+            return false;
+        }
+        if (shortRunning.remove(request)) {
+            request.end();
+        }
+        return true;
+    }
+
     /**
      * Takes the request that starts now. The caller has chosen a target with a free slot before.
      *
@@ -189,7 +248,6 @@
         if (request.isLong()) {
             busyLong--;
         } else {
-            busyShort--;
             shortRunning.remove(request);
         }
         FairLane<T> lane = request.wasQueuedLong() ? longLane : shortLane;
@@ -235,7 +293,11 @@
      * @return how many
      */
     public int busy() {
-        return busyShort + busyLong;
+        return busyShort() + busyLong;
+    }
+
+    private int busyShort() {
+        return shortRunning.size();
     }
 
     /**
@@ -274,18 +336,18 @@
     }
 
     private boolean isLong(RunTimeEstimate estimate) {
-        return estimate.p90Us() > rule.shortRunMs() * 1000;
+        return estimate.p90Us() > shortRunUs();
     }
 
     private int laneSlots(boolean isLong, int slots, long nowUs) {
         if (isLong) {
-            return Math.max(1, Math.min(longSlotsNow(slots, nowUs), slots - busyShort));
+            return Math.max(1, Math.min(longSlotsNow(slots, nowUs), slots - busyShort()));
         }
         return Math.max(1, slots - busyLong);
     }
 
     private long predictWaitUs(FairLane<T> lane, int laneSlots, Arrival<T> arrival, RunTimeEstimate estimate) {
-        int busy = lane == longLane ? busyLong : busyShort;
+        int busy = lane == longLane ? busyLong : busyShort();
         if (lane.size() == 0 && busy < laneSlots) {
             return 0;
         }
@@ -335,8 +397,8 @@
         if (request.isLong()) {
             busyLong++;
         } else {
-            busyShort++;
             shortRunning.add(request);
+            oldestStartUs = Math.min(oldestStartUs, nowUs);
         }
     }
 
@@ -348,15 +410,37 @@
         }
     }
 
-    /** Counts short requests that ran on as long. They run in the order of their start, so only the first are looked at. */
+    /** Tells whether a short request may have run on beyond the bound; none has while this says no. */
+    private boolean anyStraggler(long nowUs) {
+        return nowUs < oldestStartUs || nowUs - oldestStartUs > shortRunUs();
+    }
+
+    /** Counts short requests that ran on as long, in the order of their start. */
     private void reclassifyStragglers(long nowUs) {
-        long limitUs = rule.shortRunMs() * 1000;
-        while (!shortRunning.isEmpty() && nowUs - shortRunning.peek().startedUs() > limitUs) {
-            Waiting<T> straggler = shortRunning.poll();
-            straggler.becomeLong();
-            busyShort--;
-            busyLong++;
-            runTimes.record(rule.name(), straggler.kind(), nowUs - straggler.startedUs());
+        if (!anyStraggler(nowUs)) {
+            return;
+        }
+        oldestStartUs = nowUs;
+        List<Waiting<T>> stragglers = new ArrayList<>();
+        for (Waiting<T> request : shortRunning) {
+            if (nowUs - request.startedUs() > shortRunUs()) {
+                stragglers.add(request);
+            } else {
+                oldestStartUs = Math.min(oldestStartUs, request.startedUs());
+            }
         }
+        stragglers.sort(Comparator.comparingLong(Waiting::startedUs));
+        stragglers.forEach(request -> becomeLong(request, nowUs));
+    }
+
+    private void becomeLong(Waiting<T> straggler, long nowUs) {
+        straggler.becomeLong();
+        shortRunning.remove(straggler);
+        busyLong++;
+        runTimes.record(rule.name(), straggler.kind(), nowUs - straggler.startedUs());
+    }
+
+    private long shortRunUs() {
+        return rule.shortRunMs() * 1000;
     }
 }
--- a/policy/src/main/java/org/cornelcove/policy/route/HealthJudge.java
+++ b/policy/src/main/java/org/cornelcove/policy/route/HealthJudge.java
@@ -12,6 +12,9 @@
  * slower than the median of the others, each run measured against the median of its own kind of work. At most half of
  * the targets are ejected at once: beyond that the cause is likely common to all, and ejecting more would only move the
  * overload on. A target that fails on probation is ejected again.
+ *
+ * <p>That bound on how many are out holds only while one thread at a time ejects. Answers are by far the most outcomes
+ * and seldom eject, so {@link #noteAnswer} may be called by several threads; it leaves ejecting to another call.
  */
 public final class HealthJudge {
     private static final int FAILURES_IN_ROW = 3;
@@ -46,15 +49,65 @@
             default -> throw new IllegalArgumentException(sent.outcome().name());
         }
         boolean failedProbation = probation && sent.outcome() == SendOutcome.FAILED;
-        boolean ejects = (failedProbation || isUnfit(target, group, healthOf))
-                && !target.isEjected(nowMs)
-                && mayEject(target, group, healthOf, nowMs);
+        return eject(target, group, healthOf, failedProbation, nowMs);
+    }
+
+    /**
+     * Learns from an answer, by several threads at once.
+     *
+     * @param <T> the kind of the targets
+     * @param target the target
+     * @param group all targets of the service, itself included
+     * @param healthOf gives the health of one of them
+     * @param sent the answered send
+     * @param nowMs the current instant
+     * @return whether the target looks unfit; {@link #ejectIfUnfit} then decides, by one thread at a time
+     */
+    public static <T> boolean noteAnswer(
+            TargetHealth target, Collection<T> group, Function<T, TargetHealth> healthOf, Sent sent, long nowMs) {
+        target.answered(sent.tookUs(), sent.expectedUs(), nowMs);
+        return mustEject(target, group, healthOf, false, nowMs);
+    }
+
+    /**
+     * Ejects a target if it is unfit.
+     *
+     * @param <T> the kind of the targets
+     * @param target the target
+     * @param group all targets of the service, itself included
+     * @param healthOf gives the health of one of them
+     * @param nowMs the current instant
+     * @return whether the target was ejected by this
+     */
+    public static <T> boolean ejectIfUnfit(
+            TargetHealth target, Collection<T> group, Function<T, TargetHealth> healthOf, long nowMs) {
+        return eject(target, group, healthOf, false, nowMs);
+    }
+
+    private static <T> boolean eject(
+            TargetHealth target,
+            Collection<T> group,
+            Function<T, TargetHealth> healthOf,
+            boolean failedProbation,
+            long nowMs) {
+        boolean ejects = mustEject(target, group, healthOf, failedProbation, nowMs);
         if (ejects) {
             target.eject(nowMs);
         }
         return ejects;
     }
 
+    private static <T> boolean mustEject(
+            TargetHealth target,
+            Collection<T> group,
+            Function<T, TargetHealth> healthOf,
+            boolean failedProbation,
+            long nowMs) {
+        return (failedProbation || isUnfit(target, group, healthOf))
+                && !target.isEjected(nowMs)
+                && mayEject(target, group, healthOf, nowMs);
+    }
+
     /**
      * Judges a target that had not answered when the deadline passed. A short deadline is not its fault; it is when the
      * target had many times what work of the kind takes.
--- a/policy/src/main/java/org/cornelcove/policy/route/TargetHealth.java
+++ b/policy/src/main/java/org/cornelcove/policy/route/TargetHealth.java
@@ -1,10 +1,13 @@
 package org.cornelcove.policy.route;
 
+import java.util.concurrent.atomic.AtomicReference;
+
 /**
  * How well one target has answered lately, and the term of an ejection.
  *
  * <p>The term doubles with each ejection in a row; afterwards the target is on probation with one request at a time until
- * it has answered a few. {@link HealthJudge} decides who is ejected. Not thread-safe.
+ * it has answered a few. {@link HealthJudge} decides who is ejected. Thread-safe: all that is known is one immutable
+ * record, swapped in whole, so that a reader never sees half of an answer or of an ejection.
  */
 public final class TargetHealth {
     private static final double SMOOTHING = 0.1;
@@ -15,18 +18,66 @@
     private static final int MAX_DOUBLINGS = 4;
     private static final int PROBATION_ANSWERS = 5;
 
-    private int failuresInRow;
-    private double failureShare;
-    /** Run time over the median of the kind of work, smoothed; 0 before the first answer. */
-    private double slowdown;
+    private final AtomicReference<Record> record = new AtomicReference<>(Record.NEW);
+
+    /**
+     * What is known.
+     *
+     * @param outcomes answers and failures since the last ejection
+     * @param failuresInRow failures since the last answer
+     * @param failureShare share of failures, smoothed
+     * @param slowdown run time over the median of the kind of work, smoothed; 0 before the first answer
+     * @param ejected whether it was ejected and has not been trusted again since
+     * @param ejectedUntilMs when it is tried again
+     * @param ejections ejections in a row
+     * @param probationLeft answers still owed before it is trusted again; above 0 it gets one request at a time
+     */
+    private record Record(
+            long outcomes,
+            int failuresInRow,
+            double failureShare,
+            double slowdown,
+            boolean ejected,
+            long ejectedUntilMs,
+            int ejections,
+            int probationLeft) {
+        private static final Record NEW = new Record(0, 0, 0, 0, false, 0, 0, 0);
+
+        private boolean isEjected(long nowMs) {
+            return ejected && nowMs < ejectedUntilMs;
+        }
+
+        private Record answered(double latest, long nowMs) {
+            boolean onTrial = probationLeft > 0 && !isEjected(nowMs);
+            boolean trusted = onTrial && probationLeft == 1;
+            return new Record(
+                    outcomes + 1,
+                    0,
+                    failureShare + SMOOTHING * (0 - failureShare),
+                    slowdown == 0 ? latest : slowdown + SMOOTHING * (latest - slowdown),
+                    ejected && !trusted,
+                    ejectedUntilMs,
+                    trusted ? 0 : ejections,
+                    onTrial ? probationLeft - 1 : probationLeft);
+        }
 
-    private long outcomes;
+        private Record failed() {
+            return new Record(
+                    outcomes + 1,
+                    failuresInRow + 1,
+                    failureShare + SMOOTHING * (1 - failureShare),
+                    slowdown,
+                    ejected,
+                    ejectedUntilMs,
+                    ejections,
+                    probationLeft);
+        }
 
-    private boolean ejected;
-    private long ejectedUntilMs;
-    private int ejections;
-    /** Answers still owed before the target is trusted again; above 0 it gets one request at a time. */
-    private int probationLeft;
+        private Record eject(long nowMs) {
+            long untilMs = nowMs + (FIRST_EJECTION_MS << Math.min(ejections, MAX_DOUBLINGS));
+            return new Record(0, 0, 0, 0, true, untilMs, ejections + 1, PROBATION_ANSWERS);
+        }
+    }
 
     private TargetHealth() {}
 
@@ -47,10 +98,11 @@
      * @return how many
      */
     public int usableSlots(int slots, long nowMs) {
-        if (isEjected(nowMs)) {
+        Record now = record.get();
+        if (now.isEjected(nowMs)) {
             return 0;
         }
-        return probationLeft > 0 ? Math.min(1, slots) : slots;
+        return now.probationLeft > 0 ? Math.min(1, slots) : slots;
     }
 
     /**
@@ -60,59 +112,40 @@
      * @return whether it is ejected
      */
     public boolean isEjected(long nowMs) {
-        return ejected && nowMs < ejectedUntilMs;
+        return record.get().isEjected(nowMs);
     }
 
     boolean isOnProbation() {
-        return probationLeft > 0;
+        return record.get().probationLeft > 0;
     }
 
     int failuresInRow() {
-        return failuresInRow;
+        return record.get().failuresInRow;
     }
 
     double failureShare() {
-        return failureShare;
+        return record.get().failureShare;
     }
 
     double slowdown() {
-        return slowdown;
+        return record.get().slowdown;
     }
 
     long outcomes() {
-        return outcomes;
+        return record.get().outcomes;
     }
 
     void answered(long tookUs, long expectedUs, long nowMs) {
-        outcomes++;
-        failuresInRow = 0;
-        failureShare += SMOOTHING * (0 - failureShare);
         double latest = Math.min(MAX_SLOWDOWN, (double) tookUs / Math.max(1, expectedUs));
-        slowdown = slowdown == 0 ? latest : slowdown + SMOOTHING * (latest - slowdown);
-        if (probationLeft > 0 && !isEjected(nowMs)) {
-            probationLeft--;
-            if (probationLeft == 0) {
-                ejected = false;
-                ejections = 0;
-            }
-        }
+        record.updateAndGet(old -> old.answered(latest, nowMs));
     }
 
     void failed() {
-        outcomes++;
-        failuresInRow++;
-        failureShare += SMOOTHING * (1 - failureShare);
+        record.updateAndGet(Record::failed);
     }
 
     /** Ejects for a term that doubles with each ejection in a row; probation follows. */
     void eject(long nowMs) {
-        ejected = true;
-        ejectedUntilMs = nowMs + (FIRST_EJECTION_MS << Math.min(ejections, MAX_DOUBLINGS));
-        ejections++;
-        probationLeft = PROBATION_ANSWERS;
-        failuresInRow = 0;
-        failureShare = 0;
-        slowdown = 0;
-        outcomes = 0;
+        record.updateAndGet(old -> old.eject(nowMs));
     }
 }
