Health: the slowdown is averaged over a second at least

Change: the weight of an answer in the slowdown is bounded by the time since the one before. HealthJudgeTest failed before (2 of 11: a stall of 10 and of 100 ms at 8,000 answers a second ejected the target).

--- a/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/RelayBenchmark.java
@@ -51,7 +51,12 @@
             ClosedLoop.awaitReady(entry);
             ClosedLoop.run(bare.port(), CLIENTS, WARM_UP_MS, HEAD);
             ClosedLoop.run(entry.port(), CLIENTS, WARM_UP_MS, HEAD);
-            return compare(out, bare.port(), entry.port());
+            boolean holds = compare(out, bare.port(), entry.port());
+            out.printf(
+                    "targets ejected %d times, requests retried %d%n",
+                    entry.metrics().counter("targets.ejected").getCount(),
+                    entry.metrics().counter("requests.retried").getCount());
+            return holds;
         } finally {
             for (EchoTarget target : targets) {
                 target.close();
--- a/policy/src/main/java/org/cornelcove/policy/route/TargetHealth.java
+++ b/policy/src/main/java/org/cornelcove/policy/route/TargetHealth.java
@@ -6,7 +6,14 @@
  * How well one target has answered lately, and the term of an ejection.
  *
  * <p>The term doubles with each ejection in a row; afterwards the target is on probation with one request at a time until
- * it has answered a few. {@link HealthJudge} decides who is ejected. Thread-safe: all that is known is one immutable
+ * it has answered a few. {@link HealthJudge} decides who is ejected.
+ *
+ * <p>The slowdown is averaged over ten answers, but never over less than a second. Otherwise ten answers of a fast
+ * service are a millisecond, and a target that stood still for a moment, with eight requests in flight that all end late
+ * at once, looks slow. Example: at 8,000 answers a second and 8 times the usual run time a target is three times slower
+ * than the others after a third of a second.
+ *
+ * <p>Thread-safe: all that is known is one immutable
  * record, swapped in whole, so that a reader never sees half of an answer or of an ejection.
  */
 public final class TargetHealth {
@@ -14,6 +21,7 @@
     /** One straggler must not make a target look slow. */
     private static final double MAX_SLOWDOWN = 8;
 
+    private static final double SLOWDOWN_OVER_MS = 1_000;
     private static final long FIRST_EJECTION_MS = 5000;
     private static final int MAX_DOUBLINGS = 4;
     private static final int PROBATION_ANSWERS = 5;
@@ -26,7 +34,8 @@
      * @param outcomes answers and failures since the last ejection
      * @param failuresInRow failures since the last answer
      * @param failureShare share of failures, smoothed
-     * @param slowdown run time over the median of the kind of work, smoothed; 0 before the first answer
+     * @param slowdown run time over the median of the kind of work, smoothed; 1 before the first answer
+     * @param answeredMs when the last answer came
      * @param ejected whether it was ejected and has not been trusted again since
      * @param ejectedUntilMs when it is tried again
      * @param ejections ejections in a row
@@ -37,11 +46,12 @@
             int failuresInRow,
             double failureShare,
             double slowdown,
+            long answeredMs,
             boolean ejected,
             long ejectedUntilMs,
             int ejections,
             int probationLeft) {
-        private static final Record NEW = new Record(0, 0, 0, 0, false, 0, 0, 0);
+        private static final Record NEW = new Record(0, 0, 0, 1, Long.MIN_VALUE, false, 0, 0, 0);
 
         private boolean isEjected(long nowMs) {
             return ejected && nowMs < ejectedUntilMs;
@@ -54,19 +64,27 @@
                     outcomes + 1,
                     0,
                     failureShare + SMOOTHING * (0 - failureShare),
-                    slowdown == 0 ? latest : slowdown + SMOOTHING * (latest - slowdown),
+                    slowdown + weight(nowMs) * (latest - slowdown),
+                    Math.max(answeredMs, nowMs),
                     ejected && !trusted,
                     ejectedUntilMs,
                     trusted ? 0 : ejections,
                     onTrial ? probationLeft - 1 : probationLeft);
         }
 
+        /** The part of the averaging time that passed since the last answer, at most that of one answer in ten. */
+        private double weight(long nowMs) {
+            double sinceMs = Math.max(0.0, (double) nowMs - answeredMs);
+            return Math.min(SMOOTHING, sinceMs / SLOWDOWN_OVER_MS);
+        }
+
         private Record failed() {
             return new Record(
                     outcomes + 1,
                     failuresInRow + 1,
                     failureShare + SMOOTHING * (1 - failureShare),
                     slowdown,
+                    answeredMs,
                     ejected,
                     ejectedUntilMs,
                     ejections,
@@ -75,7 +93,7 @@
 
         private Record eject(long nowMs) {
             long untilMs = nowMs + (FIRST_EJECTION_MS << Math.min(ejections, MAX_DOUBLINGS));
-            return new Record(0, 0, 0, 0, true, untilMs, ejections + 1, PROBATION_ANSWERS);
+            return new Record(0, 0, 0, 1, answeredMs, true, untilMs, ejections + 1, PROBATION_ANSWERS);
         }
     }
 
--- a/policy/src/test/java/org/cornelcove/policy/route/HealthJudgeTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/route/HealthJudgeTest.java
@@ -1,5 +1,10 @@
 package org.cornelcove.policy.route;
 
+import java.util.List;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
 import org.cornelcove.policy.learn.RunTimeEstimate;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -8,10 +13,46 @@
 import static org.hamcrest.Matchers.is;
 
 class HealthJudgeTest {
+    private static final int TARGETS = 4;
+    private static final int EXPECTED_US = 500;
+
     @ParameterizedTest
     @CsvSource({"0, 1000000, ABANDONED", "8, 800, ABANDONED", "8, 801, FAILED"})
     void silenceIsTheTargetsFaultOnlyWhenItHadLongEnough(long samples, long tookUs, SendOutcome outcome) {
         RunTimeEstimate kind = new RunTimeEstimate(samples, 100, 100, 200, 300);
         assertThat(HealthJudge.silent(tookUs, kind), is(outcome));
     }
+
+    /** Each target answers as often as told; the first one's runs take so many times the usual from 1 s on. */
+    @ParameterizedTest
+    @CsvSource({
+        // answers a second, times as long, for ms, ejected
+        "8000, 20, 10, false",
+        "8000, 20, 100, false",
+        "8000, 1, 10000, false",
+        "8000, 20, 1000, true",
+        "8000, 4, 3000, true",
+        "100, 20, 20, false",
+        "100, 4, 3000, true",
+        "2, 4, 30000, true"
+    })
+    void ejectsTheSlowButNotTheOneThatStoodStillForAMoment(int perSecond, int times, int forMs, boolean ejected) {
+        List<TargetHealth> all =
+                Stream.generate(TargetHealth::create).limit(TARGETS).toList();
+        int answers = (1_000 + forMs) * perSecond / 1_000;
+        boolean seen = IntStream.range(0, answers)
+                .mapToObj(i -> answered(all, 1_000L * i / perSecond, times))
+                .reduce(false, Boolean::logicalOr);
+        assertThat(seen, is(ejected));
+    }
+
+    private static boolean answered(List<TargetHealth> all, long nowMs, int times) {
+        boolean ejected = false;
+        for (TargetHealth target : all) {
+            long tookUs = target == all.get(0) && nowMs >= 1_000 ? (long) times * EXPECTED_US : EXPECTED_US;
+            Sent sent = new Sent(SendOutcome.ANSWERED, tookUs, EXPECTED_US);
+            ejected |= HealthJudge.note(target, all, Function.identity(), sent, nowMs);
+        }
+        return ejected;
+    }
 }
