--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -184,6 +184,8 @@
             Optional<PeerEntry> peer = peers.peerFor(run.request().service().name(), now.peers(), !own);
             if (peer.isPresent() && run.start(nowNs())) {
                 forward(run, line, peer.get(), own);
+                // The attempt to start it held a slot for a moment, in which another one may have found none.
+                pump(line);
                 return;
             }
         }
--- a/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
+++ b/entry/src/main/java/org/cornelcove/entry/ServiceLine.java
@@ -343,6 +343,11 @@
         return taken.stream().map(Waiting::payload).toList();
     }
 
+    /** Looks at the queue while nothing starts, ends or comes to wait. */
+    <R> R look(Function<RequestQueue<Run>, R> at) {
+        return exclusively(() -> at.apply(queue));
+    }
+
     private <R> R exclusively(Supplier<R> step) {
         long stamp = lock.writeLock();
         try {
