--- a/policy/src/main/java/org/cornelcove/policy/learn/RunTimes.java
+++ b/policy/src/main/java/org/cornelcove/policy/learn/RunTimes.java
@@ -85,7 +85,9 @@
         private static final int SETTLED_SAMPLES = 64;
 
         private Histogram filling = new Histogram(2);
-        private Histogram before = new Histogram(2);
+        /** Both windows, so that an estimate is read without adding them up. */
+        private Histogram both = new Histogram(2);
+
         private volatile RunTimeEstimate estimate = RunTimeEstimate.declared(1);
         /** Set while a run is being recorded; guards the histograms. */
         private final AtomicBoolean recording = new AtomicBoolean();
@@ -100,26 +102,25 @@
 
         private void add(long runUs) {
             filling.recordValue(runUs);
+            both.recordValue(runUs);
             long count = filling.getTotalCount();
-            boolean first = before.getTotalCount() == 0;
+            boolean first = both.getTotalCount() == count;
             if (first && count <= REFRESH_SAMPLES || count % (first ? REFRESH_SAMPLES : SETTLED_SAMPLES) == 0) {
                 refresh();
             }
             if (count >= WINDOW_SAMPLES) {
-                before = filling;
-                filling = new Histogram(2);
+                both = filling.copy();
+                filling.reset();
             }
         }
 
         private void refresh() {
-            Histogram all = before.copy();
-            all.add(filling);
             estimate = new RunTimeEstimate(
-                    all.getTotalCount(),
-                    Math.round(all.getMean()),
-                    all.getValueAtPercentile(50),
-                    all.getValueAtPercentile(90),
-                    all.getValueAtPercentile(99));
+                    both.getTotalCount(),
+                    Math.round(both.getMean()),
+                    both.getValueAtPercentile(50),
+                    both.getValueAtPercentile(90),
+                    both.getValueAtPercentile(99));
         }
     }
 }
