--- a/entry/src/main/java/org/cornelcove/entry/TargetClient.java
+++ b/entry/src/main/java/org/cornelcove/entry/TargetClient.java
@@ -24,6 +24,7 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -155,22 +156,20 @@
 
     private HttpContent messageOf(TargetCall call) {
         ServiceRequest request = call.request();
-        HttpRequestPacket.Builder head = HttpRequestPacket.builder()
+        HttpRequestPacket.Builder line = HttpRequestPacket.builder()
                 .method(request.method())
                 .uri(request.uri())
                 .protocol(Protocol.HTTP_1_1);
-        for (Header header : request.headers()) {
-            head.header(header.name(), header.value());
-        }
-        for (Header header : call.dispatchHeaders()) {
-            head.header(header.name(), header.value());
-        }
         byte[] body = request.body();
         if (body.length > 0 || carriesBody(request.method())) {
-            head.contentLength(body.length);
+            line.contentLength(body.length);
         }
-        return head.build()
-                .httpContentBuilder()
+        HttpRequestPacket head = line.build();
+        // The builder would keep headers of its own and copy them.
+        MimeHeaders headers = head.getHeaders();
+        request.headers().forEach(one -> headers.addValue(one.name()).setString(one.value()));
+        call.dispatchHeaders().forEach(one -> headers.addValue(one.name()).setString(one.value()));
+        return head.httpContentBuilder()
                 .content(Buffers.wrap(memory, body))
                 .last(true)
                 .build();
