The test of a full queue waits until the target holds its eight

Cause: once, at load average 40, it failed with 5 instead of 8 most running: it let the target go when 28 of 40 were refused, while connections to the target were still being made. That 28 are refused shows that 8 were started. It waits for the eight at the target now; what it asserts is unchanged.

--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -233,6 +233,7 @@
                 all.add(rig.sendAsync(rig.post("r" + i, "safe", "k", "b")));
             }
             Rig.await(() -> all.stream().filter(CompletableFuture::isDone).count() == 28);
+            Rig.await(() -> rig.targets.get(0).running.get() == 8);
             rig.targets.get(0).letGo();
             java.util.Set<String> returns = new java.util.TreeSet<>();
             for (CompletableFuture<HttpResponse<String>> one : all) {
