--- a/policy/src/test/java/org/cornelcove/policy/route/HealthJudgeTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/route/HealthJudgeTest.java
@@ -1,5 +1,6 @@
 package org.cornelcove.policy.route;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -37,21 +38,45 @@
         "2, 4, 30000, true"
     })
     void ejectsTheSlowButNotTheOneThatStoodStillForAMoment(int perSecond, int times, int forMs, boolean ejected) {
+        assertThat("noted by one thread at a time", ejects(perSecond, times, forMs, HealthJudge::note), is(ejected));
+        assertThat("noted in two steps", ejects(perSecond, times, forMs, HealthJudgeTest::inTwoSteps), is(ejected));
+    }
+
+    /** A way to note an answer. */
+    private interface Noting {
+        boolean note(
+                TargetHealth target,
+                Collection<TargetHealth> group,
+                Function<TargetHealth, TargetHealth> healthOf,
+                Sent sent,
+                long nowMs);
+    }
+
+    private static boolean inTwoSteps(
+            TargetHealth target,
+            Collection<TargetHealth> group,
+            Function<TargetHealth, TargetHealth> healthOf,
+            Sent sent,
+            long nowMs) {
+        return HealthJudge.noteAnswer(target, group, healthOf, sent, nowMs)
+                && HealthJudge.ejectIfUnfit(target, group, healthOf, nowMs);
+    }
+
+    private static boolean ejects(int perSecond, int times, int forMs, Noting noting) {
         List<TargetHealth> all =
                 Stream.generate(TargetHealth::create).limit(TARGETS).toList();
         int answers = (1_000 + forMs) * perSecond / 1_000;
-        boolean seen = IntStream.range(0, answers)
-                .mapToObj(i -> answered(all, 1_000L * i / perSecond, times))
+        return IntStream.range(0, answers)
+                .mapToObj(i -> answered(all, 1_000L * i / perSecond, times, noting))
                 .reduce(false, Boolean::logicalOr);
-        assertThat(seen, is(ejected));
     }
 
-    private static boolean answered(List<TargetHealth> all, long nowMs, int times) {
+    private static boolean answered(List<TargetHealth> all, long nowMs, int times, Noting noting) {
         boolean ejected = false;
         for (TargetHealth target : all) {
             long tookUs = target == all.get(0) && nowMs >= 1_000 ? (long) times * EXPECTED_US : EXPECTED_US;
             Sent sent = new Sent(SendOutcome.ANSWERED, tookUs, EXPECTED_US);
-            ejected |= HealthJudge.note(target, all, Function.identity(), sent, nowMs);
+            ejected |= noting.note(target, all, Function.identity(), sent, nowMs);
         }
         return ejected;
     }
