--- a/entry/src/test/java/org/cornelcove/entry/ServiceLineTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/ServiceLineTest.java
@@ -97,7 +97,7 @@
                 new TargetAnnouncement(TargetId.of("t" + number), "s", "127.0.0.1:1", "zone-a", SLOTS, SLOTS, 0, false);
         // Heard in the future, so that it does not fall silent within the test.
         long heardNs = System.nanoTime() + DEADLINE_NS;
-        return OwnedTarget.open(new TargetGrant(told, 1, 0, 0), client, heardNs, System.nanoTime());
+        return OwnedTarget.open(new TargetGrant(told, 1, 0, 0, 0), client, heardNs, System.nanoTime());
     }
 
     /** Looks at everything while nothing changes, until the others are done. */
--- a/entry/src/test/java/org/cornelcove/entry/TargetSlotsTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/TargetSlotsTest.java
@@ -27,10 +27,10 @@
     void anAnnouncementFreesWhatWasGivenUpBeforeIt(int others, int busy, long heardNs, int free, boolean over) {
         TargetSlots slots = new TargetSlots(TOTAL);
         for (int i = 0; i < others; i++) {
-            slots.tryTake();
+            slots.tryTake(TOTAL);
         }
         slots.announced(TOTAL, others, 0);
-        slots.tryTake();
+        slots.tryTake(TOTAL);
         CompletableFuture<Void> ended = slots.abandon(GIVEN_UP_NS);
         slots.announced(TOTAL, busy, heardNs);
         assertThat(slots.free(), is(free));
@@ -41,8 +41,8 @@
     @CsvSource({"150, 0, 1", "150, 1, 2", "250, 0, 0", "250, 1, 1", "250, 2, 2"})
     void onlyRunsGivenUpBeforeAreCounted(long heardNs, int busy, int lingering) {
         TargetSlots slots = new TargetSlots(TOTAL);
-        slots.tryTake();
-        slots.tryTake();
+        slots.tryTake(TOTAL);
+        slots.tryTake(TOTAL);
         slots.abandon(GIVEN_UP_NS);
         slots.abandon(2 * GIVEN_UP_NS);
         assertThat(slots.announced(TOTAL, busy, heardNs), is(lingering));
