A target that moves twice waits for its first owner

Cause: the leader begins the wait for a previous owner's lease when it first sees an epoch, and did not look at epochs that it was moving on. A target that went from a to b, where b lapsed before the next round, went on to c with only b's lease waited for: a, cut off while draining, still held its own, and both could dispatch. Ruled out: the durable state, whose previous owner of the second move is b rightly. Change: EntryLoop looks at each unsettled epoch before it plans to move it on; the next wait goes on from it. Before: TakeoverTest.aTargetThatMovesTwiceWaitsForItsFirstOwner: granted at 12,000, not before 14,270. After: green.

--- a/control/src/main/java/org/cornelcove/control/leader/EntryLoop.java
+++ b/control/src/main/java/org/cornelcove/control/leader/EntryLoop.java
@@ -23,7 +23,9 @@
  * and marks claims of entries that lapsed or were started again as unknown.
  *
  * <p>A round is planned only when every command of the round before is decided. Settling is an assignment to the same
- * owner, so one that was planned before a move and applied after it would undo the move.
+ * owner, so one that was planned before a move and applied after it would undo the move. Every unsettled epoch is looked
+ * at before it is moved on: otherwise an owner that lapses between two rounds would take the wait for the owner before it
+ * along.
  */
 final class EntryLoop {
     /** The most targets that change hands in one round. */
@@ -105,13 +107,15 @@
 
     private void settleTargets(Tables tables, long nowMs, Set<TargetId> moved, List<Command> commands) {
         for (TargetOwnership target : tables.ownership().targets().values()) {
+            // Asked before a move as well: the next epoch's wait goes on from that of the one seen here.
+            boolean handedOver = !target.ownership().settled() && board.handedOver(target, tables, nowMs);
             if (moved.contains(target.target())) {
                 continue;
             }
             boolean silent = board.longSilent(target.target(), nowMs);
             if (silent && target.ownership().owner().isPresent()) {
                 commands.add(new AssignTarget(target.target(), Optional.empty()));
-            } else if (!target.ownership().settled() && board.handedOver(target, tables, nowMs)) {
+            } else if (handedOver) {
                 commands.add(
                         new AssignTarget(target.target(), target.ownership().owner()));
             } else if (target.ownership().settled()) {
@@ -123,7 +127,8 @@
     private void settleRanges(Tables tables, long nowMs, Set<Integer> moved, List<Command> commands) {
         for (int range = 0; range < OwnershipTable.RANGES; range++) {
             Ownership ownership = tables.ownership().ranges().get(range);
-            if (!moved.contains(range) && !ownership.settled() && board.handedOver(range, ownership, tables, nowMs)) {
+            boolean handedOver = !ownership.settled() && board.handedOver(range, ownership, tables, nowMs);
+            if (handedOver && !moved.contains(range)) {
                 commands.add(new AssignRange(range, ownership.owner()));
             }
         }
--- a/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
@@ -17,6 +17,7 @@
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.TargetGrant;
 import org.cornelcove.wire.Codec;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -27,6 +28,7 @@
 /** A target of an entry that falls silent, as the entry that takes it over is told. Commands are committed at once. */
 class TakeoverTest {
     private static final long TICK_MS = 50;
+    private static final long LOOP_MS = 250;
     private static final long LIMIT_MS = 60_000;
     private static final TargetAnnouncement TOLD =
             new TargetAnnouncement(TargetId.of("t"), "booking", "127.0.0.1:1", "z", 8, 60, 3, false);
@@ -45,6 +47,10 @@
 
     /** A heartbeat that tells an announcement of just now; empty where it was refused. */
     private Optional<TargetGrant> beat(String entry) {
+        return beat(entry, false);
+    }
+
+    private Optional<TargetGrant> beat(String entry, boolean draining) {
         EntryHeartbeat heartbeat = new EntryHeartbeat(
                 EntryId.of(entry),
                 1,
@@ -52,7 +58,7 @@
                 "127.0.0.1:2",
                 "127.0.0.1:3",
                 0,
-                false,
+                draining,
                 List.of(new HeardTarget(TOLD, 0)),
                 ++number,
                 0);
@@ -95,4 +101,34 @@
         assertThat("not before the lease is over", nowMs, greaterThanOrEqualTo(overMs));
         assertThat(nowMs - grant.previousOverMs(), is(overMs));
     }
+
+    /**
+     * The target moves from a, which drains and is then cut off, to b, which lapses at once, and on to c. It is granted to
+     * c only when a's lease is over, although a is no longer the owner before.
+     */
+    @Test
+    void aTargetThatMovesTwiceWaitsForItsFirstOwner() {
+        leader.leadershipGained();
+        untilGranted("a");
+        long lastBeatMs = nowMs + 4 * Leases.ENTRY_LEASE_MS;
+        lastBeatMs -= lastBeatMs % LOOP_MS;
+        pass(lastBeatMs - Leases.ENTRY_LEASE_MS, "a");
+        beat("b");
+        pass(lastBeatMs, "a");
+        beat("a", true);
+        leader.tick();
+        nowMs += TICK_MS;
+        beat("c");
+        untilGranted("c");
+        assertThat(nowMs, greaterThanOrEqualTo(Leases.entryOverMs(lastBeatMs)));
+    }
+
+    private void pass(long untilMs, String entry) {
+        for (; nowMs < untilMs; nowMs += TICK_MS) {
+            leader.tick();
+            if (nowMs % Leases.ENTRY_HEARTBEAT_MS == 0) {
+                beat(entry);
+            }
+        }
+    }
 }
