The placer's property test covers every reserve up to 30 percent

Its plain model knew no reserve; the test ran with a reserve of 0 since urgent work is bounded as the state machine bounds it. The model now takes the reserve off the processor of each host, and the reserve is drawn like the rest.

--- a/policy/src/test/java/org/cornelcove/policy/place/PlacerTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/place/PlacerTest.java
@@ -318,12 +318,18 @@
     }
 
     @Property(seed = "51", tries = 40)
-    void noHostIsOverfilledAndWhatFitsIsFound(@ForAll @IntRange(min = 1, max = 20) int hosts, @ForAll long seed) {
+    void noHostIsOverfilledAndWhatFitsIsFound(
+            @ForAll @IntRange(min = 1, max = 20) int hosts,
+            @ForAll @IntRange(min = 0, max = 30) int reservePercent,
+            @ForAll long seed) {
         Random random = new Random(seed);
         Placer placer = placer(hosts);
-        placer.setRules(new RuleSet(new TreeMap<>(), new TreeMap<>(), new TreeMap<>(), new BatchRule(0, 60, 3, 10)));
+        placer.setRules(new RuleSet(
+                new TreeMap<>(), new TreeMap<>(), new TreeMap<>(), new BatchRule(reservePercent, 60, 3, 10)));
+        long forBatchMillicores = CAPACITY.cpuMillicores() * (100 - reservePercent) / 100;
+        Resources forBatch = Resources.of(forBatchMillicores, CAPACITY.memoryBytes(), CAPACITY.accelerators());
         Map<HostId, Resources> naive = new HashMap<>();
-        IntStream.range(0, hosts).forEach(i -> naive.put(host(i), CAPACITY));
+        IntStream.range(0, hosts).forEach(i -> naive.put(host(i), forBatch));
         List<PlacementDecision.Start> running = new ArrayList<>();
         for (int step = 0; step < 200; step++) {
             Resources amount = Resources.of(1000 * (1 + random.nextInt(8)), random.nextInt(30), random.nextInt(2));
