--- a/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 import org.HdrHistogram.Histogram;
@@ -25,7 +24,6 @@
 import org.cornelcove.model.command.RegisterWorker;
 import org.cornelcove.model.command.SubmitJob;
 import org.cornelcove.model.id.AttemptId;
-import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.AttemptEnd;
 import org.cornelcove.model.job.JobKind;
@@ -35,9 +33,6 @@
 import org.cornelcove.model.message.AttemptReport;
 import org.cornelcove.model.message.WorkerHeartbeat;
 import org.cornelcove.model.resource.Resources;
-import org.cornelcove.model.rule.BatchRule;
-import org.cornelcove.model.rule.RuleSet;
-import org.cornelcove.model.rule.TeamRule;
 import org.cornelcove.wire.Codec;
 
 /**
@@ -47,12 +42,6 @@
  */
 public final class LeaderPlacementBenchmark implements Benchmark {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
-    private static final int WORKERS = 1600;
-    private static final int ZONES = 6;
-    private static final int HOSTS_PER_RACK = 20;
-    private static final int SERVICES = 7100;
-    private static final int BATCH = 14_000;
-    private static final int PER_SECOND = 500;
     private static final int SECONDS = 60;
     private static final int WARM_SECONDS = 10;
     private static final long TICK_MS = 50;
@@ -74,11 +63,11 @@
 
     @Override
     public boolean run(PrintStream out) {
-        for (int workers : new int[] {WORKERS / 4, WORKERS / 2}) {
+        for (int workers : new int[] {LargeSite.WORKERS / 4, LargeSite.WORKERS / 2}) {
             out.printf("leader, %d workers: %s%n", workers, new Run(workers).run());
         }
-        Figures full = new Run(WORKERS).run();
-        out.printf("leader, %d workers: %s%n", WORKERS, full);
+        Figures full = new Run(LargeSite.WORKERS).run();
+        out.printf("leader, %d workers: %s%n", LargeSite.WORKERS, full);
         out.printf(
                 "leader: urgent start p99 %d ms (target %d ms), refused placements %d%n",
                 full.urgentMs.getValueAtPercentile(99), MAX_URGENT_MS, full.refused);
@@ -142,12 +131,12 @@
         }
 
         Figures run() {
-            apply(new ProposeConfiguration(1, "bench", "digest", rules()));
+            apply(new ProposeConfiguration(1, "bench", "digest", LargeSite.rules()));
             fill();
             gain();
             double owed = 0;
             for (; nowMs < SECONDS * 1000L; nowMs += TICK_MS) {
-                owed += (double) PER_SECOND * workers / WORKERS * TICK_MS / 1000;
+                owed += (double) LargeSite.PER_SECOND * workers / LargeSite.WORKERS * TICK_MS / 1000;
                 for (; owed >= 1; owed--) {
                     submit(stream.batch(0.1, 0.05));
                 }
@@ -198,12 +187,13 @@
 
         private void fill() {
             for (int i = 0; i < workers; i++) {
-                apply(new RegisterWorker(host(i), 1, zone(i), rack(i), capacity(i)));
+                apply(new RegisterWorker(
+                        LargeSite.host(i), 1, LargeSite.zone(i), LargeSite.rack(i), LargeSite.capacity(i)));
             }
-            for (int i = 0; i < SERVICES * workers / WORKERS; i++) {
+            for (int i = 0; i < LargeSite.SERVICES * workers / LargeSite.WORKERS; i++) {
                 place(stream.service("service" + i % 20, 1000, 4 * JobStream.GIB), i % workers);
             }
-            for (int i = 0; i < BATCH * workers / WORKERS; i++) {
+            for (int i = 0; i < LargeSite.BATCH * workers / LargeSite.WORKERS; i++) {
                 place(stream.batch(0.1, 0), i % workers);
             }
         }
@@ -211,10 +201,10 @@
         private void place(JobSpec job, int worker) {
             apply(new SubmitJob(job));
             AttemptId attempt = AttemptId.of(job.id(), 1);
-            if (apply(new PlaceAttempt(attempt, host(worker))) instanceof Refused) {
+            if (apply(new PlaceAttempt(attempt, LargeSite.host(worker))) instanceof Refused) {
                 return;
             }
-            long runMs = (long) (2.0 * BATCH / PER_SECOND * 1000 * (1 - Math.sqrt(random.nextDouble())));
+            long runMs = (long) (2.0 * LargeSite.MEAN_RUN_MS * (1 - Math.sqrt(random.nextDouble())));
             running.get(worker).put(attempt, new Running(job, job.kind() == JobKind.SERVICE ? Long.MAX_VALUE : runMs));
         }
 
@@ -251,7 +241,14 @@
         private WorkerHeartbeat heartbeat(int worker) {
             List<AttemptReport> reports = new ArrayList<>();
             running.get(worker).forEach((id, attempt) -> reports.add(report(id, attempt)));
-            return new WorkerHeartbeat(host(worker), 1, zone(worker), rack(worker), capacity(worker), false, reports);
+            return new WorkerHeartbeat(
+                    LargeSite.host(worker),
+                    1,
+                    LargeSite.zone(worker),
+                    LargeSite.rack(worker),
+                    LargeSite.capacity(worker),
+                    false,
+                    reports);
         }
 
         private AttemptReport report(AttemptId id, Running attempt) {
@@ -274,7 +271,7 @@
         }
 
         private void start(AttemptId attempt, JobSpec job, Map<AttemptId, Running> here) {
-            long runMs = 1 + (long) (2.0 * BATCH / PER_SECOND * 1000 * random.nextDouble());
+            long runMs = 1 + (long) (2.0 * LargeSite.MEAN_RUN_MS * random.nextDouble());
             if (here.putIfAbsent(attempt, new Running(job, nowMs + runMs)) != null) {
                 return;
             }
@@ -284,31 +281,5 @@
                 (job.urgent() ? figures.urgentMs : figures.otherMs).recordValue(nowMs - sinceMs);
             }
         }
-
-        private static HostId host(int number) {
-            return HostId.of("w" + number);
-        }
-
-        private static String zone(int number) {
-            return "zone" + number % ZONES;
-        }
-
-        private static String rack(int number) {
-            return "rack" + number % ZONES + '-' + number / ZONES / HOSTS_PER_RACK;
-        }
-
-        private static Resources capacity(int number) {
-            return Resources.of(32_000, 125 * JobStream.GIB, number % 5 == 0 ? 7 : 0);
-        }
-
-        private static RuleSet rules() {
-            TreeMap<String, TeamRule> teams = new TreeMap<>();
-            for (int i = 0; i < 100; i++) {
-                teams.put("team" + i, new TeamRule("team" + i, Resources.of(2_000_000, 4000 * JobStream.GIB, 40), 1));
-            }
-            Resources unbounded = Resources.of(1_000_000_000, Long.MAX_VALUE / 4, 0);
-            teams.put("services", new TeamRule("services", unbounded, 1));
-            return new RuleSet(new TreeMap<>(), new TreeMap<>(), teams, BatchRule.DEFAULT);
-        }
     }
 }
--- a/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/PlacementBenchmark.java
@@ -17,9 +17,6 @@
 import org.cornelcove.model.job.AttemptEnd;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
-import org.cornelcove.model.rule.BatchRule;
-import org.cornelcove.model.rule.RuleSet;
-import org.cornelcove.model.rule.TeamRule;
 import org.cornelcove.policy.place.PlacementDecision;
 import org.cornelcove.policy.place.Placer;
 
@@ -29,12 +26,6 @@
  */
 public final class PlacementBenchmark implements Benchmark {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
-    private static final int WORKERS = 1600;
-    private static final int ZONES = 6;
-    private static final int HOSTS_PER_RACK = 20;
-    private static final int SERVICES = 7100;
-    private static final int BATCH = 14_000;
-    private static final int PER_SECOND = 500;
     private static final int SECONDS = 60;
     private static final int WARM_SECONDS = 10;
     private static final long TICK_MS = 10;
@@ -56,11 +47,11 @@
 
     @Override
     public boolean run(PrintStream out) {
-        for (int workers : new int[] {WORKERS / 4, WORKERS / 2}) {
+        for (int workers : new int[] {LargeSite.WORKERS / 4, LargeSite.WORKERS / 2}) {
             out.printf("placement policy, %d workers: %s%n", workers, new Run(false, workers).run());
         }
-        Figures naive = new Run(true, WORKERS).run();
-        Figures ours = new Run(false, WORKERS).run();
+        Figures naive = new Run(true, LargeSite.WORKERS).run();
+        Figures ours = new Run(false, LargeSite.WORKERS).run();
         out.printf("placement baseline (fullest first by scan, order of arrival): %s%n", naive);
         out.printf("placement policy: %s%n", ours);
         out.printf(
@@ -143,7 +134,7 @@
             fill();
             double owed = 0;
             for (long nowMs = 0; nowMs < SECONDS * 1000L; nowMs += TICK_MS) {
-                owed += (double) PER_SECOND * workers / WORKERS * TICK_MS / 1000.0;
+                owed += (double) LargeSite.PER_SECOND * workers / LargeSite.WORKERS * TICK_MS / 1000.0;
                 for (; owed >= 1; owed--) {
                     submit(stream.batch(0.1, 0.05), nowMs);
                 }
@@ -180,26 +171,23 @@
         }
 
         private void newLeader(long nowMs) {
-            placer = Placer.of(rules());
+            placer = Placer.of(LargeSite.rules());
             naive = new NaiveHosts();
             for (int i = 0; i < workers; i++) {
-                int accelerators = i % 5 == 0 ? 7 : 0;
-                Resources capacity = Resources.of(32_000, 125 * JobStream.GIB, accelerators);
-                HostId host = HostId.of("w" + i);
-                placer.putHost(
-                        host, "zone" + i % ZONES, "rack" + i % ZONES + '-' + i / ZONES / HOSTS_PER_RACK, capacity);
-                naive.add(host, capacity);
+                Resources capacity = LargeSite.capacity(i);
+                placer.putHost(LargeSite.host(i), LargeSite.zone(i), LargeSite.rack(i), capacity);
+                naive.add(LargeSite.host(i), capacity);
             }
         }
 
         private void fill() {
-            for (int i = 0; i < SERVICES * workers / WORKERS; i++) {
+            for (int i = 0; i < LargeSite.SERVICES * workers / LargeSite.WORKERS; i++) {
                 submit(stream.service("service" + i % 20, 1000, 4 * JobStream.GIB), 0);
             }
-            for (int i = 0; i < BATCH * workers / WORKERS; i++) {
+            for (int i = 0; i < LargeSite.BATCH * workers / LargeSite.WORKERS; i++) {
                 submit(stream.batch(0.1, 0.05), 0);
             }
-            decideUpTo(0, SERVICES + BATCH, false);
+            decideUpTo(0, LargeSite.SERVICES + LargeSite.BATCH, false);
         }
 
         private void submit(JobSpec job, long nowMs) {
@@ -224,7 +212,7 @@
         }
 
         private void decide(long nowMs) {
-            decideUpTo(nowMs, PER_SECOND, nowMs >= WARM_SECONDS * 1000);
+            decideUpTo(nowMs, LargeSite.PER_SECOND, nowMs >= WARM_SECONDS * 1000);
         }
 
         private void decideUpTo(long nowMs, int most, boolean measured) {
@@ -271,7 +259,7 @@
             if (!job.team().equals("services")) {
                 double share = stream.random().nextDouble();
                 double left = nowMs == 0 ? 1 - Math.sqrt(share) : share;
-                long runMs = 1 + (long) (2.0 * BATCH / PER_SECOND * 1000 * left);
+                long runMs = 1 + (long) (2.0 * LargeSite.MEAN_RUN_MS * left);
                 ends.computeIfAbsent(nowMs + runMs, t -> new ArrayList<>()).add(job.id());
             }
         }
@@ -284,16 +272,6 @@
             inBurst++;
             figures.burst = Math.max(figures.burst, inBurst);
         }
-
-        private static RuleSet rules() {
-            TreeMap<String, TeamRule> teams = new TreeMap<>();
-            for (int i = 0; i < 100; i++) {
-                teams.put("team" + i, new TeamRule("team" + i, Resources.of(2_000_000, 4000 * JobStream.GIB, 40), 1));
-            }
-            Resources unbounded = Resources.of(1_000_000_000, Long.MAX_VALUE / 4, 0);
-            teams.put("services", new TeamRule("services", unbounded, 1));
-            return new RuleSet(new TreeMap<>(), new TreeMap<>(), teams, BatchRule.DEFAULT);
-        }
     }
 
     /** The way that one would write first: look at every host for the fullest that fits. */
