Every client of the closed loop sends requests again

Cause: the bound of requests for a client was compared with first + most, which overflows without a bound; all clients but the first ended at once, and relay measured one client in place of 24. Change: the difference is compared. Before: ClosedLoopTest without a bound: 1 client of 4 sent.

--- a/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
+++ b/bench/src/main/java/org/cornelcove/bench/entry/ClosedLoop.java
@@ -105,7 +105,7 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             long number = first;
-            for (long now = System.nanoTime(); now < endNs && number < first + most; ) {
+            for (long now = System.nanoTime(); now < endNs && number - first < most; ) {
                 out.write(head.apply(number++).getBytes(StandardCharsets.ISO_8859_1));
                 failed += readAnswer(in) == 200 ? 0 : 1;
                 long end = System.nanoTime();
