A daemon asks for the control hosts at once and twice a second

Cause: a daemon that was started again knew only the control hosts of its settings for up to 10 s (first asked after 5 s, and the first host asked may be dead). Ruled out: the worker, which went on reporting; the leader, which led all the time. Change: asked at once, then every 500 ms.

--- a/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
@@ -18,7 +18,7 @@
  * that are all gone still has its settings to fall back on.
  */
 public final class ControlAddresses implements Supplier<List<String>>, AutoCloseable {
-    private static final long REFRESH_MS = 5_000;
+    private static final long REFRESH_MS = 500;
     private static final long TIMEOUT_MS = 1_000;
 
     private final List<String> configured;
@@ -45,14 +45,15 @@
     }
 
     /**
-     * Asks for the members every few seconds.
+     * Asks for the members at once and then twice a second: a daemon that was started again must find a leader that its
+     * settings do not name well within the leases that pass through it.
      *
      * @param router asks any of the control hosts known so far
      */
     public void refreshBy(LeaderRouter router) {
         timer.scheduleWithFixedDelay(
                 () -> router.call(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS).thenAccept(this::learn),
-                REFRESH_MS,
+                0,
                 REFRESH_MS,
                 TimeUnit.MILLISECONDS);
     }
