Grants are compared without building two copies of each announcement

GrantLists compared both announcements with their load set to 0, two new records for each owned target and heartbeat. The old one with the new load says the same with one. Read once more; behaviour is as before. Ran: formatter, Checkstyle, GrantListsTest, TakeoverTest, OrdersTest, the control simulation's fault matrix and mutants: green.

--- a/control/src/main/java/org/cornelcove/control/leader/GrantLists.java
+++ b/control/src/main/java/org/cornelcove/control/leader/GrantLists.java
@@ -9,7 +9,6 @@
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.GrantChanges;
-import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.TargetGrant;
 import org.cornelcove.model.message.TargetLoad;
 
@@ -80,17 +79,13 @@
         return old.epoch() == grant.epoch()
                 && isSettled(old)
                 && isSettled(grant)
-                && withoutLoad(old.target()).equals(withoutLoad(grant.target()));
+                && old.target().withBusySlots(grant.target().busySlots()).equals(grant.target());
     }
 
     private static boolean isSettled(TargetGrant grant) {
         return grant.previousOverMs() == 0 && grant.previousHoldMs() == 0;
     }
 
-    private static TargetAnnouncement withoutLoad(TargetAnnouncement announcement) {
-        return announcement.withBusySlots(0);
-    }
-
     private static boolean isNews(TargetGrant old, TargetGrant grant) {
         return grant.silentMs() > Leases.TARGET_FRESH_MS
                 || old.target().busySlots() != grant.target().busySlots();
