--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -17,7 +17,6 @@
 import org.cornelcove.daemon.call.Empty;
 import org.cornelcove.daemon.call.EntryHistograms;
 import org.cornelcove.daemon.call.LeaderLink;
-import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.daemon.settings.Role;
 import org.cornelcove.daemon.settings.Settings;
 import org.cornelcove.entry.EntryServer;
@@ -29,6 +28,7 @@
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
 import org.cornelcove.wire.CallServer;
+import org.cornelcove.wire.LeaderRouter;
 
 /**
  * One running daemon: its roles and its listeners. Parts are closed in the reverse of the order in which they were
--- a/daemon/src/main/java/org/cornelcove/daemon/api/Backend.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/Backend.java
@@ -3,9 +3,9 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.entry.EntryServer;
 import org.cornelcove.wire.CallClient;
+import org.cornelcove.wire.LeaderRouter;
 
 /**
  * What the api listener serves from.
--- a/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ClusterReport.java
@@ -15,7 +15,6 @@
 import org.cornelcove.control.view.WorkerStatus;
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
-import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.error.FailureException;
@@ -31,6 +30,7 @@
 import org.cornelcove.replication.Member;
 import org.cornelcove.replication.MemberProgress;
 import org.cornelcove.replication.ReplicaStatus;
+import org.cornelcove.wire.LeaderRouter;
 
 /** Puts together what operators see of the cluster out of the leader's answers. */
 final class ClusterReport {
--- a/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
@@ -11,6 +11,7 @@
 
 import org.cornelcove.replication.Member;
 import org.cornelcove.replication.ReplicaStatus;
+import org.cornelcove.wire.LeaderRouter;
 
 /**
  * The rpc addresses of the control hosts known now: the members that a control host told last, then those of the
--- a/daemon/src/main/java/org/cornelcove/daemon/call/LeaderLink.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/LeaderLink.java
@@ -7,6 +7,7 @@
 import org.cornelcove.model.command.Outcome;
 import org.cornelcove.model.message.EntryHeartbeat;
 import org.cornelcove.model.message.EntryLease;
+import org.cornelcove.wire.LeaderRouter;
 
 /** An entry's way to the leader, by calls. */
 public final class LeaderLink implements ControlLink {
--- a/daemon/src/test/java/org/cornelcove/daemon/api/EntryPollTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/api/EntryPollTest.java
@@ -16,7 +16,6 @@
 import org.cornelcove.daemon.call.Calls;
 import org.cornelcove.daemon.call.Empty;
 import org.cornelcove.daemon.call.EntryHistograms;
-import org.cornelcove.daemon.call.LeaderRouter;
 import org.cornelcove.entry.RecordedHistogram;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.FailureException;
@@ -25,6 +24,7 @@
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
 import org.cornelcove.wire.CallServer;
+import org.cornelcove.wire.LeaderRouter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
@@ -20,6 +20,7 @@
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
 import org.cornelcove.wire.CallServer;
+import org.cornelcove.wire.LeaderRouter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
+++ b/model/src/main/java/org/cornelcove/model/error/ErrorKind.java
@@ -111,6 +111,11 @@
             525,
             Severity.ERROR,
             "the digest %s does not belong to these rules, theirs is %s; propose with 'cornelcove apply'"),
+    // The users' platform
+    PLATFORM_MALFORMED(801, Severity.ERROR, "the body can't be read: %s; send it as the platform's pages say"),
+    PLATFORM_RULES_INVALID(802, Severity.ERROR, "the configuration is not usable: %s; mend it and send it again"),
+    PLATFORM_SETTINGS_UNREADABLE(
+            803, Severity.FATAL, "can't read the settings file %s: %s; check the path and the file"),
     // Requests
     SERVICE_UNKNOWN(601, Severity.ERROR, "no service for path %s; add a rule with this path prefix"),
     BODY_TOO_LARGE(602, Severity.ERROR, "the body is over %s bytes; send less or raise maxBodyBytes"),
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -69,6 +69,7 @@
     private final Applier applier;
     private final Thread thread;
     private volatile ReplicaStatus status;
+    private volatile long leaseEndMs = Long.MIN_VALUE;
     /** The term of which the listener was told, 0 while it was told of none. */
     private volatile long announcedTerm;
 
@@ -215,6 +216,15 @@
         return status;
     }
 
+    /**
+     * Returns until when this member surely leads alone, on the clock that it was given.
+     *
+     * @return the time, long past unless it leads
+     */
+    public long leaseEndMs() {
+        return leaseEndMs;
+    }
+
     /**
      * Returns how many messages could not be read.
      *
@@ -297,6 +307,7 @@
                 }
                 Ready ready = core.drain(now);
                 status = currentStatus(now);
+                leaseEndMs = core.leaseEndMs(now);
                 carryOut(ready);
             }
         } catch (RuntimeException e) {
--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -313,6 +313,11 @@
         }
     }
 
+    /** Returns until when no other member can have been elected, {@link #NEVER_MS} when that is not known. */
+    long leaseEndMs(long nowMs) {
+        return transferSent ? NEVER_MS : reachedByMajority(nowMs, p -> p.answeredSentMs) + core.options.leaseMs();
+    }
+
     private boolean holdsLease(long nowMs) {
         return !transferSent
                 && core.rules.mayReadUnasked(nowMs - reachedByMajority(nowMs, p -> p.answeredSentMs), core.options);
--- a/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/ReplicaCore.java
@@ -168,6 +168,16 @@
         return leadership == null ? List.of() : leadership.view(nowMs);
     }
 
+    /**
+     * Returns until when no other member can have been elected.
+     *
+     * @param nowMs the time
+     * @return a time of the same clock, long past unless this member leads
+     */
+    public long leaseEndMs(long nowMs) {
+        return leadership == null ? Leadership.NEVER_MS : leadership.leaseEndMs(nowMs);
+    }
+
     // Inputs
 
     /**
--- a/wire/src/main/java/org/cornelcove/wire/CallClient.java
+++ b/wire/src/main/java/org/cornelcove/wire/CallClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -51,7 +52,13 @@
             thread.setDaemon(true);
             return thread;
         });
-        return new CallClient(transport, timer);
+        CallClient client = new CallClient(transport, timer);
+        timer.scheduleWithFixedDelay(
+                () -> client.peers.values().forEach(Peer::ping),
+                Peer.PING_EVERY_MS,
+                Peer.PING_EVERY_MS,
+                TimeUnit.MILLISECONDS);
+        return client;
     }
 
     /**
--- a/wire/src/main/java/org/cornelcove/wire/CallServer.java
+++ b/wire/src/main/java/org/cornelcove/wire/CallServer.java
@@ -89,6 +89,9 @@
         }
 
         private CompletableFuture<byte[]> run(Envelope envelope) {
+            if (envelope.name().equals(Envelope.PING)) {
+                return CompletableFuture.completedFuture(new byte[0]);
+            }
             try {
                 Function<byte[], CompletableFuture<byte[]>> handler = handlers.find(envelope.name())
                         .orElseThrow(() -> Failure.of(ErrorKind.METHOD_UNKNOWN, envelope.name())
--- a/wire/src/main/java/org/cornelcove/wire/Envelope.java
+++ b/wire/src/main/java/org/cornelcove/wire/Envelope.java
@@ -18,6 +18,9 @@
  * @param body the encoded message, or the encoded failure
  */
 record Envelope(Kind kind, long callId, String name, byte[] body) {
+    /** The name of the call that is answered at once by whatever listens. */
+    static final String PING = "ping";
+
     private static final int FIELDS = 4;
 
     /** What an envelope is; the ordinal is its number on the wire. */
--- a/daemon/src/main/java/org/cornelcove/daemon/call/LeaderRouter.java
+++ b/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
@@ -1,18 +1,17 @@
-package org.cornelcove.daemon.call;
+package org.cornelcove.wire;
 
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.error.FailureException;
-import org.cornelcove.wire.Call;
-import org.cornelcove.wire.CallClient;
 
 /**
  * Finds the leader among the control hosts. A call goes to the host that answered last; when that host surely did not
@@ -23,7 +22,12 @@
     private static final Set<ErrorKind> NOT_TAKEN = EnumSet.of(ErrorKind.NOT_LEADER, ErrorKind.CALL_NOT_SENT);
     /** Failures after which a read goes to the next host. */
     private static final Set<ErrorKind> UNANSWERED = EnumSet.of(
-            ErrorKind.NOT_LEADER, ErrorKind.CALL_NOT_SENT, ErrorKind.CALL_TIMEOUT, ErrorKind.PEER_UNREACHABLE);
+            ErrorKind.NOT_LEADER,
+            ErrorKind.CALL_NOT_SENT,
+            ErrorKind.CALL_TIMEOUT,
+            ErrorKind.PEER_UNREACHABLE,
+            ErrorKind.PROPOSAL_OUTCOME_UNKNOWN,
+            ErrorKind.NO_QUORUM);
     /** Failures after which another host is asked first. */
     private static final Set<ErrorKind> MOVE_ON = EnumSet.of(
             ErrorKind.NOT_LEADER,
@@ -69,7 +73,9 @@
      *     the call itself otherwise
      */
     public <Q, R> CompletableFuture<R> call(Call<Q, R> call, Q request, long timeoutMs) {
-        return attempt(new Search<>(call, request, deadlineNs(timeoutMs), timeoutMs, false), preferred.get());
+        return attempt(
+                new Search<>(call, request, deadlineNs(timeoutMs), timeoutMs, false, new AtomicBoolean()),
+                preferred.get());
     }
 
     /**
@@ -81,12 +87,32 @@
      * @param timeoutMs how long to look for a leader and to wait for its answer, together
      * @param <Q> the request's type
      * @param <R> the answer's type
-     * @return the answer; fails with kind {@code NO_QUORUM} when no host answered in time, and with the failure that
-     *     the leader gave otherwise
+     * @return the answer; fails with kind {@code NO_QUORUM} or {@code PROPOSAL_OUTCOME_UNKNOWN} when no host
+     *     answered in time, and with the failure that the leader gave otherwise
      */
     public <Q, R> CompletableFuture<R> read(Call<Q, R> call, Q request, long timeoutMs) {
         long attemptMs = Math.max(1, timeoutMs / READ_ATTEMPTS);
-        return attempt(new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true), preferred.get());
+        return attempt(
+                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, new AtomicBoolean()),
+                preferred.get());
+    }
+
+    /**
+     * Makes a call that may be repeated, since the request carries an id by which the leader knows it again.
+     *
+     * @param call the call
+     * @param request the request
+     * @param timeoutMs how long to look for a leader and to wait for its answer, together
+     * @param attemptMs how long to wait for one host at most
+     * @param <Q> the request's type
+     * @param <R> the answer's type
+     * @return the answer; fails with kind {@code NO_QUORUM} when surely no host took the call, with {@code
+     *     PROPOSAL_OUTCOME_UNKNOWN} when one may have, and with the failure that the leader gave otherwise
+     */
+    public <Q, R> CompletableFuture<R> repeat(Call<Q, R> call, Q request, long timeoutMs, long attemptMs) {
+        return attempt(
+                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, new AtomicBoolean()),
+                preferred.get());
     }
 
     private static long deadlineNs(long timeoutMs) {
@@ -100,9 +126,11 @@
      * @param request the request
      * @param deadlineNs when the search is over
      * @param attemptMs how long to wait for one host at most
-     * @param reads whether it changes nothing and may be asked of several hosts
+     * @param reads whether it may be asked of several hosts, since it changes nothing, or nothing the second time
+     * @param taken whether a host may have taken it
      */
-    private record Search<Q, R>(Call<Q, R> call, Q request, long deadlineNs, long attemptMs, boolean reads) {
+    private record Search<Q, R>(
+            Call<Q, R> call, Q request, long deadlineNs, long attemptMs, boolean reads, AtomicBoolean taken) {
         Set<ErrorKind> goOn() {
             return reads ? UNANSWERED : NOT_TAKEN;
         }
@@ -111,8 +139,8 @@
     private <Q, R> CompletableFuture<R> attempt(Search<Q, R> search, int position) {
         long leftMs = TimeUnit.NANOSECONDS.toMillis(search.deadlineNs() - System.nanoTime());
         if (leftMs <= 0) {
-            return CompletableFuture.failedFuture(
-                    Failure.of(ErrorKind.NO_QUORUM).asException());
+            ErrorKind kind = search.taken().get() ? ErrorKind.PROPOSAL_OUTCOME_UNKNOWN : ErrorKind.NO_QUORUM;
+            return CompletableFuture.failedFuture(Failure.of(kind).asException());
         }
         List<String> known = addresses.get();
         String address = known.get(Math.floorMod(position, known.size()));
@@ -121,6 +149,9 @@
                     if (thrown == null) {
                         return CompletableFuture.completedFuture(answer);
                     }
+                    if (!isAmong(NOT_TAKEN, thrown)) {
+                        search.taken().set(true);
+                    }
                     if (isAmong(MOVE_ON, thrown)) {
                         preferred.compareAndSet(position, position + 1);
                     }
--- a/wire/src/main/java/org/cornelcove/wire/Peer.java
+++ b/wire/src/main/java/org/cornelcove/wire/Peer.java
@@ -26,6 +26,13 @@
 final class Peer implements AutoCloseable {
     private static final long RECONNECT_PAUSE_NS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long CONNECT_TIMEOUT_MS = 1000;
+    /** How often a connection in use is tried. */
+    static final long PING_EVERY_MS = 400;
+    /** A connection that leaves a ping without an answer so long is given up; the next use opens another. */
+    private static final long PING_TIMEOUT_MS = 800;
+    /** A connection that was not used for so long is not tried. */
+    private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(3);
+
     private static final Attribute<Open> OPEN = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("cornelcove.peer");
 
     private final String address;
@@ -35,6 +42,7 @@
     private CompletableFuture<Open> current;
 
     private long lastAttemptNs;
+    private volatile long lastUsedNs = System.nanoTime();
 
     Peer(String address, TCPNIOTransport transport, ScheduledExecutorService timer) {
         this.address = address;
@@ -70,7 +78,20 @@
         return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
     }
 
+    /** Tries the connection if it is in use: one that has gone silent shows no other sign. */
+    void ping() {
+        CompletableFuture<Open> now;
+        synchronized (this) {
+            now = current;
+        }
+        boolean used = System.nanoTime() - lastUsedNs < IDLE_NS;
+        if (used && now != null && now.isDone() && !isOver(now)) {
+            now.join().ping();
+        }
+    }
+
     private synchronized CompletableFuture<Open> connection() {
+        lastUsedNs = System.nanoTime();
         if (current != null && !isOver(current)) {
             return current;
         }
@@ -132,6 +153,16 @@
             connection.addCloseListener((closeable, type) -> lost());
         }
 
+        void ping() {
+            CompletableFuture<byte[]> answer = new CompletableFuture<>();
+            request(Envelope.PING, new byte[0], PING_TIMEOUT_MS, answer);
+            answer.whenComplete((body, thrown) -> {
+                if (thrown != null) {
+                    connection.closeSilently();
+                }
+            });
+        }
+
         void request(String name, byte[] body, long timeoutMs, CompletableFuture<byte[]> answer) {
             long callId = lastCallId.incrementAndGet();
             waiting.put(callId, answer);
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/job/TaskKey.java
@@ -0,0 +1,34 @@
+package org.cornelcove.work.job;
+
+import java.util.Optional;
+
+/**
+ * Names one task.
+ *
+ * @param jobId the job
+ * @param occurrence counted from 0
+ * @param step counted from 0
+ * @param index counted from 0 within the step
+ */
+public record TaskKey(String jobId, int occurrence, int step, int index) {
+    private static final int PARTS = 4;
+
+    /** Returns the key as text, {@code job.occurrence.step.index}. */
+    public String text() {
+        return jobId + '.' + occurrence + '.' + step + '.' + index;
+    }
+
+    /** Reads a key; empty when the text is not one. */
+    public static Optional<TaskKey> parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != PARTS) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new TaskKey(
+                    parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3])));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -0,0 +1,115 @@
+package org.cornelcove.work.lead;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.plan.QueueOrder;
+import org.cornelcove.work.state.Job;
+import org.cornelcove.work.state.Occurrence;
+import org.cornelcove.work.state.Task;
+
+/** The tasks whose turn has come and that don't run, by step. Used on the leader's loop only. */
+final class Backlog {
+    private record StepKey(String jobId, int occurrence, int step) {}
+
+    /** The waiting tasks of one step of one occurrence. */
+    static final class WaitingStep {
+        final Job job;
+        final int occurrence;
+        final int step;
+        final Deque<Integer> indices = new ArrayDeque<>();
+        final QueueOrder.Waiting order;
+
+        private WaitingStep(Job job, int occurrence, int step, QueueOrder.Waiting order) {
+            this.job = job;
+            this.occurrence = occurrence;
+            this.step = step;
+            this.order = order;
+        }
+
+        StepSpec spec() {
+            return job.spec().steps().get(step);
+        }
+
+        TaskKey task(int index) {
+            return new TaskKey(job.spec().id(), occurrence, step, index);
+        }
+    }
+
+    private final Map<StepKey, WaitingStep> waiting = new LinkedHashMap<>();
+    private final Set<StepKey> opened = new HashSet<>();
+
+    /** Adds the tasks of all steps whose turn has come and that were not added before. */
+    void open(Job job, int number, QueueRule queue) {
+        Occurrence occurrence = job.occurrence(number);
+        List<StepSpec> steps = job.spec().steps();
+        for (int step = 0; step < steps.size(); step++) {
+            boolean turn = !occurrence.stepDone(step) && occurrence.stepReady(steps.get(step));
+            if (turn && opened.add(new StepKey(job.spec().id(), number, step))) {
+                Task[] tasks = occurrence.step(step);
+                for (int index = 0; index < tasks.length; index++) {
+                    if (!tasks[index].done() && tasks[index].runs().isEmpty()) {
+                        add(job, new TaskKey(job.spec().id(), number, step, index), queue);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Adds one task again. */
+    void add(Job job, TaskKey task, QueueRule queue) {
+        StepKey key = new StepKey(task.jobId(), task.occurrence(), task.step());
+        WaitingStep step = waiting.computeIfAbsent(
+                key, any -> new WaitingStep(job, task.occurrence(), task.step(), orderOf(job, task, queue)));
+        if (!step.indices.contains(task.index())) {
+            step.indices.addLast(task.index());
+        }
+    }
+
+    private static QueueOrder.Waiting orderOf(Job job, TaskKey task, QueueRule queue) {
+        long dueMs = job.spec().schedule().dueMs(task.occurrence());
+        long sinceMs = Math.max(job.submittedMs(), dueMs);
+        long objectiveMs = (long) (queue.stretch() * chainMs(job.spec().steps())) + queue.targetLatencyMs();
+        return new QueueOrder.Waiting(queue.priority(), sinceMs, objectiveMs);
+    }
+
+    /** Returns the longest chain of estimated work. */
+    static long chainMs(List<StepSpec> steps) {
+        long[] endMs = new long[steps.size()];
+        long longest = 0;
+        for (int i = 0; i < endMs.length; i++) {
+            StepSpec step = steps.get(i);
+            long startMs = 0;
+            for (int after : step.after()) {
+                startMs = Math.max(startMs, endMs[after]);
+            }
+            endMs[i] = startMs + step.estimateMs();
+            longest = Math.max(longest, endMs[i]);
+        }
+        return longest;
+    }
+
+    /** Drops everything of a job. */
+    void drop(String jobId) {
+        waiting.keySet().removeIf(key -> key.jobId().equals(jobId));
+        opened.removeIf(key -> key.jobId().equals(jobId));
+    }
+
+    /** Returns the steps that have waiting tasks, the most urgent first. */
+    List<WaitingStep> inOrder(long wallMs) {
+        waiting.values().removeIf(step -> step.indices.isEmpty());
+        List<WaitingStep> steps = new ArrayList<>(waiting.values());
+        steps.sort(Comparator.comparing(step -> step.order, QueueOrder.at(wallMs)));
+        return steps;
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/LoopClock.java
@@ -0,0 +1,19 @@
+package org.cornelcove.work.lead;
+
+/** What the leader's loop knows of time. */
+interface LoopClock {
+    /** Returns a monotonic time. */
+    long nowMs();
+
+    /** Returns the Unix time. */
+    long wallMs();
+
+    /** Tells whether no other leader can have been elected by now. */
+    boolean leased();
+
+    /** Runs a task on the loop later. */
+    void later(long delayMs, Runnable task);
+
+    /** Runs a task on the loop. */
+    void execute(Runnable task);
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -0,0 +1,86 @@
+package org.cornelcove.work.lead;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
+import org.cornelcove.work.state.CommandCodec;
+import org.cornelcove.work.state.Verdict;
+import org.cornelcove.work.state.WorkCommand;
+
+/**
+ * Gathers the commands of one pass of the leader's loop into one log entry, since an entry costs a round of the group
+ * and an fsync whatever it holds.
+ */
+final class Proposals {
+    /** The outcome of a command: a verdict, or the failure of the whole entry. */
+    record Result(Optional<Verdict> verdict, Optional<Failure> failure) {
+        boolean is(Verdict wanted) {
+            return verdict.filter(v -> v == wanted).isPresent();
+        }
+
+        /** Tells whether the command was surely not appended. */
+        boolean surelyNot() {
+            return failure.filter(f -> f.kind() == ErrorKind.NOT_LEADER || f.kind() == ErrorKind.NO_QUORUM)
+                    .isPresent();
+        }
+    }
+
+    /** Entries under way at once; more only add to the queue before the disk. */
+    private static final int MAX_ENTRIES_UNDER_WAY = 4;
+
+    private final Function<byte[], CompletableFuture<byte[]>> propose;
+    private final Executor loop;
+    private List<WorkCommand> commands = new ArrayList<>();
+    private List<Consumer<Result>> listeners = new ArrayList<>();
+    private int underWay;
+
+    Proposals(Function<byte[], CompletableFuture<byte[]>> propose, Executor loop) {
+        this.propose = propose;
+        this.loop = loop;
+    }
+
+    /** Adds a command to the next entry; the listener is called on the loop. */
+    void add(WorkCommand command, Consumer<Result> listener) {
+        commands.add(command);
+        listeners.add(listener);
+    }
+
+    /** Proposes what was gathered. */
+    void flush() {
+        if (commands.isEmpty() || underWay >= MAX_ENTRIES_UNDER_WAY) {
+            return;
+        }
+        byte[] entry = CommandCodec.encode(commands);
+        List<Consumer<Result>> waiting = listeners;
+        commands = new ArrayList<>();
+        listeners = new ArrayList<>();
+        underWay++;
+        propose.apply(entry)
+                .whenComplete((verdicts, thrown) -> loop.execute(() -> {
+                    underWay--;
+                    tell(waiting, verdicts, thrown);
+                    flush();
+                }));
+    }
+
+    private static void tell(List<Consumer<Result>> waiting, byte[] verdicts, Throwable thrown) {
+        for (int i = 0; i < waiting.size(); i++) {
+            Result result = thrown == null
+                    ? new Result(Optional.of(Verdict.values()[verdicts[i]]), Optional.empty())
+                    : new Result(Optional.empty(), Optional.of(failureOf(thrown)));
+            waiting.get(i).accept(result);
+        }
+    }
+
+    private static Failure failureOf(Throwable thrown) {
+        return FailureException.carriedBy(thrown).orElseGet(() -> Failure.of(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN));
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -0,0 +1,468 @@
+package org.cornelcove.work.lead;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.plan.HostView;
+import org.cornelcove.work.plan.Placement;
+import org.cornelcove.work.state.Job;
+import org.cornelcove.work.state.Occurrence;
+import org.cornelcove.work.state.Run;
+import org.cornelcove.work.state.Task;
+import org.cornelcove.work.state.Verdict;
+import org.cornelcove.work.state.WorkCommand;
+import org.cornelcove.work.state.WorkState;
+
+/**
+ * One leadership: which tasks wait, which workers live, what runs where. Thrown away with the leadership; the next one
+ * is built from the durable state and from what workers say. Used on the leader's loop only.
+ *
+ * <p>Invariant: a run is in the durable state before its worker hears of it, and stays there until its end is shown by
+ * the worker, or its lease is over, or the life of its worker is. So no task gets a second run beside the first.
+ */
+final class Term {
+    /** How long a deposed leader may still have renewed leases: its election timeout, and a margin for one call. */
+    private static final long DEPOSED_MS = 1300;
+    /** How much slower a worker's clock may run, as a divisor of a lease's length. */
+    private static final double SLOWEST_CLOCK = 0.97;
+
+    /** From a worker's farewell, which it waits to be acknowledged, until it has surely ended. */
+    private static final long LEAVE_MS = 400;
+
+    final long fence;
+    final LeadSettings settings;
+    final WorkState state;
+    final Proposals proposals;
+    final LoopClock clock;
+    private final Conversation conversation;
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
+    private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
+    private final Backlog backlog = new Backlog();
+    private final long gainedMs;
+    private boolean placementDue = true;
+    private boolean over;
+
+    Term(
+            long fence,
+            LeadSettings settings,
+            WorkState state,
+            Proposals proposals,
+            WorkerDriver driver,
+            LoopClock clock) {
+        this.fence = fence;
+        this.settings = settings;
+        this.state = state;
+        this.proposals = proposals;
+        this.clock = clock;
+        this.gainedMs = clock.nowMs();
+        this.conversation = new Conversation(this, driver);
+        synchronized (state) {
+            state.jobs().values().stream().filter(job -> !job.phase().ended()).forEach(this::takeOver);
+            state.jobs().values().stream().filter(job -> job.phase().ended()).forEach(this::inheritRuns);
+        }
+    }
+
+    /** Ends the leadership; answers that come later change nothing. */
+    void end() {
+        over = true;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    Collection<Worker> workers() {
+        return workers.values();
+    }
+
+    private void takeOver(Job job) {
+        inheritRuns(job);
+        openJob(job);
+    }
+
+    private void inheritRuns(Job job) {
+        job.occurrences().forEach((number, occurrence) -> {
+            for (int step = 0; step < job.spec().steps().size(); step++) {
+                Task[] tasks = occurrence.step(step);
+                for (int index = 0; index < tasks.length; index++) {
+                    TaskKey key = new TaskKey(job.spec().id(), number, step, index);
+                    tasks[index].runs().forEach(run -> inherit(job, key, run));
+                }
+            }
+        });
+    }
+
+    private void inherit(Job job, TaskKey task, Run run) {
+        Worker worker = workers.get(run.worker());
+        if (worker == null || worker.bornMs < run.born()) {
+            worker = new Worker(run.worker(), run.born());
+            worker.inheritedUntilMs = gainedMs + DEPOSED_MS + (long) (settings.leaseMs() / SLOWEST_CLOCK);
+            workers.put(run.worker(), worker);
+        }
+        ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
+        active.stopWanted = job.phase().ended();
+        if (worker.bornMs == run.born()) {
+            track(active);
+        } else {
+            // The worker has begun another life since, so this run is gone.
+            runsByJob.computeIfAbsent(task.jobId(), any -> new HashSet<>()).add(active);
+            conversation.proposeEnd(active, RunEnd.LOST, "", "worker began another life");
+        }
+    }
+
+    private void track(ActiveRun run) {
+        run.worker.add(run);
+        runsByJob.computeIfAbsent(run.task.jobId(), any -> new HashSet<>()).add(run);
+    }
+
+    void untrack(ActiveRun run) {
+        run.worker.remove(run);
+        Set<ActiveRun> runs = runsByJob.get(run.task.jobId());
+        if (runs != null && runs.remove(run) && runs.isEmpty()) {
+            runsByJob.remove(run.task.jobId());
+        }
+    }
+
+    // Jobs
+
+    /** Takes an accepted job into the backlog. */
+    void openJob(Job job) {
+        if (job.phase().ended()) {
+            return;
+        }
+        if (job.spec().schedule().repeatCount() == 0) {
+            backlog.open(job, 0, state.queueOf(job));
+        } else {
+            nextOccurrence.putIfAbsent(job.spec().id(), 0);
+        }
+        placementDue = true;
+    }
+
+    private void openDueOccurrences() {
+        long wallMs = clock.wallMs();
+        nextOccurrence.entrySet().removeIf(entry -> {
+            Optional<Job> job = state.job(entry.getKey()).filter(j -> !j.phase().ended());
+            if (job.isEmpty()) {
+                return true;
+            }
+            int next = entry.getValue();
+            while (next < job.get().spec().schedule().occurrences()
+                    && job.get().spec().schedule().dueMs(next) <= wallMs) {
+                backlog.open(job.get(), next++, state.queueOf(job.get()));
+                placementDue = true;
+            }
+            entry.setValue(next);
+            return next >= job.get().spec().schedule().occurrences();
+        });
+    }
+
+    /** Stops all that still runs of an ended job. */
+    void jobEnded(String jobId) {
+        backlog.drop(jobId);
+        List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(conversation::wantStop);
+    }
+
+    /** Brings the backlog up to date after an end was committed. */
+    void endCommitted(ActiveRun run, RunEnd how) {
+        if (over) {
+            return;
+        }
+        Job job = run.job;
+        placementDue = true;
+        if (job.phase().ended()) {
+            jobEnded(run.task.jobId());
+            return;
+        }
+        Occurrence occurrence = job.occurrence(run.task.occurrence());
+        Task task = occurrence.step(run.task.step())[run.task.index()];
+        if (task.done()) {
+            stopCopies(run);
+            if (occurrence.stepDone(run.task.step())) {
+                backlog.open(job, run.task.occurrence(), state.queueOf(job));
+            }
+        } else if (task.runs().isEmpty()) {
+            backlog.add(job, run.task, state.queueOf(job));
+        }
+    }
+
+    private void stopCopies(ActiveRun ended) {
+        for (ActiveRun other : List.copyOf(runsByJob.getOrDefault(ended.task.jobId(), Set.of()))) {
+            if (other.task.equals(ended.task) && other != ended) {
+                conversation.wantStop(other);
+            }
+        }
+    }
+
+    // Workers
+
+    /** Takes a heartbeat. */
+    void announce(WorkerInfo info) {
+        long nowMs = clock.nowMs();
+        Worker worker = workers.get(info.id());
+        if (worker != null && (info.bornMs() < worker.bornMs || worker.gone && info.bornMs() == worker.bornMs)) {
+            return;
+        }
+        for (Worker other : List.copyOf(workers.values())) {
+            boolean sameAddress = other.info.isPresent()
+                    && other != worker
+                    && !other.gone
+                    && other.info.get().address().equals(info.address());
+            if (sameAddress && other.bornMs > info.bornMs()) {
+                return;
+            } else if (sameAddress) {
+                lifeOver(other, "another worker took its address");
+            }
+        }
+        if (worker != null && info.bornMs() > worker.bornMs) {
+            lifeOver(worker, "it began another life");
+            worker = null;
+        }
+        if (worker == null) {
+            worker = new Worker(info.id(), info.bornMs());
+            workers.put(info.id(), worker);
+            EventLog.event("worker.new", "worker", info.id(), "born", info.bornMs(), "address", info.address());
+        }
+        boolean newer =
+                worker.info.isEmpty() || info.sequence() > worker.info.get().sequence();
+        if (newer) {
+            boolean drains =
+                    info.draining() && worker.info.filter(WorkerInfo::draining).isEmpty();
+            worker.info = Optional.of(info);
+            worker.heard(nowMs, OptionalLong.of(info.clockMs()));
+            placementDue = true;
+            if (drains) {
+                EventLog.event(
+                        "worker.drains",
+                        "worker",
+                        info.id(),
+                        "remainingMs",
+                        info.remainingMs(),
+                        "runs",
+                        worker.runCount());
+                conversation.evacuate(worker);
+            }
+        }
+    }
+
+    /** Takes a worker's own word that it ends now. */
+    void leave(String id) {
+        Worker worker = workers.get(id);
+        if (worker != null && !worker.gone) {
+            worker.leaving = true;
+            clock.later(LEAVE_MS, () -> lifeOver(worker, "it left"));
+        }
+    }
+
+    /** Ends a life: whatever it was told, nothing of it runs any more. */
+    void lifeOver(Worker worker, String why) {
+        if (worker.gone) {
+            return;
+        }
+        worker.gone = true;
+        EventLog.event(
+                "worker.gone", "worker", worker.id, "born", worker.bornMs, "runs", worker.runCount(), "why", why);
+        List<ActiveRun> lost = new ArrayList<>();
+        worker.runs().forEach(lost::add);
+        lost.forEach(run -> conversation.proposeEnd(run, RunEnd.LOST, "", why));
+    }
+
+    // The loop
+
+    /** Looks at what time brings. */
+    void tick() {
+        long nowMs = clock.nowMs();
+        openDueOccurrences();
+        for (Worker worker : List.copyOf(workers.values())) {
+            conversation.look(worker, nowMs);
+        }
+        placementDue = true;
+        forgetOldJobs();
+    }
+
+    private void forgetOldJobs() {
+        long beforeMs = clock.wallMs() - settings.forgetMs();
+        synchronized (state) {
+            for (Job job : state.jobs().values()) {
+                if (job.phase().ended()
+                        && job.endedMs() < beforeMs
+                        && !runsByJob.containsKey(job.spec().id())) {
+                    proposals.add(new WorkCommand.Forget(job.spec().id()), result -> {});
+                    return;
+                }
+            }
+        }
+    }
+
+    /** Does what became due in this pass of the loop. */
+    void settle() {
+        if (placementDue && clock.leased()) {
+            placementDue = false;
+            place();
+        }
+        proposals.flush();
+    }
+
+    private void place() {
+        long nowMs = clock.nowMs();
+        List<Backlog.WaitingStep> steps = backlog.inOrder(clock.wallMs());
+        if (steps.isEmpty()) {
+            return;
+        }
+        Map<String, List<Worker>> usable = new HashMap<>();
+        for (Worker worker : workers.values()) {
+            if (worker.usable(nowMs)) {
+                usable.computeIfAbsent(worker.info.get().pool(), any -> new ArrayList<>())
+                        .add(worker);
+            }
+        }
+        for (Backlog.WaitingStep step : steps) {
+            if (step.job.phase().ended()) {
+                step.indices.clear();
+                continue;
+            }
+            List<Worker> pool = usable.getOrDefault(state.queueOf(step.job).pool(), List.of());
+            if (step.spec().gang()) {
+                placeGang(step, pool);
+            } else {
+                placeTasks(step, pool);
+            }
+        }
+    }
+
+    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool) {
+        while (!step.indices.isEmpty()) {
+            TaskKey key = step.task(step.indices.peekFirst());
+            Task task = step.job.task(key).orElseThrow();
+            if (task.done() || !task.runs().isEmpty()) {
+                step.indices.removeFirst();
+                continue;
+            }
+            Optional<Worker> worker = choose(step.spec(), key, pool);
+            if (worker.isEmpty()) {
+                return;
+            }
+            step.indices.removeFirst();
+            begin(step.job, key, task.lastRunId() + 1, worker.get());
+        }
+    }
+
+    private void placeGang(Backlog.WaitingStep step, List<Worker> pool) {
+        int size = step.spec().count();
+        if (step.indices.size() < size) {
+            return;
+        }
+        List<ActiveRun> members = new ArrayList<>();
+        int runId = 0;
+        for (int index = 0; index < size; index++) {
+            runId = Math.max(
+                    runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
+        }
+        for (int index = 0; index < size; index++) {
+            Optional<Worker> worker = choose(step.spec(), step.task(index), pool);
+            if (worker.isEmpty()) {
+                members.forEach(this::untrack);
+                return;
+            }
+            ActiveRun run = new ActiveRun(
+                    step.job, step.task(index), runId + 1, worker.get(), ActiveRun.Stage.COMMITTING, clock.nowMs());
+            track(run);
+            members.add(run);
+        }
+        step.indices.clear();
+        members.forEach(this::commitStart);
+    }
+
+    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool) {
+        List<HostView> views = new ArrayList<>(pool.size());
+        String rack = step.sameRack() ? rackOfStep(task) : "";
+        for (Worker worker : pool) {
+            views.add(view(worker, step, task, rack));
+        }
+        OptionalInt best = Placement.choose(step, views);
+        return best.isPresent() ? Optional.of(pool.get(best.getAsInt())) : Optional.empty();
+    }
+
+    private String rackOfStep(TaskKey task) {
+        for (ActiveRun run : runsByJob.getOrDefault(task.jobId(), Set.of())) {
+            if (run.sameStep(task) && run.worker.info.isPresent()) {
+                return run.worker.info.get().rack();
+            }
+        }
+        return "";
+    }
+
+    private static HostView view(Worker worker, StepSpec step, TaskKey task, String rackOfStep) {
+        WorkerInfo info = worker.info.orElseThrow();
+        return new HostView(
+                info.cpuMillis() - worker.cpuUsed,
+                info.memoryMb() - worker.memoryUsed,
+                info.accelerators() - worker.acceleratorsUsed,
+                info.cpuMillis(),
+                step.requiredLabel().isEmpty() || info.labels().contains(step.requiredLabel()),
+                step.dataRack().isEmpty() || info.labels().contains(step.dataRack()),
+                rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
+                worker.runsOfStep(task),
+                worker.serving,
+                worker.fills,
+                worker.failedTask(task),
+                worker.health.suspicion());
+    }
+
+    private void begin(Job job, TaskKey task, int runId, Worker worker) {
+        ActiveRun run = new ActiveRun(job, task, runId, worker, ActiveRun.Stage.COMMITTING, clock.nowMs());
+        track(run);
+        commitStart(run);
+    }
+
+    private void commitStart(ActiveRun run) {
+        WorkCommand start =
+                new WorkCommand.Start(run.task, run.runId, run.worker.id, run.worker.bornMs, clock.wallMs());
+        proposals.add(start, result -> {
+            if (over) {
+                return;
+            }
+            if (result.is(Verdict.DONE)) {
+                conversation.start(run);
+            } else {
+                EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
+                untrack(run);
+                requeue(run);
+            }
+        });
+    }
+
+    /** Puts a task back whose start was refused, where it still has to run. */
+    private void requeue(ActiveRun run) {
+        Task task = run.job.task(run.task).orElseThrow();
+        if (!run.job.phase().ended() && !task.done() && task.runs().isEmpty()) {
+            backlog.add(run.job, run.task, state.queueOf(run.job));
+        }
+    }
+
+    /** Returns how many jobs of a queue have not begun. */
+    long pending(QueueRule queue) {
+        synchronized (state) {
+            return state.jobs().values().stream()
+                    .filter(job -> job.phase() == JobPhase.QUEUED
+                            && job.spec().host().equalsIgnoreCase(queue.host())
+                            && job.spec().pathPrefix().equals(queue.pathPrefix()))
+                    .count();
+        }
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -0,0 +1,303 @@
+package org.cornelcove.work.lead;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.replication.Replica;
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.state.Job;
+import org.cornelcove.work.state.Verdict;
+import org.cornelcove.work.state.WorkCommand;
+import org.cornelcove.work.state.WorkState;
+
+/**
+ * The part of a control host that acts while the host leads. One thread runs everything that decides; calls come in
+ * through its queue, and whatever waits (the log, workers) answers through it.
+ *
+ * <p>Answers that could be stale wait for the log: changes for their commit, reads for a read barrier. So a leader that
+ * was deposed without knowing it tells nobody an old state.
+ */
+public final class WorkLeader implements AutoCloseable {
+    private static final long TICK_MS = 50;
+    private static final int RETRY_AFTER_S = 1;
+
+    private final LeadSettings settings;
+    private final WorkerDriver driver;
+    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "work-loop");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Clock clock = new Clock();
+    private volatile Replica replica;
+    private volatile LongSupplier leasedUntilMs = () -> 0;
+    private Optional<Term> term = Optional.empty();
+    private boolean settleDue;
+
+    private WorkLeader(LeadSettings settings, WorkerDriver driver) {
+        this.settings = settings;
+        this.driver = driver;
+    }
+
+    /** Returns a leader's part that does not lead yet. */
+    public static WorkLeader create(LeadSettings settings, WorkerDriver driver) {
+        WorkLeader leader = new WorkLeader(settings, driver);
+        leader.executor.scheduleWithFixedDelay(leader::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        return leader;
+    }
+
+    /** Begins to lead with a fence above those of all earlier leaders. */
+    public void gained(long fence, Replica member, WorkState state, LongSupplier leaseEndMs) {
+        clock.execute(() -> {
+            replica = member;
+            leasedUntilMs = leaseEndMs;
+            Proposals proposals = new Proposals(member::propose, clock::execute);
+            term = Optional.of(new Term(fence, settings, state, proposals, driver, clock));
+            EventLog.event("lead.gained", "fence", fence, "jobs", state.jobs().size());
+        });
+    }
+
+    /** Ends to lead. */
+    public void lost() {
+        clock.execute(() -> {
+            term.ifPresent(Term::end);
+            term = Optional.empty();
+            EventLog.event("lead.lost");
+        });
+    }
+
+    // Calls
+
+    /** Takes a heartbeat of a worker; fails with kind {@code NOT_LEADER}. */
+    public CompletableFuture<Void> announce(WorkerInfo info) {
+        return onTerm((leading, answer) -> {
+            leading.announce(info);
+            answer.complete(null);
+        });
+    }
+
+    /** Takes a worker's farewell; fails with kind {@code NOT_LEADER}. */
+    public CompletableFuture<Void> leave(String workerId) {
+        return onTerm((leading, answer) -> {
+            leading.leave(workerId);
+            answer.complete(null);
+        });
+    }
+
+    /** Replaces the rules; rules that are not newer change nothing. Fails with the kinds of {@link Replica#propose}. */
+    public CompletableFuture<Void> configure(WorkRules rules) {
+        return onTerm((leading, answer) -> leading.proposals.add(new WorkCommand.Configure(rules), result -> {
+            if (result.failure().isPresent()) {
+                answer.completeExceptionally(result.failure().get().asException());
+            } else {
+                EventLog.event(
+                        "rules.accepted",
+                        "version",
+                        rules.version(),
+                        "verdict",
+                        result.verdict().get());
+                answer.complete(null);
+            }
+        }));
+    }
+
+    /** Returns the newest rules; fails with kind {@code NOT_LEADER} when they can't be told for sure. */
+    public CompletableFuture<WorkRules> rules() {
+        return read((leading, answer) -> answer.complete(leading.state.rules()));
+    }
+
+    /** Answers a caller; fails with the kinds of {@link Replica#propose}. */
+    public CompletableFuture<JobReply> call(JobCall call) {
+        return switch (call.kind()) {
+            case SUBMIT -> submit(call);
+            case CANCEL -> cancel(call);
+            case SHOW -> read((leading, answer) -> answer.complete(show(leading, call)));
+        };
+    }
+
+    private CompletableFuture<JobReply> submit(JobCall call) {
+        return onTerm((leading, answer) -> {
+            WorkRules rules = leading.state.rules();
+            Optional<QueueRule> queue = rules.queueFor(call.host(), call.path());
+            if (queue.isEmpty()) {
+                afterBarrier(answer, () -> answer.complete(noQueue(leading.state.rules())));
+                return;
+            }
+            String id = call.path().substring(queue.get().pathPrefix().length());
+            JobSpec spec = new JobSpec(
+                    id, queue.get().host(), queue.get().pathPrefix(), call.taskSpec(), call.steps(), call.schedule());
+            WorkCommand submit = new WorkCommand.Submit(spec, queue.get(), clock.wallMs());
+            leading.proposals.add(submit, result -> {
+                if (result.failure().isPresent()) {
+                    answer.completeExceptionally(result.failure().get().asException());
+                    return;
+                }
+                EventLog.event(
+                        "job.accepted",
+                        "job",
+                        id,
+                        "queue",
+                        queue.get().name(),
+                        "rules",
+                        rules.version(),
+                        "again",
+                        result.is(Verdict.UNCHANGED));
+                leading.state.job(id).ifPresent(leading::openJob);
+                answer.complete(JobReply.of(JobReply.Outcome.ACCEPTED));
+            });
+        });
+    }
+
+    private static JobReply noQueue(WorkRules rules) {
+        return rules.version() == 0 ? JobReply.refused(RETRY_AFTER_S) : JobReply.of(JobReply.Outcome.NO_QUEUE);
+    }
+
+    private CompletableFuture<JobReply> cancel(JobCall call) {
+        return onTerm((leading, answer) -> {
+            Optional<QueueRule> queue = leading.state.rules().queueFor(call.host(), call.path());
+            if (queue.isEmpty()) {
+                afterBarrier(answer, () -> answer.complete(noQueue(leading.state.rules())));
+                return;
+            }
+            String id = call.path().substring(queue.get().pathPrefix().length());
+            leading.proposals.add(new WorkCommand.Cancel(id, clock.wallMs()), result -> {
+                if (result.failure().isPresent()) {
+                    answer.completeExceptionally(result.failure().get().asException());
+                    return;
+                }
+                EventLog.event(
+                        "job.cancelled", "job", id, "verdict", result.verdict().get());
+                if (result.is(Verdict.DONE)) {
+                    leading.jobEnded(id);
+                }
+                boolean unknown = result.is(Verdict.UNKNOWN);
+                answer.complete(JobReply.of(unknown ? JobReply.Outcome.NO_JOB : JobReply.Outcome.CANCELLED));
+            });
+        });
+    }
+
+    private static JobReply show(Term leading, JobCall call) {
+        WorkRules rules = leading.state.rules();
+        Optional<QueueRule> queue = rules.queueFor(call.host(), call.path());
+        if (queue.isEmpty()) {
+            return noQueue(rules);
+        }
+        String id = call.path().substring(queue.get().pathPrefix().length());
+        if (id.isEmpty()) {
+            return new JobReply(JobReply.Outcome.COUNTED, null, leading.pending(queue.get()), 0);
+        }
+        Optional<Job> job = leading.state.job(id);
+        return job.map(found -> new JobReply(JobReply.Outcome.SHOWN, found.phase(), 0, 0))
+                .orElse(JobReply.of(JobReply.Outcome.NO_JOB));
+    }
+
+    // The loop
+
+    private interface Work<T> {
+        void run(Term leading, CompletableFuture<T> answer);
+    }
+
+    private <T> CompletableFuture<T> onTerm(Work<T> work) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        try {
+            clock.execute(() -> {
+                if (term.isEmpty()) {
+                    answer.completeExceptionally(notLeader());
+                } else {
+                    work.run(term.get(), answer);
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            answer.completeExceptionally(notLeader());
+        }
+        return answer;
+    }
+
+    private <T> CompletableFuture<T> read(Work<T> work) {
+        return onTerm((leading, answer) -> afterBarrier(answer, () -> work.run(leading, answer)));
+    }
+
+    private void afterBarrier(CompletableFuture<?> answer, Runnable then) {
+        replica.readBarrier()
+                .whenComplete((index, thrown) -> clock.execute(() -> {
+                    if (thrown == null) {
+                        then.run();
+                    } else {
+                        answer.completeExceptionally(notLeader());
+                    }
+                }));
+    }
+
+    private static RuntimeException notLeader() {
+        return Failure.of(ErrorKind.NOT_LEADER, "the other control hosts").asException();
+    }
+
+    private void tick() {
+        guarded(() -> term.ifPresent(Term::tick));
+        settle();
+    }
+
+    private void settle() {
+        settleDue = false;
+        guarded(() -> term.ifPresent(Term::settle));
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] stack = e.getStackTrace();
+            EventLog.event("lead.fault", "cause", e, "where", stack.length == 0 ? "" : stack[0]);
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private final class Clock implements LoopClock {
+        @Override
+        public long nowMs() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        }
+
+        @Override
+        public long wallMs() {
+            return System.currentTimeMillis();
+        }
+
+        @Override
+        public boolean leased() {
+            return nowMs() < leasedUntilMs.getAsLong();
+        }
+
+        @Override
+        public void later(long delayMs, Runnable task) {
+            executor.schedule(() -> pass(task), delayMs, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            executor.execute(() -> pass(task));
+        }
+
+        private void pass(Runnable task) {
+            guarded(task);
+            if (!settleDue) {
+                settleDue = true;
+                executor.execute(WorkLeader.this::settle);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -0,0 +1,166 @@
+package org.cornelcove.work.lead;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.plan.WorkerHealth;
+
+/**
+ * One life of a worker as the leader sees it: its room, its runs, and how long its lease may last. Used on the leader's
+ * loop only.
+ *
+ * <p>A worker's clock is known to be at least what it told when its answer came, and to run at most {@link #DRIFT} slower
+ * than ours. A lease counts as over when even this lowest clock has passed the highest deadline ever sent.
+ */
+final class Worker {
+    /** How slowly a worker's clock may run, as a share. */
+    private static final double DRIFT = 0.03;
+    /** How old a worker's last word may be for a placement: three heartbeats of a second and a bit. */
+    private static final long FRESH_MS = 3600;
+
+    private record RunKey(TaskKey task, int runId) {}
+
+    final String id;
+    final long bornMs;
+    final WorkerHealth health = new WorkerHealth();
+    private final Set<TaskKey> failedTasks = new HashSet<>();
+    private final Map<RunKey, ActiveRun> runs = new HashMap<>();
+    Optional<WorkerInfo> info = Optional.empty();
+    long heardMs = Long.MIN_VALUE / 2;
+    private long clockMs;
+    private long clockAtMs;
+    private boolean clockKnown;
+    private long highestDeadlineMs;
+    /** When leases of earlier leaders are over, on our clock. */
+    long inheritedUntilMs;
+    /** Whether it has answered a look with this leader's fence. */
+    boolean fenced;
+
+    long notedEnd;
+    long highestEnd;
+    boolean holding;
+    long holdDueMs;
+    int holdFailures;
+    int cpuUsed;
+    int memoryUsed;
+    int acceleratorsUsed;
+    int serving;
+    int fills;
+    final TreeSet<Long> endsUnderWay = new TreeSet<>();
+    long avoidUntilMs;
+    boolean leaving;
+    boolean gone;
+
+    Worker(String id, long bornMs) {
+        this.id = id;
+        this.bornMs = bornMs;
+    }
+
+    Iterable<ActiveRun> runs() {
+        return runs.values();
+    }
+
+    int runCount() {
+        return runs.size();
+    }
+
+    Optional<ActiveRun> run(TaskKey task, int runId) {
+        return Optional.ofNullable(runs.get(new RunKey(task, runId)));
+    }
+
+    void add(ActiveRun run) {
+        runs.put(new RunKey(run.task, run.runId), run);
+        use(run.step, 1);
+    }
+
+    void remove(ActiveRun run) {
+        if (runs.remove(new RunKey(run.task, run.runId)) != null) {
+            use(run.step, -1);
+        }
+    }
+
+    private void use(StepSpec step, int sign) {
+        cpuUsed += step.fill() ? 0 : sign * step.cpuMillis();
+        memoryUsed += sign * step.memoryMb();
+        acceleratorsUsed += sign * step.accelerators();
+        serving += step.lasting() && step.targetMs() > 0 ? sign : 0;
+        fills += step.fill() ? sign : 0;
+    }
+
+    /** Notes that an end is in the durable state; ends are told to the worker in their order. */
+    void endNoted(long number) {
+        endsUnderWay.remove(number);
+        notedEnd = endsUnderWay.isEmpty() ? highestEnd : endsUnderWay.first() - 1;
+    }
+
+    void noteFailure(TaskKey task, long nowMs) {
+        failedTasks.add(task);
+        health.failed(task.jobId(), nowMs);
+    }
+
+    boolean failedTask(TaskKey task) {
+        return failedTasks.contains(task);
+    }
+
+    int runsOfStep(TaskKey task) {
+        int count = 0;
+        for (ActiveRun run : runs.values()) {
+            count += run.sameStep(task) ? 1 : 0;
+        }
+        return count;
+    }
+
+    void heard(long nowMs, OptionalLong clock) {
+        heardMs = Math.max(heardMs, nowMs);
+        if (clock.isPresent() && (!clockKnown || clock.getAsLong() >= lowestClockMs(nowMs))) {
+            clockMs = clock.getAsLong();
+            clockAtMs = nowMs;
+            clockKnown = true;
+        }
+    }
+
+    private long lowestClockMs(long nowMs) {
+        return clockMs + (long) ((nowMs - clockAtMs) * (1 - DRIFT));
+    }
+
+    /** Returns a deadline on the worker's clock, and remembers that it was sent. */
+    OptionalLong deadline(long nowMs, long leaseMs) {
+        if (!clockKnown) {
+            return OptionalLong.empty();
+        }
+        long deadline = lowestClockMs(nowMs) + leaseMs;
+        highestDeadlineMs = Math.max(highestDeadlineMs, deadline);
+        return OptionalLong.of(deadline);
+    }
+
+    /** Tells whether nothing that was ever ordered can run there any more. */
+    boolean leasesOver(long nowMs) {
+        boolean ownOver = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
+        return ownOver && (fenced || nowMs > inheritedUntilMs);
+    }
+
+    boolean usable(long nowMs) {
+        return info.isPresent()
+                && !gone
+                && !leaving
+                && !info.get().draining()
+                && clockKnown
+                && nowMs - heardMs < FRESH_MS
+                && holdFailures == 0
+                && nowMs >= avoidUntilMs
+                && !health.aside(nowMs)
+                && !(health.onTrial() && runCount() > 0);
+    }
+
+    /** Tells whether the leader has to look at it. */
+    boolean needsLook() {
+        return !gone && info.isPresent() && (runCount() > 0 || highestEnd > notedEnd);
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/lead/package-info.java
@@ -0,0 +1,2 @@
+/** The leader's loop: it places tasks, drives workers and notes their ends. */
+package org.cornelcove.work.lead;
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/plan/HostView.java
@@ -0,0 +1,31 @@
+package org.cornelcove.work.plan;
+
+/**
+ * What a placement looks at on one worker.
+ *
+ * @param cpuFreeMillis room that is not reserved
+ * @param memoryFreeMb room that is not reserved
+ * @param acceleratorsFree room that is not reserved
+ * @param cpuMillis what it holds in all
+ * @param matchesLabel whether it has the label that the step requires
+ * @param inDataRack whether it stands where the step's data lies, true when the step names no rack
+ * @param inStepRack whether it stands where other tasks of a step for one rack run, true when that doesn't matter
+ * @param runsOfStep how many tasks of the same step it runs
+ * @param serving how many lasting tasks with a target it runs
+ * @param fills how many fill tasks it runs
+ * @param failedTask whether the same task has failed there
+ * @param suspicion 0 for a sound worker; higher the more it has failed of late
+ */
+public record HostView(
+        int cpuFreeMillis,
+        int memoryFreeMb,
+        int acceleratorsFree,
+        int cpuMillis,
+        boolean matchesLabel,
+        boolean inDataRack,
+        boolean inStepRack,
+        int runsOfStep,
+        int serving,
+        int fills,
+        boolean failedTask,
+        double suspicion) {}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
@@ -0,0 +1,155 @@
+package org.cornelcove.work.state;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.PoolRule;
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.Schedule;
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.WorkRules;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes what callers and operators send, field by field, and reads it back. */
+final class SpecCodec {
+    private SpecCodec() {}
+
+    static void writeJob(MessagePacker out, JobSpec spec) throws IOException {
+        out.packString(spec.id())
+                .packString(spec.host())
+                .packString(spec.pathPrefix())
+                .packString(spec.taskSpec());
+        out.packArrayHeader(spec.steps().size());
+        for (StepSpec step : spec.steps()) {
+            writeStep(out, step);
+        }
+        out.packLong(spec.schedule().firstAtMs())
+                .packLong(spec.schedule().intervalMs())
+                .packInt(spec.schedule().repeatCount());
+    }
+
+    static JobSpec readJob(MessageUnpacker in) throws IOException {
+        String id = in.unpackString();
+        String host = in.unpackString();
+        String pathPrefix = in.unpackString();
+        String taskSpec = in.unpackString();
+        int count = in.unpackArrayHeader();
+        List<StepSpec> steps = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            steps.add(readStep(in));
+        }
+        Schedule schedule = new Schedule(in.unpackLong(), in.unpackLong(), in.unpackInt());
+        return new JobSpec(id, host, pathPrefix, taskSpec, List.copyOf(steps), schedule);
+    }
+
+    private static void writeStep(MessagePacker out, StepSpec step) throws IOException {
+        out.packInt(step.count())
+                .packInt(step.cpuMillis())
+                .packInt(step.memoryMb())
+                .packInt(step.accelerators())
+                .packLong(step.estimateMs());
+        out.packArrayHeader(step.after().size());
+        for (int after : step.after()) {
+            out.packInt(after);
+        }
+        out.packBoolean(step.checkpointing())
+                .packBoolean(step.gang())
+                .packBoolean(step.sameRack())
+                .packString(step.requiredLabel())
+                .packString(step.dataRack())
+                .packInt(step.maxPerWorker())
+                .packBoolean(step.copies())
+                .packBoolean(step.lasting())
+                .packString(step.image())
+                .packLong(step.targetMs())
+                .packBoolean(step.fill())
+                .packInt(step.maxUnavailable());
+    }
+
+    private static StepSpec readStep(MessageUnpacker in) throws IOException {
+        int count = in.unpackInt();
+        int cpuMillis = in.unpackInt();
+        int memoryMb = in.unpackInt();
+        int accelerators = in.unpackInt();
+        long estimateMs = in.unpackLong();
+        int afterCount = in.unpackArrayHeader();
+        List<Integer> after = new ArrayList<>();
+        for (int i = 0; i < afterCount; i++) {
+            after.add(in.unpackInt());
+        }
+        return new StepSpec(
+                count,
+                cpuMillis,
+                memoryMb,
+                accelerators,
+                estimateMs,
+                List.copyOf(after),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                in.unpackString(),
+                in.unpackLong(),
+                in.unpackBoolean(),
+                in.unpackInt());
+    }
+
+    static void writeQueue(MessagePacker out, QueueRule queue) throws IOException {
+        out.packString(queue.name())
+                .packString(queue.host())
+                .packString(queue.pathPrefix())
+                .packString(queue.pool())
+                .packInt(queue.priority())
+                .packInt(queue.attempts())
+                .packDouble(queue.stretch())
+                .packLong(queue.targetLatencyMs());
+    }
+
+    static QueueRule readQueue(MessageUnpacker in) throws IOException {
+        return new QueueRule(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackInt(),
+                in.unpackDouble(),
+                in.unpackLong());
+    }
+
+    static void writeRules(MessagePacker out, WorkRules rules) throws IOException {
+        out.packLong(rules.version());
+        out.packBinaryHeader(rules.source().length).writePayload(rules.source());
+        out.packArrayHeader(rules.queues().size());
+        for (QueueRule queue : rules.queues()) {
+            writeQueue(out, queue);
+        }
+        out.packArrayHeader(rules.pools().size());
+        for (PoolRule pool : rules.pools()) {
+            out.packString(pool.name()).packBoolean(pool.guarded()).packBoolean(pool.standby());
+        }
+    }
+
+    static WorkRules readRules(MessageUnpacker in) throws IOException {
+        long version = in.unpackLong();
+        byte[] source = in.readPayload(in.unpackBinaryHeader());
+        int queueCount = in.unpackArrayHeader();
+        List<QueueRule> queues = new ArrayList<>();
+        for (int i = 0; i < queueCount; i++) {
+            queues.add(readQueue(in));
+        }
+        int poolCount = in.unpackArrayHeader();
+        List<PoolRule> pools = new ArrayList<>();
+        for (int i = 0; i < poolCount; i++) {
+            pools.add(new PoolRule(in.unpackString(), in.unpackBoolean(), in.unpackBoolean()));
+        }
+        return new WorkRules(version, source, List.copyOf(queues), List.copyOf(pools));
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -0,0 +1,109 @@
+package org.cornelcove.work.state;
+
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Map;
+
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.WorkRules;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes the whole state into a snapshot and reads it back. */
+final class StateCodec {
+    private StateCodec() {}
+
+    static byte[] encode(WorkRules rules, Collection<Job> jobs) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            SpecCodec.writeRules(out, rules);
+            out.packArrayHeader(jobs.size());
+            for (Job job : jobs) {
+                writeJob(out, job);
+            }
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+    }
+
+    static WorkRules decode(byte[] snapshot, Map<String, Job> into) {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(snapshot)) {
+            WorkRules rules = SpecCodec.readRules(in);
+            int count = in.unpackArrayHeader();
+            for (int i = 0; i < count; i++) {
+                Job job = readJob(in);
+                into.put(job.spec.id(), job);
+            }
+            return rules;
+        } catch (IOException | MessagePackException e) {
+            throw Failure.of(ErrorKind.FRAME_MALFORMED, String.valueOf(e.getMessage()))
+                    .asException();
+        }
+    }
+
+    private static void writeJob(MessagePacker out, Job job) throws IOException {
+        SpecCodec.writeJob(out, job.spec);
+        SpecCodec.writeQueue(out, job.acceptedBy);
+        out.packLong(job.submittedMs)
+                .packInt(job.phase.ordinal())
+                .packLong(job.endedMs)
+                .packInt(job.doneOccurrences);
+        out.packArrayHeader(job.occurrences.size());
+        for (Map.Entry<Integer, Occurrence> entry : job.occurrences.entrySet()) {
+            out.packInt(entry.getKey());
+            for (Task[] step : entry.getValue().tasks) {
+                for (Task task : step) {
+                    writeTask(out, task);
+                }
+            }
+        }
+    }
+
+    private static Job readJob(MessageUnpacker in) throws IOException {
+        Job job = new Job(SpecCodec.readJob(in), SpecCodec.readQueue(in), in.unpackLong());
+        job.phase = JobPhase.values()[in.unpackInt()];
+        job.endedMs = in.unpackLong();
+        job.doneOccurrences = in.unpackInt();
+        int count = in.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            Occurrence occurrence = job.occurrence(in.unpackInt());
+            for (int step = 0; step < occurrence.tasks.length; step++) {
+                for (Task task : occurrence.tasks[step]) {
+                    readTask(in, task);
+                    occurrence.doneCounts[step] += task.done ? 1 : 0;
+                }
+            }
+        }
+        return job;
+    }
+
+    private static void writeTask(MessagePacker out, Task task) throws IOException {
+        out.packInt(task.lastRunId)
+                .packInt(task.failures)
+                .packBoolean(task.done)
+                .packString(task.checkpoint);
+        out.packArrayHeader(task.runs.size());
+        for (Run run : task.runs) {
+            out.packInt(run.runId())
+                    .packString(run.worker())
+                    .packLong(run.born())
+                    .packLong(run.startedMs());
+        }
+    }
+
+    private static void readTask(MessageUnpacker in, Task task) throws IOException {
+        task.lastRunId = in.unpackInt();
+        task.failures = in.unpackInt();
+        task.done = in.unpackBoolean();
+        task.checkpoint = in.unpackString();
+        int runs = in.unpackArrayHeader();
+        for (int i = 0; i < runs; i++) {
+            task.runs.add(new Run(in.unpackInt(), in.unpackString(), in.unpackLong(), in.unpackLong()));
+        }
+    }
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
@@ -0,0 +1,63 @@
+package org.cornelcove.work.state;
+
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkRules;
+
+/** A change of the durable state. */
+public sealed interface WorkCommand {
+    /**
+     * Replaces the rules where the version is higher than the one held.
+     *
+     * @param rules the new rules
+     */
+    record Configure(WorkRules rules) implements WorkCommand {}
+
+    /**
+     * Accepts a job; the same id again changes nothing.
+     *
+     * @param spec the job
+     * @param queue the queue that took it
+     * @param atMs Unix time of the leader
+     */
+    record Submit(JobSpec spec, QueueRule queue, long atMs) implements WorkCommand {}
+
+    /**
+     * Cancels a job that has not ended.
+     *
+     * @param jobId the job
+     * @param atMs Unix time of the leader
+     */
+    record Cancel(String jobId, long atMs) implements WorkCommand {}
+
+    /**
+     * Notes that a run may be started from now on.
+     *
+     * @param task the task
+     * @param runId the run
+     * @param worker the worker that will be told
+     * @param born which life of that worker
+     * @param atMs Unix time of the leader
+     */
+    record Start(TaskKey task, int runId, String worker, long born, long atMs) implements WorkCommand {}
+
+    /**
+     * Notes how a run ended.
+     *
+     * @param task the task
+     * @param runId the run
+     * @param how how it ended
+     * @param checkpoint its saved progress, empty when there is none
+     * @param atMs Unix time of the leader
+     */
+    record End(TaskKey task, int runId, RunEnd how, String checkpoint, long atMs) implements WorkCommand {}
+
+    /**
+     * Drops a job that ended long ago.
+     *
+     * @param jobId the job
+     */
+    record Forget(String jobId) implements WorkCommand {}
+}
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -0,0 +1,193 @@
+package org.cornelcove.work.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.cornelcove.replication.StateMachine;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.QueueRule;
+import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.WorkRules;
+
+/**
+ * The rules, jobs and runs that survive. A command that does not fit is refused here, whatever leader proposed it: a
+ * task that is done never runs again, a task without copies has one run at a time, run numbers only rise.
+ *
+ * <p>A run is committed before its worker is told, so that a new leader knows every run that may exist; finding them by
+ * asking all workers would leave out those that can't be reached.
+ *
+ * <p>Guarded by its own monitor. The applier changes it; the leader reads it under the same monitor.
+ */
+public final class WorkState implements StateMachine {
+    private WorkRules rules = WorkRules.NONE;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+
+    /** Returns the rules in force. */
+    public synchronized WorkRules rules() {
+        return rules;
+    }
+
+    /** Returns all jobs in the order of their acceptance; read it under this object's monitor. */
+    public Map<String, Job> jobs() {
+        return jobs;
+    }
+
+    /** Finds a job. */
+    public synchronized Optional<Job> job(String id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /** Returns the queue of a job as the rules have it now, or as it was when the rules dropped it. */
+    public synchronized QueueRule queueOf(Job job) {
+        return rules.queueAt(job.spec.host(), job.spec.pathPrefix()).orElse(job.acceptedBy);
+    }
+
+    @Override
+    public synchronized byte[] apply(long index, byte[] command) {
+        List<WorkCommand> batch = CommandCodec.decode(command);
+        byte[] verdicts = new byte[batch.size()];
+        for (int i = 0; i < verdicts.length; i++) {
+            verdicts[i] = (byte) apply(batch.get(i)).ordinal();
+        }
+        return verdicts;
+    }
+
+    private Verdict apply(WorkCommand command) {
+        if (command instanceof WorkCommand.Start start) {
+            return start(start);
+        } else if (command instanceof WorkCommand.End end) {
+            return end(end);
+        } else if (command instanceof WorkCommand.Submit submit) {
+            Job job = new Job(submit.spec(), submit.queue(), submit.atMs());
+            return jobs.putIfAbsent(submit.spec().id(), job) == null ? Verdict.DONE : Verdict.UNCHANGED;
+        } else if (command instanceof WorkCommand.Cancel cancel) {
+            return cancel(cancel);
+        } else if (command instanceof WorkCommand.Configure configure) {
+            return configure(configure.rules());
+        } else if (command instanceof WorkCommand.Forget forget) {
+            return jobs.remove(forget.jobId()) == null ? Verdict.UNCHANGED : Verdict.DONE;
+        }
+        throw new IllegalStateException("unknown command " + command);
+    }
+
+    private Verdict configure(WorkRules next) {
+        if (next.version() <= rules.version()) {
+            return Verdict.UNCHANGED;
+        }
+        rules = next;
+        return Verdict.DONE;
+    }
+
+    private Verdict cancel(WorkCommand.Cancel cancel) {
+        Job job = jobs.get(cancel.jobId());
+        if (job == null) {
+            return Verdict.UNKNOWN;
+        }
+        if (job.phase.ended()) {
+            return Verdict.UNCHANGED;
+        }
+        finish(job, JobPhase.CANCELLED, cancel.atMs());
+        return Verdict.DONE;
+    }
+
+    private static void finish(Job job, JobPhase phase, long atMs) {
+        job.phase = phase;
+        job.endedMs = atMs;
+    }
+
+    private Verdict start(WorkCommand.Start start) {
+        Job job = jobs.get(start.task().jobId());
+        if (job == null) {
+            return Verdict.UNKNOWN;
+        }
+        Optional<Task> found = job.task(start.task());
+        if (found.isEmpty() || job.phase.ended()) {
+            return Verdict.REFUSED;
+        }
+        Task task = found.get();
+        StepSpec step = job.spec.steps().get(start.task().step());
+        boolean busy = !task.runs.isEmpty() && !step.copies();
+        boolean early = !job.occurrence(start.task().occurrence()).stepReady(step);
+        boolean spent = !step.lasting() && task.failures >= queueOf(job).attempts();
+        if (task.done || busy || early || spent || start.runId() <= task.lastRunId) {
+            return Verdict.REFUSED;
+        }
+        task.lastRunId = start.runId();
+        task.runs.add(new Run(start.runId(), start.worker(), start.born(), start.atMs()));
+        job.phase = JobPhase.RUNNING;
+        return Verdict.DONE;
+    }
+
+    private Verdict end(WorkCommand.End end) {
+        Job job = jobs.get(end.task().jobId());
+        if (job == null) {
+            return Verdict.UNKNOWN;
+        }
+        Optional<Task> found = job.task(end.task());
+        if (found.isEmpty() || !found.get().runs.removeIf(r -> r.runId() == end.runId())) {
+            return Verdict.UNCHANGED;
+        }
+        Task task = found.get();
+        if (!end.checkpoint().isEmpty()) {
+            task.checkpoint = end.checkpoint();
+        }
+        StepSpec step = job.spec.steps().get(end.task().step());
+        if (end.how() == RunEnd.DONE && !step.lasting()) {
+            taskDone(job, end, step);
+        } else if (end.how() == RunEnd.FAILED && !step.lasting()) {
+            taskFailed(job, end, task, step);
+        }
+        return Verdict.DONE;
+    }
+
+    private void taskDone(Job job, WorkCommand.End end, StepSpec step) {
+        Occurrence occurrence = job.occurrence(end.task().occurrence());
+        Task[] tasks = occurrence.tasks[end.task().step()];
+        if (step.gang()) {
+            // One member that ends as done stands for all.
+            for (Task member : tasks) {
+                member.done = true;
+            }
+            occurrence.doneCounts[end.task().step()] = tasks.length;
+        } else if (!tasks[end.task().index()].done) {
+            tasks[end.task().index()].done = true;
+            occurrence.doneCounts[end.task().step()]++;
+        } else {
+            return;
+        }
+        if (occurrence.done()) {
+            job.doneOccurrences++;
+            if (job.doneOccurrences == job.spec.schedule().occurrences() && !job.phase.ended()) {
+                finish(job, JobPhase.COMPLETED, end.atMs());
+            }
+        }
+    }
+
+    private void taskFailed(Job job, WorkCommand.End end, Task task, StepSpec step) {
+        if (step.gang()) {
+            for (Task member :
+                    job.occurrence(end.task().occurrence()).tasks[end.task().step()]) {
+                member.failures++;
+            }
+        } else {
+            task.failures++;
+        }
+        if (task.failures >= queueOf(job).attempts() && !task.done && !job.phase.ended()) {
+            finish(job, JobPhase.FAILED, end.atMs());
+        }
+    }
+
+    @Override
+    public synchronized byte[] snapshot() {
+        return StateCodec.encode(rules, jobs.values());
+    }
+
+    @Override
+    public synchronized void restore(byte[] snapshot) {
+        jobs.clear();
+        rules = StateCodec.decode(snapshot, jobs);
+    }
+}
