Fill work is paced by what its image is known to do to lasting tasks

Ruled out: room; 80% of the fleet is reserved by lasting tasks, so fill work has to stand beside them.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -41,7 +41,8 @@
     double figure = -1;
     int pacePercent = PaceControl.FULL_PERCENT;
     long pausedSinceMs;
-    boolean stalled;
+    /** Whether a lasting task was over its target at the last look. */
+    boolean over;
 
     ActiveRun(Job job, TaskKey task, int runId, Worker worker, Stage stage, long nowMs) {
         this.job = job;
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.lead.WorkerDriver.Answer;
 import org.cornelcove.work.lead.WorkerDriver.EndedRow;
 import org.cornelcove.work.lead.WorkerDriver.HoldOrder;
@@ -35,7 +36,9 @@
     /** Pause before a worker that does not answer a look is asked again. */
     private static final long SILENT_RETRY_MS = 300;
     /** How long a worker may wait for an end before it answers a look; half of the time in which leases are renewed. */
-    private static final long LOOK_WAIT_MS = 1000;
+    private static final long LOOK_WAIT_MS = 1500;
+    /** The same where fill work stands beside a lasting task: figures are half a second old anyway. */
+    private static final long MIXED_LOOK_WAIT_MS = 500;
     /** A task whose progress stands still for so long stands on a bad worker; a slow one moves in this time. */
     private static final long STALL_MS = 3500;
     /** A lasting task that isn't at work so long after its start is started elsewhere. */
@@ -55,6 +58,11 @@
 
     // Starts
 
+    /** Returns how badly a fill task of a step would disturb a worker. */
+    double disturbance(Worker worker, StepSpec step) {
+        return pace.cost(worker, step);
+    }
+
     void start(ActiveRun run) {
         if (term.over() || run.endProposed || run.worker.gone) {
             return;
@@ -234,10 +242,16 @@
         boolean runsThere = worker.runCount() > 0;
         OptionalLong deadline = runsThere ? worker.deadline(nowMs, term.settings.leaseMs()) : OptionalLong.empty();
         boolean atOnce = !worker.fenced || worker.holdFailures > 0 || !runsThere || stopping(worker);
-        HoldOrder order = new HoldOrder(term.fence, worker.notedEnd, deadline, atOnce ? 0 : LOOK_WAIT_MS);
+        HoldOrder order = new HoldOrder(term.fence, worker.notedEnd, deadline, atOnce ? 0 : waitMs(worker));
         worker.holding = true;
+        long told = worker.notedEnd;
         driver.hold(worker.info.orElseThrow(), order)
-                .whenComplete((look, thrown) -> term.clock.execute(() -> looked(worker, look, nowMs)));
+                .whenComplete((look, thrown) -> term.clock.execute(() -> looked(worker, look, nowMs, told)));
+    }
+
+    /** Fill work beside a lasting task with a target is looked at more often, because its harm shows only in looks. */
+    private static long waitMs(Worker worker) {
+        return worker.serving > 0 && worker.fills > 0 ? MIXED_LOOK_WAIT_MS : LOOK_WAIT_MS;
     }
 
     private static boolean stopping(Worker worker) {
@@ -258,7 +272,7 @@
         }
     }
 
-    private void looked(Worker worker, Look look, long sentMs) {
+    private void looked(Worker worker, Look look, long sentMs, long told) {
         worker.holding = false;
         if (term.over() || worker.gone) {
             return;
@@ -280,6 +294,7 @@
             EventLog.event("worker.answers", "worker", worker.id, "failures", worker.holdFailures);
         }
         worker.holdFailures = 0;
+        worker.toldEnd = told;
         worker.fenced = true;
         worker.heard(nowMs, look.clockMs());
         worker.holdDueMs = stopping(worker) ? nowMs + term.settings.stopTimeoutMs() / 4 : nowMs;
@@ -287,7 +302,7 @@
         look.ended().forEach(row -> ended(worker, row).ifPresent(listed::add));
         look.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
         endUnlisted(worker, listed, sentMs);
-        pace.adjust(worker, nowMs);
+        pace.adjust(worker, nowMs).forEach(this::wantStop);
         look(worker, nowMs);
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -1,55 +1,141 @@
 package org.cornelcove.work.lead;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.lead.WorkerDriver.Reply;
 import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.plan.Interference;
 import org.cornelcove.work.plan.PaceControl;
 
-/** Slows fill work beside lasting tasks that are near their target. Used on the leader's loop only. */
+/** Learns how fill work disturbs lasting tasks, and sets its pace. Used on the leader's loop only. */
 final class PaceKeeper {
+    /** Figures are about the last half second, so a new pace shows no sooner. */
+    private static final long EVERY_MS = 450;
+    /** Two looks further apart than this say nothing about each other. */
+    private static final long MAX_APART_MS = 1500;
+    /** A change of the processor in use below this share of a worker is noise. */
+    private static final double LEAST_CHANGE = 0.02;
+    /** Fill work that stood still for so long is moved, where it can take its progress along. */
+    private static final long MOVE_AFTER_MS = 1500;
+
+    private static final int NEARLY_STILL_PERCENT = 20;
+
+    /** What a look at a worker showed. */
+    private record Sample(long atMs, Map<String, Double> use, Map<ActiveRun, Double> tails) {}
+
     private final Term term;
     private final WorkerDriver driver;
+    private final Interference interference = new Interference();
+    private final Map<Worker, Sample> samples = new HashMap<>();
 
     PaceKeeper(Term term, WorkerDriver driver) {
         this.term = term;
         this.driver = driver;
     }
 
-    /** Sets the pace of the fill work on a worker by what the newest look showed. */
-    void adjust(Worker worker, long nowMs) {
-        if (worker.fills == 0 || worker.serving == 0) {
+    /** Learns from the newest look at a worker, and sets the pace of the fill work there. */
+    List<ActiveRun> adjust(Worker worker, long nowMs) {
+        if (worker.serving == 0 || nowMs - worker.pacedMs < EVERY_MS) {
+            return List.of();
+        }
+        worker.pacedMs = nowMs;
+        learn(worker, nowMs);
+        return worker.fills > 0 ? pace(worker, nowMs) : List.of();
+    }
+
+    private void learn(Worker worker, long nowMs) {
+        double cpu = worker.info.orElseThrow().cpuMillis();
+        Sample sample = new Sample(nowMs, new HashMap<>(), new HashMap<>());
+        for (ActiveRun run : worker.runs()) {
+            if (run.figure >= 0 && run.step.fill()) {
+                sample.use.merge(run.step.image(), run.figure / cpu, Double::sum);
+            } else if (run.figure > 0 && hasTarget(run)) {
+                sample.tails.put(run, run.figure);
+            }
+        }
+        Sample before = samples.put(worker, sample);
+        if (before == null || nowMs - before.atMs > MAX_APART_MS) {
             return;
         }
-        double worst = 0;
+        Map<String, Double> change = new HashMap<>(sample.use);
+        before.use.forEach((image, use) -> change.merge(image, -use, Double::sum));
+        change.values().removeIf(value -> Math.abs(value) < LEAST_CHANGE);
+        if (!change.isEmpty()) {
+            sample.tails.forEach((run, tail) -> {
+                Double old = before.tails.get(run);
+                if (old != null) {
+                    interference.observe(run.step.image(), Math.log(tail / old), change);
+                }
+            });
+        }
+    }
+
+    private static boolean hasTarget(ActiveRun run) {
+        return run.step.lasting() && run.step.targetMs() > 0;
+    }
+
+    private static List<PaceControl.Serving> serving(Worker worker) {
+        List<PaceControl.Serving> serving = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
-            if (run.step.lasting() && run.step.targetMs() > 0 && run.figure >= 0) {
-                worst = Math.max(worst, run.figure / run.step.targetMs());
+            if (hasTarget(run) && run.figure > 0) {
+                serving.add(new PaceControl.Serving(run.step.image(), run.figure / run.step.targetMs(), run.over));
             }
         }
+        return serving;
+    }
+
+    /** Returns how badly a fill task of a step would disturb the worker's lasting tasks. */
+    double cost(Worker worker, StepSpec step) {
+        double share = (double) step.cpuMillis()
+                / Math.max(1, worker.info.orElseThrow().cpuMillis());
+        return PaceControl.cost(serving(worker), step.image(), share, interference);
+    }
+
+    private List<ActiveRun> pace(Worker worker, long nowMs) {
+        double cpu = worker.info.orElseThrow().cpuMillis();
+        List<ActiveRun> runs = new ArrayList<>();
+        List<PaceControl.Fill> fills = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
             if (run.step.fill() && run.stage == ActiveRun.Stage.CONFIRMED && !run.stopWanted) {
-                int percent = PaceControl.next(run.pacePercent, worst);
-                if (percent != run.pacePercent) {
-                    set(run, percent, worst);
-                }
+                runs.add(run);
+                fills.add(new PaceControl.Fill(run.step.image(), run.step.cpuMillis() / cpu, run.pacePercent));
             }
         }
+        int[] percents = PaceControl.next(serving(worker), fills, interference);
+        noteOver(worker);
+        List<ActiveRun> moving = new ArrayList<>();
+        for (int i = 0; i < percents.length; i++) {
+            ActiveRun run = runs.get(i);
+            if (percents[i] != run.pacePercent) {
+                set(run, percents[i]);
+            }
+            if (percents[i] > NEARLY_STILL_PERCENT) {
+                run.pausedSinceMs = 0;
+            } else if (run.pausedSinceMs == 0) {
+                run.pausedSinceMs = nowMs;
+            } else if (nowMs - run.pausedSinceMs > MOVE_AFTER_MS && run.step.checkpointing()) {
+                moving.add(run);
+            }
+        }
+        return moving;
+    }
+
+    /** Remembers which tasks are over their target, for the next look. */
+    private static void noteOver(Worker worker) {
+        for (ActiveRun run : worker.runs()) {
+            run.over = hasTarget(run) && run.figure >= run.step.targetMs();
+        }
     }
 
-    private void set(ActiveRun run, int percent, double worst) {
+    private void set(ActiveRun run, int percent) {
         int before = run.pacePercent;
         run.pacePercent = percent;
         EventLog.event(
-                "run.pace",
-                "task",
-                run.task.text(),
-                "run",
-                run.runId,
-                "worker",
-                run.worker.id,
-                "percent",
-                percent,
-                "worstShare",
-                worst);
+                "run.pace", "task", run.task.text(), "run", run.runId, "worker", run.worker.id, "percent", percent);
         driver.pace(run.worker.info.orElseThrow(), run.task, run.runId, percent, term.fence)
                 .whenComplete((answer, thrown) -> term.clock.execute(() -> {
                     if (answer.reply() != Reply.OK) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -407,7 +407,7 @@
         return "";
     }
 
-    private static HostView view(Worker worker, StepSpec step, TaskKey task, String rackOfStep) {
+    private HostView view(Worker worker, StepSpec step, TaskKey task, String rackOfStep) {
         WorkerInfo info = worker.info.orElseThrow();
         return new HostView(
                 info.cpuMillis() - worker.cpuUsed,
@@ -419,7 +419,9 @@
                 rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
                 worker.runsOfStep(task),
                 worker.serving,
-                worker.fills,
+                worker.fillCpu,
+                worker.servingCpu,
+                step.fill() ? conversation.disturbance(worker, step) : 0,
                 worker.failedTask(task),
                 worker.health.suspicion());
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -44,6 +44,10 @@
     boolean fenced;
 
     long notedEnd;
+    /** The newest end that the worker was told is noted. */
+    long toldEnd;
+
+    long pacedMs;
     long highestEnd;
     boolean holding;
     long holdDueMs;
@@ -53,6 +57,8 @@
     int acceleratorsUsed;
     int serving;
     int fills;
+    int servingCpu;
+    int fillCpu;
     final TreeSet<Long> endsUnderWay = new TreeSet<>();
     long avoidUntilMs;
     boolean leaving;
@@ -91,7 +97,9 @@
         memoryUsed += sign * step.memoryMb();
         acceleratorsUsed += sign * step.accelerators();
         serving += step.lasting() && step.targetMs() > 0 ? sign : 0;
+        servingCpu += step.lasting() && !step.fill() ? sign * step.cpuMillis() : 0;
         fills += step.fill() ? sign : 0;
+        fillCpu += step.fill() ? sign * step.cpuMillis() : 0;
     }
 
     /** Notes that an end is in the durable state; ends are told to the worker in their order. */
@@ -161,6 +169,7 @@
 
     /** Tells whether the leader has to look at it. */
     boolean needsLook() {
-        return !gone && info.isPresent() && (runCount() > 0 || highestEnd > notedEnd);
+        // While an end is on its way into the state, a look would only show it again.
+        return !gone && info.isPresent() && endsUnderWay.isEmpty() && (runCount() > 0 || highestEnd > toldEnd);
     }
 }
--- a/work/src/main/java/org/cornelcove/work/plan/HostView.java
+++ b/work/src/main/java/org/cornelcove/work/plan/HostView.java
@@ -12,7 +12,9 @@
  * @param inStepRack whether it stands where other tasks of a step for one rack run, true when that doesn't matter
  * @param runsOfStep how many tasks of the same step it runs
  * @param serving how many lasting tasks with a target it runs
- * @param fills how many fill tasks it runs
+ * @param fillCpuMillis what its fill tasks use at full speed
+ * @param servingCpuMillis what its lasting tasks reserve
+ * @param disturbance how far a fill task of this step would take a lasting task there to its target; over 1, too far
  * @param failedTask whether the same task has failed there
  * @param suspicion 0 for a sound worker; higher the more it has failed of late
  */
@@ -26,6 +28,8 @@
         boolean inStepRack,
         int runsOfStep,
         int serving,
-        int fills,
+        int fillCpuMillis,
+        int servingCpuMillis,
+        double disturbance,
         boolean failedTask,
         double suspicion) {}
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -15,12 +15,16 @@
 public final class Placement {
     /** Cost of a rack without the data, in shares of a worker; far work takes a multiple of its time. */
     private static final double FAR_COST = 4;
-    /** Cost of putting fill work beside a lasting task with a target, or the other way round. */
-    private static final double MIXED_COST = 3;
+    /** Cost of fill work that takes a lasting task all the way to its target. */
+    private static final double DISTURBANCE_COST = 2;
+    /** Beyond this, fill work would only stand still. */
+    private static final double MAX_DISTURBANCE = 3;
+    /** Cost of fill work beyond what the worker is likely to leave, in shares of the worker. */
+    private static final double CROWDED_COST = 4;
+    /** What lasting tasks use of what they reserve, on the average. */
+    private static final double SERVING_USE = 0.5;
     /** Cost of another lasting task with a target, whose load disturbs the first. */
-    private static final double SERVING_COST = 0.5;
-    /** Cost of another fill task on the same worker, which shares what is left. */
-    private static final double FILL_COST = 0.35;
+    private static final double SERVING_COST = 0.1;
     /** Cost of a worker on which this task has failed. */
     private static final double FAILED_COST = 6;
     /** Cost of another task of the same step, so that one lost worker takes few of them. */
@@ -63,12 +67,19 @@
         cost += host.runsOfStep() * SIBLING_COST;
         cost += host.suspicion();
         if (step.fill()) {
-            cost += host.serving() > 0 ? MIXED_COST : 0;
-            cost += host.fills() * FILL_COST;
+            cost += Math.min(MAX_DISTURBANCE, host.disturbance()) * DISTURBANCE_COST;
+            cost += crowding(step, host);
         } else if (step.lasting() && step.targetMs() > 0) {
-            cost += host.fills() > 0 ? MIXED_COST : 0;
             cost += host.serving() * SERVING_COST;
         }
         return cost;
     }
+
+    /** Fill work takes what the rest leaves: what is free, and what lasting tasks reserve and don't use. */
+    private static double crowding(StepSpec step, HostView host) {
+        double left = host.cpuFreeMillis() + host.servingCpuMillis() * (1 - SERVING_USE);
+        double wanted = host.fillCpuMillis() + step.cpuMillis();
+        double crowded = Math.max(0, wanted - left) / Math.max(1, host.cpuMillis());
+        return crowded * CROWDED_COST + (double) host.fillCpuMillis() / Math.max(1, host.cpuMillis());
+    }
 }
