--- a/work/src/main/java/org/cornelcove/work/group/ControlNode.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlNode.java
@@ -66,14 +66,25 @@
         this.peers = ControlPeers.create(client, settings.address(), () -> settings.seeds());
     }
 
-    /** Opens the member and keeps it. */
+    /**
+     * Opens the member and keeps it.
+     *
+     * @param settings its settings
+     * @param client makes the calls
+     * @param leader the leader
+     * @return the result
+     */
     public static ControlNode open(GroupSettings settings, CallClient client, WorkLeader leader) {
         ControlNode control = new ControlNode(settings, client, leader);
         control.keeper.scheduleWithFixedDelay(control::keep, 0, KEEP_EVERY_MS, TimeUnit.MILLISECONDS);
         return control;
     }
 
-    /** Adds the handlers of the calls between processes. */
+    /**
+     * Adds the handlers of the calls between processes.
+     *
+     * @param handlers the handlers
+     */
     public void handle(CallHandlers handlers) {
         handlers.take(GroupCalls.REPLICATE, message -> node.ifPresent(n -> n.receive(message)))
                 .answer(GroupCalls.VIEW, question -> CompletableFuture.completedFuture(view()))
@@ -81,17 +92,29 @@
                 .answer(GroupCalls.JOB, leader::call);
     }
 
-    /** Returns the group as this host knows it. */
+    /**
+     * Returns the group as this host knows it.
+     *
+     * @return the group as this host knows it
+     */
     public GroupView view() {
         return node.map(n -> viewOf(n.status())).orElse(new GroupView("", List.of()));
     }
 
-    /** Tells whether this host leads. */
+    /**
+     * Tells whether this host leads.
+     *
+     * @return whether this host leads
+     */
     public boolean leads() {
         return node.map(n -> n.status().leading()).orElse(false);
     }
 
-    /** Returns the leader's address as far as it is known here or was told by another control host. */
+    /**
+     * Returns the leader's address as far as it is known here or was told by another control host.
+     *
+     * @return the leader's address as far as it is known here or was told by another control host
+     */
     public Optional<String> leaderAddress() {
         String own = view().leader();
         return own.isEmpty() ? peers.leader() : Optional.of(own);
--- a/work/src/main/java/org/cornelcove/work/group/ControlPeers.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlPeers.java
@@ -30,12 +30,23 @@
         this.seeds = seeds;
     }
 
-    /** Returns peers that know only the seeds, which are read anew each time. */
+    /**
+     * Returns peers that know only the seeds, which are read anew each time.
+     *
+     * @param client makes the calls
+     * @param self the self
+     * @param seeds the seeds
+     * @return peers that know only the seeds, which are read anew each time
+     */
     public static ControlPeers create(CallClient client, String self, Supplier<List<String>> seeds) {
         return new ControlPeers(client, self, seeds);
     }
 
-    /** Returns the leader that was told last. */
+    /**
+     * Returns the leader that was told last.
+     *
+     * @return the leader that was told last
+     */
     public Optional<String> leader() {
         return Optional.of(known.get().leader()).filter(address -> !address.isEmpty());
     }
--- a/work/src/main/java/org/cornelcove/work/group/MemberIdentity.java
+++ b/work/src/main/java/org/cornelcove/work/group/MemberIdentity.java
@@ -32,7 +32,13 @@
         return new MemberIdentity(id, List.of());
     }
 
-    /** Returns the identity of a first member, empty when the address is not among them. */
+    /**
+     * Returns the identity of a first member, empty when the address is not among them.
+     *
+     * @param address the address
+     * @param firstAddresses the first addresses
+     * @return the identity of a first member, empty when the address is not among them
+     */
     static Optional<MemberIdentity> first(String address, List<String> firstAddresses) {
         List<Member> members = new ArrayList<>();
         long own = 0;
@@ -77,7 +83,12 @@
         }
     }
 
-    /** Returns the folder of this member's log. */
+    /**
+     * Returns the folder of this member's log.
+     *
+     * @param folder the folder
+     * @return the folder of this member's log
+     */
     Path logFolder(Path folder) {
         return folder.resolve("log-" + id);
     }
--- a/work/src/main/java/org/cornelcove/work/group/MembershipPlan.java
+++ b/work/src/main/java/org/cornelcove/work/group/MembershipPlan.java
@@ -41,7 +41,15 @@
 
     private MembershipPlan() {}
 
-    /** Decides about a newcomer, given the group as its leader knows it and the number of members it should have. */
+    /**
+     * Decides about a newcomer, given the group as its leader knows it and the number of members it should have.
+     *
+     * @param group the group
+     * @param size the size
+     * @param id the identifier
+     * @param address the address
+     * @return the result
+     */
     public static Step decide(ReplicaStatus group, int size, long id, String address) {
         Optional<Member> known =
                 group.members().stream().filter(m -> m.id() == id).findFirst();
--- a/work/src/main/java/org/cornelcove/work/job/JobPhase.java
+++ b/work/src/main/java/org/cornelcove/work/job/JobPhase.java
@@ -13,7 +13,11 @@
     /** A caller cancelled it. */
     CANCELLED;
 
-    /** Tells whether nothing of the job will run any more. */
+    /**
+     * Tells whether nothing of the job will run any more.
+     *
+     * @return whether nothing of the job will run any more
+     */
     public boolean ended() {
         return this == COMPLETED || this == FAILED || this == CANCELLED;
     }
--- a/work/src/main/java/org/cornelcove/work/job/TaskKey.java
+++ b/work/src/main/java/org/cornelcove/work/job/TaskKey.java
@@ -13,12 +13,21 @@
 public record TaskKey(String jobId, int occurrence, int step, int index) {
     private static final int PARTS = 4;
 
-    /** Returns the key as text, {@code job.occurrence.step.index}. */
+    /**
+     * Returns the key as text, {@code job.occurrence.step.index}.
+     *
+     * @return the key as text, {@code job.occurrence.step.index}
+     */
     public String text() {
         return jobId + '.' + occurrence + '.' + step + '.' + index;
     }
 
-    /** Reads a key; empty when the text is not one. */
+    /**
+     * Reads a key; empty when the text is not one.
+     *
+     * @param text the text
+     * @return the result
+     */
     public static Optional<TaskKey> parse(String text) {
         String[] parts = text.split("\\.", -1);
         if (parts.length != PARTS) {
--- a/work/src/main/java/org/cornelcove/work/job/WorkRules.java
+++ b/work/src/main/java/org/cornelcove/work/job/WorkRules.java
@@ -15,7 +15,13 @@
     /** Before the first change. */
     public static final WorkRules NONE = new WorkRules(0, new byte[0], List.of(), List.of());
 
-    /** Finds the queue of the host with the longest prefix that the path begins with. */
+    /**
+     * Finds the queue of the host with the longest prefix that the path begins with.
+     *
+     * @param host the host name that the caller used
+     * @param path the path that the caller used
+     * @return the queue of the host with the longest prefix that the path begins with
+     */
     public Optional<QueueRule> queueFor(String host, String path) {
         QueueRule best = null;
         for (QueueRule queue : queues) {
@@ -29,7 +35,13 @@
         return Optional.ofNullable(best);
     }
 
-    /** Finds a queue by its exact place. */
+    /**
+     * Finds a queue by its exact place.
+     *
+     * @param host the host name that the caller used
+     * @param pathPrefix the path prefix
+     * @return a queue by its exact place
+     */
     public Optional<QueueRule> queueAt(String host, String pathPrefix) {
         return queues.stream()
                 .filter(q -> q.host().equalsIgnoreCase(host) && q.pathPrefix().equals(pathPrefix))
--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -49,7 +49,13 @@
     private final Map<StepKey, WaitingStep> waiting = new LinkedHashMap<>();
     private final Set<StepKey> opened = new HashSet<>();
 
-    /** Adds the tasks of all steps whose turn has come and that were not added before. */
+    /**
+     * Adds the tasks of all steps whose turn has come and that were not added before.
+     *
+     * @param job the job
+     * @param number the occurrence, counted from 0
+     * @param queue the queue as the rules have it
+     */
     void open(Job job, int number, QueueRule queue) {
         Occurrence occurrence = job.occurrence(number);
         List<StepSpec> steps = job.spec().steps();
@@ -66,7 +72,13 @@
         }
     }
 
-    /** Adds one task again. */
+    /**
+     * Adds one task again.
+     *
+     * @param job the job
+     * @param task the task
+     * @param queue the queue as the rules have it
+     */
     void add(Job job, TaskKey task, QueueRule queue) {
         StepKey key = new StepKey(task.jobId(), task.occurrence(), task.step());
         WaitingStep step = waiting.computeIfAbsent(
@@ -83,7 +95,12 @@
         return new QueueOrder.Waiting(queue.priority(), sinceMs, objectiveMs);
     }
 
-    /** Returns the longest chain of estimated work. */
+    /**
+     * Returns the longest chain of estimated work.
+     *
+     * @param steps the steps
+     * @return the longest chain of estimated work
+     */
     static long chainMs(List<StepSpec> steps) {
         long[] endMs = new long[steps.size()];
         long longest = 0;
@@ -99,13 +116,22 @@
         return longest;
     }
 
-    /** Drops everything of a job. */
+    /**
+     * Drops everything of a job.
+     *
+     * @param jobId the job id
+     */
     void drop(String jobId) {
         waiting.keySet().removeIf(key -> key.jobId().equals(jobId));
         opened.removeIf(key -> key.jobId().equals(jobId));
     }
 
-    /** Returns the steps that have waiting tasks, the most urgent first. */
+    /**
+     * Returns the steps that have waiting tasks, the most urgent first.
+     *
+     * @param wallMs the wall ms
+     * @return the steps that have waiting tasks, the most urgent first
+     */
     List<WaitingStep> inOrder(long wallMs) {
         waiting.values().removeIf(step -> step.indices.isEmpty());
         List<WaitingStep> steps = new ArrayList<>(waiting.values());
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -58,7 +58,13 @@
 
     // Starts
 
-    /** Returns how badly a fill task of a step would disturb a worker. */
+    /**
+     * Returns how badly a fill task of a step would disturb a worker.
+     *
+     * @param worker the worker
+     * @param step the step
+     * @return how badly a fill task of a step would disturb a worker
+     */
     double disturbance(Worker worker, StepSpec step) {
         return pace.cost(worker, step);
     }
@@ -150,7 +156,13 @@
         }
     }
 
-    /** The worker did nothing; but an earlier order without an answer may still be on its way. */
+    /**
+     * The worker did nothing; but an earlier order without an answer may still be on its way.
+     *
+     * @param run the run
+     * @param reply the reply
+     * @param nowMs the time on a monotonic clock
+     */
     private void notTaken(ActiveRun run, Reply reply, long nowMs) {
         if (reply != Reply.FENCED && reply != Reply.NO_ROOM) {
             run.worker.health.failed(run.task.jobId(), nowMs);
@@ -168,7 +180,11 @@
 
     // Stops
 
-    /** Stops a run, again and again until its worker has answered. */
+    /**
+     * Stops a run, again and again until its worker has answered.
+     *
+     * @param run the run
+     */
     void wantStop(ActiveRun run) {
         if (run.endProposed) {
             return;
@@ -212,7 +228,11 @@
         }
     }
 
-    /** Moves off a worker that leaves what would not end there in time. */
+    /**
+     * Moves off a worker that leaves what would not end there in time.
+     *
+     * @param worker the worker
+     */
     void evacuate(Worker worker) {
         long remainingMs = worker.info.orElseThrow().remainingMs().orElse(0);
         List<ActiveRun> moving = new ArrayList<>();
@@ -227,7 +247,12 @@
 
     // Looks
 
-    /** Looks at a worker if that is due, and notices when its leases are over. */
+    /**
+     * Looks at a worker if that is due, and notices when its leases are over.
+     *
+     * @param worker the worker
+     * @param nowMs the time on a monotonic clock
+     */
     void look(Worker worker, long nowMs) {
         if (term.over() || worker.gone) {
             return;
@@ -240,7 +265,10 @@
             return;
         }
         boolean runsThere = worker.runCount() > 0;
-        OptionalLong deadline = runsThere ? worker.deadline(nowMs, term.settings.leaseMs()) : OptionalLong.empty();
+        // A silent worker's lease is left to run out: each renewal that gets no answer might still be carried out.
+        OptionalLong deadline = runsThere && worker.holdFailures == 0
+                ? worker.deadline(nowMs, term.settings.leaseMs())
+                : OptionalLong.empty();
         boolean atOnce = !worker.fenced || worker.holdFailures > 0 || !runsThere || stopping(worker);
         HoldOrder order = new HoldOrder(term.fence, worker.notedEnd, deadline, atOnce ? 0 : waitMs(worker));
         worker.holding = true;
@@ -249,7 +277,12 @@
                 .whenComplete((look, thrown) -> term.clock.execute(() -> looked(worker, look, nowMs, told)));
     }
 
-    /** Fill work beside a lasting task with a target is looked at more often, because its harm shows only in looks. */
+    /**
+     * Fill work beside a lasting task with a target is looked at more often, because its harm shows only in looks.
+     *
+     * @param worker the worker
+     * @return the result
+     */
     private static long waitMs(Worker worker) {
         return worker.serving > 0 && worker.fills > 0 ? MIXED_LOOK_WAIT_MS : LOOK_WAIT_MS;
     }
@@ -372,7 +405,13 @@
         return found;
     }
 
-    /** Ends the runs that the look must have listed and did not. */
+    /**
+     * Ends the runs that the look must have listed and did not.
+     *
+     * @param worker the worker
+     * @param listed the listed
+     * @param sentMs the sent ms
+     */
     private void endUnlisted(Worker worker, Set<ActiveRun> listed, long sentMs) {
         List<ActiveRun> unlisted = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
--- a/work/src/main/java/org/cornelcove/work/lead/JobReply.java
+++ b/work/src/main/java/org/cornelcove/work/lead/JobReply.java
@@ -35,7 +35,12 @@
         return new JobReply(outcome, null, 0, 0);
     }
 
-    /** Returns a refusal: nothing was done. */
+    /**
+     * Returns a refusal: nothing was done.
+     *
+     * @param retryAfterS the retry after s
+     * @return a refusal: nothing was done
+     */
     public static JobReply refused(int retryAfterS) {
         return new JobReply(Outcome.REFUSED, null, 0, retryAfterS);
     }
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -37,7 +37,13 @@
         this.driver = driver;
     }
 
-    /** Learns from the newest look at a worker, and sets the pace of the fill work there. */
+    /**
+     * Learns from the newest look at a worker, and sets the pace of the fill work there.
+     *
+     * @param worker the worker
+     * @param nowMs the time on a monotonic clock
+     * @return the result
+     */
     List<ActiveRun> adjust(Worker worker, long nowMs) {
         if (worker.serving == 0 || nowMs - worker.pacedMs < EVERY_MS) {
             return List.of();
@@ -88,7 +94,13 @@
         return serving;
     }
 
-    /** Returns how badly a fill task of a step would disturb the worker's lasting tasks. */
+    /**
+     * Returns how badly a fill task of a step would disturb the worker's lasting tasks.
+     *
+     * @param worker the worker
+     * @param step the step
+     * @return how badly a fill task of a step would disturb the worker's lasting tasks
+     */
     double cost(Worker worker, StepSpec step) {
         double share = (double) step.cpuMillis()
                 / Math.max(1, worker.info.orElseThrow().cpuMillis());
@@ -124,7 +136,11 @@
         return moving;
     }
 
-    /** Remembers which tasks are over their target, for the next look. */
+    /**
+     * Remembers which tasks are over their target, for the next look.
+     *
+     * @param worker the worker
+     */
     private static void noteOver(Worker worker) {
         for (ActiveRun run : worker.runs()) {
             run.over = hasTarget(run) && run.figure >= run.step.targetMs();
--- a/work/src/main/java/org/cornelcove/work/lead/Proposals.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -26,7 +26,11 @@
             return verdict.filter(v -> v == wanted).isPresent();
         }
 
-        /** Tells whether the command was surely not appended. */
+        /**
+         * Tells whether the command was surely not appended.
+         *
+         * @return whether the command was surely not appended
+         */
         boolean surelyNot() {
             return failure.filter(f -> f.kind() == ErrorKind.NOT_LEADER || f.kind() == ErrorKind.NO_QUORUM)
                     .isPresent();
@@ -47,7 +51,12 @@
         this.loop = loop;
     }
 
-    /** Adds a command to the next entry; the listener is called on the loop. */
+    /**
+     * Adds a command to the next entry; the listener is called on the loop.
+     *
+     * @param command the command
+     * @param listener the listener
+     */
     void add(WorkCommand command, Consumer<Result> listener) {
         commands.add(command);
         listeners.add(listener);
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -141,7 +141,11 @@
 
     // Jobs
 
-    /** Takes an accepted job into the backlog. */
+    /**
+     * Takes an accepted job into the backlog.
+     *
+     * @param job the job
+     */
     void openJob(Job job) {
         if (job.phase().ended()) {
             return;
@@ -172,13 +176,22 @@
         });
     }
 
-    /** Stops all that still runs of an ended job. */
+    /**
+     * Stops all that still runs of an ended job.
+     *
+     * @param jobId the job id
+     */
     void jobEnded(String jobId) {
         backlog.drop(jobId);
         List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(conversation::wantStop);
     }
 
-    /** Brings the backlog up to date after an end was committed. */
+    /**
+     * Brings the backlog up to date after an end was committed.
+     *
+     * @param run the run
+     * @param how the how
+     */
     void endCommitted(ActiveRun run, RunEnd how) {
         if (over) {
             return;
@@ -211,7 +224,11 @@
 
     // Workers
 
-    /** Takes a heartbeat. */
+    /**
+     * Takes a heartbeat.
+     *
+     * @param info what it says of itself
+     */
     void announce(WorkerInfo info) {
         long nowMs = clock.nowMs();
         Worker worker = workers.get(info.id());
@@ -260,7 +277,11 @@
         }
     }
 
-    /** Takes a worker's own word that it ends now. */
+    /**
+     * Takes a worker's own word that it ends now.
+     *
+     * @param id the identifier
+     */
     void leave(String id) {
         Worker worker = workers.get(id);
         if (worker != null && !worker.gone) {
@@ -269,7 +290,12 @@
         }
     }
 
-    /** Ends a life: whatever it was told, nothing of it runs any more. */
+    /**
+     * Ends a life: whatever it was told, nothing of it runs any more.
+     *
+     * @param worker the worker
+     * @param why the why
+     */
     void lifeOver(Worker worker, String why) {
         if (worker.gone) {
             return;
@@ -449,7 +475,11 @@
         });
     }
 
-    /** Puts a task back whose start was refused, where it still has to run. */
+    /**
+     * Puts a task back whose start was refused, where it still has to run.
+     *
+     * @param run the run
+     */
     private void requeue(ActiveRun run) {
         Task task = run.job.task(run.task).orElseThrow();
         if (!run.job.phase().ended() && !task.done() && task.runs().isEmpty()) {
@@ -457,7 +487,12 @@
         }
     }
 
-    /** Returns how many jobs of a queue have not begun. */
+    /**
+     * Returns how many jobs of a queue have not begun.
+     *
+     * @param queue the queue as the rules have it
+     * @return how many jobs of a queue have not begun
+     */
     long pending(QueueRule queue) {
         synchronized (state) {
             return state.jobs().values().stream()
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -49,14 +49,27 @@
         this.driver = driver;
     }
 
-    /** Returns a leader's part that does not lead yet. */
+    /**
+     * Returns a leader's part that does not lead yet.
+     *
+     * @param settings its settings
+     * @param driver the driver
+     * @return a leader's part that does not lead yet
+     */
     public static WorkLeader create(LeadSettings settings, WorkerDriver driver) {
         WorkLeader leader = new WorkLeader(settings, driver);
         leader.executor.scheduleWithFixedDelay(leader::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         return leader;
     }
 
-    /** Begins to lead with a fence above those of all earlier leaders. */
+    /**
+     * Begins to lead with a fence above those of all earlier leaders.
+     *
+     * @param fence rises with each leader
+     * @param member the member
+     * @param state the state
+     * @param leaseEndMs the lease end ms
+     */
     public void gained(long fence, Replica member, WorkState state, LongSupplier leaseEndMs) {
         clock.execute(() -> {
             replica = member;
@@ -78,7 +91,12 @@
 
     // Calls
 
-    /** Takes a heartbeat of a worker; fails with kind {@code NOT_LEADER}. */
+    /**
+     * Takes a heartbeat of a worker; fails with kind {@code NOT_LEADER}.
+     *
+     * @param info what it says of itself
+     * @return the result
+     */
     public CompletableFuture<Void> announce(WorkerInfo info) {
         return onTerm((leading, answer) -> {
             leading.announce(info);
@@ -86,7 +104,12 @@
         });
     }
 
-    /** Takes a worker's farewell; fails with kind {@code NOT_LEADER}. */
+    /**
+     * Takes a worker's farewell; fails with kind {@code NOT_LEADER}.
+     *
+     * @param workerId the worker id
+     * @return the result
+     */
     public CompletableFuture<Void> leave(String workerId) {
         return onTerm((leading, answer) -> {
             leading.leave(workerId);
@@ -94,7 +117,12 @@
         });
     }
 
-    /** Replaces the rules; rules that are not newer change nothing. Fails with the kinds of {@link Replica#propose}. */
+    /**
+     * Replaces the rules; rules that are not newer change nothing. Fails with the kinds of {@link Replica#propose}.
+     *
+     * @param rules the rules
+     * @return the result
+     */
     public CompletableFuture<Void> configure(WorkRules rules) {
         return onTerm((leading, answer) -> leading.proposals.add(new WorkCommand.Configure(rules), result -> {
             if (result.failure().isPresent()) {
@@ -111,12 +139,21 @@
         }));
     }
 
-    /** Returns the newest rules; fails with kind {@code NOT_LEADER} when they can't be told for sure. */
+    /**
+     * Returns the newest rules; fails with kind {@code NOT_LEADER} when they can't be told for sure.
+     *
+     * @return the newest rules; fails with kind {@code NOT_LEADER} when they can't be told for sure
+     */
     public CompletableFuture<WorkRules> rules() {
         return read((leading, answer) -> answer.complete(leading.state.rules()));
     }
 
-    /** Answers a caller; fails with the kinds of {@link Replica#propose}. */
+    /**
+     * Answers a caller; fails with the kinds of {@link Replica#propose}.
+     *
+     * @param call what the caller asks
+     * @return the result
+     */
     public CompletableFuture<JobReply> call(JobCall call) {
         return switch (call.kind()) {
             case SUBMIT -> submit(call);
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -102,7 +102,11 @@
         fillCpu += step.fill() ? sign * step.cpuMillis() : 0;
     }
 
-    /** Notes that an end is in the durable state; ends are told to the worker in their order. */
+    /**
+     * Notes that an end is in the durable state; ends are told to the worker in their order.
+     *
+     * @param number the occurrence, counted from 0
+     */
     void endNoted(long number) {
         endsUnderWay.remove(number);
         notedEnd = endsUnderWay.isEmpty() ? highestEnd : endsUnderWay.first() - 1;
@@ -138,7 +142,13 @@
         return clockMs + (long) ((nowMs - clockAtMs) * (1 - DRIFT));
     }
 
-    /** Returns a deadline on the worker's clock, and remembers that it was sent. */
+    /**
+     * Returns a deadline on the worker's clock, and remembers that it was sent.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @param leaseMs the lease ms
+     * @return a deadline on the worker's clock, and remembers that it was sent
+     */
     OptionalLong deadline(long nowMs, long leaseMs) {
         if (!clockKnown) {
             return OptionalLong.empty();
@@ -148,7 +158,12 @@
         return OptionalLong.of(deadline);
     }
 
-    /** Tells whether nothing that was ever ordered can run there any more. */
+    /**
+     * Tells whether nothing that was ever ordered can run there any more.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return whether nothing that was ever ordered can run there any more
+     */
     boolean leasesOver(long nowMs) {
         boolean ownOver = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
         return ownOver && (fenced || nowMs > inheritedUntilMs);
@@ -167,7 +182,11 @@
                 && !(health.onTrial() && runCount() > 0);
     }
 
-    /** Tells whether the leader has to look at it. */
+    /**
+     * Tells whether the leader has to look at it.
+     *
+     * @return whether the leader has to look at it
+     */
     boolean needsLook() {
         // While an end is on its way into the state, a look would only show it again.
         return !gone && info.isPresent() && endsUnderWay.isEmpty() && (runCount() > 0 || highestEnd > toldEnd);
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -97,15 +97,44 @@
     record Look(
             Reply reply, OptionalLong bornMs, OptionalLong clockMs, List<RunningRow> running, List<EndedRow> ended) {}
 
-    /** Tells a worker to start a task. */
+    /**
+     * Tells a worker to start a task.
+     *
+     * @param worker the worker
+     * @param order what to do
+     * @return the result
+     */
     CompletableFuture<Answer> start(WorkerInfo worker, StartOrder order);
 
-    /** Tells a worker to stop a run; a run that is not there yet is refused from then on. */
+    /**
+     * Tells a worker to stop a run; a run that is not there yet is refused from then on.
+     *
+     * @param worker the worker
+     * @param task the task
+     * @param runId the run's number
+     * @param fence rises with each leader
+     * @return the result
+     */
     CompletableFuture<Answer> stop(WorkerInfo worker, TaskKey task, int runId, long fence);
 
-    /** Renews the lease of all that runs on a worker, and looks. */
+    /**
+     * Renews the lease of all that runs on a worker, and looks.
+     *
+     * @param worker the worker
+     * @param order what to do
+     * @return the result
+     */
     CompletableFuture<Look> hold(WorkerInfo worker, HoldOrder order);
 
-    /** Lets a task work at a share of its speed. */
+    /**
+     * Lets a task work at a share of its speed.
+     *
+     * @param worker the worker
+     * @param task the task
+     * @param runId the run's number
+     * @param percent the percent
+     * @param fence rises with each leader
+     * @return the result
+     */
     CompletableFuture<Answer> pace(WorkerInfo worker, TaskKey task, int runId, int percent, long fence);
 }
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerInfo.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerInfo.java
@@ -36,7 +36,11 @@
         List<String> labels,
         long clockMs,
         long sequence) {
-    /** Returns the rack, which is the last label; empty without labels. */
+    /**
+     * Returns the rack, which is the last label; empty without labels.
+     *
+     * @return the rack, which is the last label; empty without labels
+     */
     public String rack() {
         return labels.isEmpty() ? "" : labels.get(labels.size() - 1);
     }
--- a/work/src/main/java/org/cornelcove/work/log/EventLog.java
+++ b/work/src/main/java/org/cornelcove/work/log/EventLog.java
@@ -37,7 +37,12 @@
         writer.start();
     }
 
-    /** Writes an event with fields given as name, value, name, value. */
+    /**
+     * Writes an event with fields given as name, value, name, value.
+     *
+     * @param name the name
+     * @param fields the fields
+     */
     public static void event(String name, Object... fields) {
         STANDARD.put(name, fields);
     }
--- a/work/src/main/java/org/cornelcove/work/plan/Interference.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Interference.java
@@ -67,7 +67,13 @@
         model.harm.put(image, Math.max(0, harm));
     }
 
-    /** Returns by how much the logarithm of the tail rises when fill work uses the whole worker. */
+    /**
+     * Returns by how much the logarithm of the tail rises when fill work uses the whole worker.
+     *
+     * @param serving the lasting tasks beside it
+     * @param fill the fill
+     * @return by how much the logarithm of the tail rises when fill work uses the whole worker
+     */
     public double harm(String serving, String fill) {
         Model model = models.get(serving);
         return model == null ? UNKNOWN_HARM : model.harm.getOrDefault(fill, UNKNOWN_HARM);
--- a/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
+++ b/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
@@ -42,7 +42,14 @@
      */
     public record Fill(String image, double cpuShare, int percent) {}
 
-    /** Returns the next pace of each fill task. */
+    /**
+     * Returns the next pace of each fill task.
+     *
+     * @param serving the lasting tasks beside it
+     * @param fills the fills
+     * @param known what is known of the images
+     * @return the next pace of each fill task
+     */
     public static int[] next(List<Serving> serving, List<Fill> fills, Interference known) {
         double[] percents = new double[fills.size()];
         List<Integer> order = new ArrayList<>();
@@ -82,7 +89,15 @@
         return known.harm(task.image(), fill.image()) * fill.cpuShare();
     }
 
-    /** Returns how much of the way to its target a fill task more would take the worst lasting task; over 1, too far. */
+    /**
+     * Returns how much of the way to its target a fill task more would take the worst lasting task; over 1, too far.
+     *
+     * @param serving the lasting tasks beside it
+     * @param image the image
+     * @param cpuShare the cpu share
+     * @param known what is known of the images
+     * @return how much of the way to its target a fill task more would take the worst lasting task; over 1, too far
+     */
     public static double cost(List<Serving> serving, String image, double cpuShare, Interference known) {
         double worst = 0;
         for (Serving task : serving) {
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -32,7 +32,13 @@
 
     private Placement() {}
 
-    /** Returns the place in the list of the best worker, empty when none has room. */
+    /**
+     * Returns the place in the list of the best worker, empty when none has room.
+     *
+     * @param step the step
+     * @param hosts the hosts
+     * @return the place in the list of the best worker, empty when none has room
+     */
     public static OptionalInt choose(StepSpec step, List<HostView> hosts) {
         int best = -1;
         double bestCost = Double.MAX_VALUE;
@@ -50,7 +56,13 @@
         return best < 0 ? OptionalInt.empty() : OptionalInt.of(best);
     }
 
-    /** Tells whether a task fits on a worker. */
+    /**
+     * Tells whether a task fits on a worker.
+     *
+     * @param step the step
+     * @param host the host name that the caller used
+     * @return whether a task fits on a worker
+     */
     public static boolean fits(StepSpec step, HostView host) {
         return host.matchesLabel()
                 && (step.fill() || step.cpuMillis() <= host.cpuFreeMillis())
@@ -75,7 +87,13 @@
         return cost;
     }
 
-    /** Fill work takes what the rest leaves: what is free, and what lasting tasks reserve and don't use. */
+    /**
+     * Fill work takes what the rest leaves: what is free, and what lasting tasks reserve and don't use.
+     *
+     * @param step the step
+     * @param host the host name that the caller used
+     * @return the result
+     */
     private static double crowding(StepSpec step, HostView host) {
         double left = host.cpuFreeMillis() + host.servingCpuMillis() * (1 - SERVING_USE);
         double wanted = host.fillCpuMillis() + step.cpuMillis();
--- a/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
+++ b/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
@@ -31,7 +31,12 @@
         }
     }
 
-    /** Returns the order at an instant. */
+    /**
+     * Returns the order at an instant.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return the order at an instant
+     */
     public static Comparator<Waiting> at(long nowMs) {
         return Comparator.<Waiting, Boolean>comparing(w -> w.hopeless(nowMs))
                 .thenComparing(Waiting::priority)
--- a/work/src/main/java/org/cornelcove/work/plan/WorkerHealth.java
+++ b/work/src/main/java/org/cornelcove/work/plan/WorkerHealth.java
@@ -32,7 +32,12 @@
         asideMs = 0;
     }
 
-    /** Takes note of a run that failed, stalled or was not taken. */
+    /**
+     * Takes note of a run that failed, stalled or was not taken.
+     *
+     * @param jobId the job id
+     * @param nowMs the time on a monotonic clock
+     */
     public void failed(String jobId, long nowMs) {
         failedInRow.add(jobId);
         if (failedInRow.size() >= FAILED_JOBS_LIMIT && nowMs >= asideUntilMs) {
@@ -41,17 +46,30 @@
         }
     }
 
-    /** Tells whether the worker should get nothing now. */
+    /**
+     * Tells whether the worker should get nothing now.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return whether the worker should get nothing now
+     */
     public boolean aside(long nowMs) {
         return nowMs < asideUntilMs;
     }
 
-    /** Tells whether the worker may get one task to try it. */
+    /**
+     * Tells whether the worker may get one task to try it.
+     *
+     * @return whether the worker may get one task to try it
+     */
     public boolean onTrial() {
         return failedInRow.size() >= FAILED_JOBS_LIMIT;
     }
 
-    /** Returns how little it is trusted, 0 for a sound worker. */
+    /**
+     * Returns how little it is trusted, 0 for a sound worker.
+     *
+     * @return how little it is trusted, 0 for a sound worker
+     */
     public double suspicion() {
         return failedInRow.size() * FAILURE_WEIGHT;
     }
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -28,7 +28,12 @@
 
     private CommandCodec() {}
 
-    /** Encodes a batch. */
+    /**
+     * Encodes a batch.
+     *
+     * @param batch the batch
+     * @return the result
+     */
     public static byte[] encode(List<WorkCommand> batch) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(batch.size());
@@ -41,7 +46,12 @@
         }
     }
 
-    /** Decodes a batch; fails with kind {@code FRAME_MALFORMED}. */
+    /**
+     * Decodes a batch; fails with kind {@code FRAME_MALFORMED}.
+     *
+     * @param bytes the encoded form
+     * @return the result
+     */
     public static List<WorkCommand> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int count = unpacker.unpackArrayHeader();
--- a/work/src/main/java/org/cornelcove/work/state/Job.java
+++ b/work/src/main/java/org/cornelcove/work/state/Job.java
@@ -25,42 +25,76 @@
         this.submittedMs = submittedMs;
     }
 
-    /** Returns what was submitted. */
+    /**
+     * Returns what was submitted.
+     *
+     * @return what was submitted
+     */
     public JobSpec spec() {
         return spec;
     }
 
-    /** Returns the queue as it was when the job was accepted. */
+    /**
+     * Returns the queue as it was when the job was accepted.
+     *
+     * @return the queue as it was when the job was accepted
+     */
     public QueueRule acceptedBy() {
         return acceptedBy;
     }
 
-    /** Returns when the job was accepted, Unix time of the leader. */
+    /**
+     * Returns when the job was accepted, Unix time of the leader.
+     *
+     * @return when the job was accepted, Unix time of the leader
+     */
     public long submittedMs() {
         return submittedMs;
     }
 
-    /** Returns where the job stands. */
+    /**
+     * Returns where the job stands.
+     *
+     * @return where the job stands
+     */
     public JobPhase phase() {
         return phase;
     }
 
-    /** Returns when the job ended, Unix time of the leader. */
+    /**
+     * Returns when the job ended, Unix time of the leader.
+     *
+     * @return when the job ended, Unix time of the leader
+     */
     public long endedMs() {
         return endedMs;
     }
 
-    /** Returns the occurrences of which a task was started. */
+    /**
+     * Returns the occurrences of which a task was started.
+     *
+     * @return the occurrences of which a task was started
+     */
     public Map<Integer, Occurrence> occurrences() {
         return occurrences;
     }
 
-    /** Returns an occurrence, without a run when nothing of it was started. */
+    /**
+     * Returns an occurrence, without a run when nothing of it was started.
+     *
+     * @param number the occurrence, counted from 0
+     * @return an occurrence, without a run when nothing of it was started
+     */
     public Occurrence occurrence(int number) {
         return occurrences.computeIfAbsent(number, any -> new Occurrence(spec.steps()));
     }
 
-    /** Finds a task. */
+    /**
+     * Finds a task.
+     *
+     * @param key the key
+     * @return a task
+     */
     public Optional<Task> task(TaskKey key) {
         boolean known = key.occurrence() >= 0
                 && key.occurrence() < spec.schedule().occurrences()
--- a/work/src/main/java/org/cornelcove/work/state/Occurrence.java
+++ b/work/src/main/java/org/cornelcove/work/state/Occurrence.java
@@ -20,17 +20,31 @@
         }
     }
 
-    /** Returns the tasks of a step. */
+    /**
+     * Returns the tasks of a step.
+     *
+     * @param step the step
+     * @return the tasks of a step
+     */
     public Task[] step(int step) {
         return tasks[step];
     }
 
-    /** Tells whether all tasks of a step are done. */
+    /**
+     * Tells whether all tasks of a step are done.
+     *
+     * @param step the step
+     * @return whether all tasks of a step are done
+     */
     public boolean stepDone(int step) {
         return doneCounts[step] == tasks[step].length;
     }
 
-    /** Tells whether all tasks are done. */
+    /**
+     * Tells whether all tasks are done.
+     *
+     * @return whether all tasks are done
+     */
     public boolean done() {
         for (int step = 0; step < tasks.length; step++) {
             if (!stepDone(step)) {
@@ -40,7 +54,12 @@
         return true;
     }
 
-    /** Tells whether all earlier steps that a step waits for are done. */
+    /**
+     * Tells whether all earlier steps that a step waits for are done.
+     *
+     * @param spec the spec
+     * @return whether all earlier steps that a step waits for are done
+     */
     public boolean stepReady(StepSpec spec) {
         return spec.after().stream().allMatch(this::stepDone);
     }
--- a/work/src/main/java/org/cornelcove/work/state/Task.java
+++ b/work/src/main/java/org/cornelcove/work/state/Task.java
@@ -14,32 +14,57 @@
 
     Task() {}
 
-    /** Returns the number of the newest run, 0 before the first. */
+    /**
+     * Returns the number of the newest run, 0 before the first.
+     *
+     * @return the number of the newest run, 0 before the first
+     */
     public int lastRunId() {
         return lastRunId;
     }
 
-    /** Returns how many runs ended as failed. */
+    /**
+     * Returns how many runs ended as failed.
+     *
+     * @return how many runs ended as failed
+     */
     public int failures() {
         return failures;
     }
 
-    /** Tells whether a run ended as done. */
+    /**
+     * Tells whether a run ended as done.
+     *
+     * @return whether a run ended as done
+     */
     public boolean done() {
         return done;
     }
 
-    /** Returns the newest saved progress, empty when there is none. */
+    /**
+     * Returns the newest saved progress, empty when there is none.
+     *
+     * @return the newest saved progress, empty when there is none
+     */
     public String checkpoint() {
         return checkpoint;
     }
 
-    /** Returns the runs that have not ended. */
+    /**
+     * Returns the runs that have not ended.
+     *
+     * @return the runs that have not ended
+     */
     public List<Run> runs() {
         return runs;
     }
 
-    /** Finds a run that has not ended. */
+    /**
+     * Finds a run that has not ended.
+     *
+     * @param runId the run's number
+     * @return a run that has not ended
+     */
     public Optional<Run> run(int runId) {
         return runs.stream().filter(r -> r.runId() == runId).findFirst();
     }
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -25,22 +25,40 @@
     private WorkRules rules = WorkRules.NONE;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
 
-    /** Returns the rules in force. */
+    /**
+     * Returns the rules in force.
+     *
+     * @return the rules in force
+     */
     public synchronized WorkRules rules() {
         return rules;
     }
 
-    /** Returns all jobs in the order of their acceptance; read it under this object's monitor. */
+    /**
+     * Returns all jobs in the order of their acceptance; read it under this object's monitor.
+     *
+     * @return all jobs in the order of their acceptance; read it under this object's monitor
+     */
     public Map<String, Job> jobs() {
         return jobs;
     }
 
-    /** Finds a job. */
+    /**
+     * Finds a job.
+     *
+     * @param id the identifier
+     * @return a job
+     */
     public synchronized Optional<Job> job(String id) {
         return Optional.ofNullable(jobs.get(id));
     }
 
-    /** Returns the queue of a job as the rules have it now, or as it was when the rules dropped it. */
+    /**
+     * Returns the queue of a job as the rules have it now, or as it was when the rules dropped it.
+     *
+     * @param job the job
+     * @return the queue of a job as the rules have it now, or as it was when the rules dropped it
+     */
     public synchronized QueueRule queueOf(Job job) {
         return rules.queueAt(job.spec.host(), job.spec.pathPrefix()).orElse(job.acceptedBy);
     }
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -0,0 +1,227 @@
+package org.cornelcove.work.lead;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.state.CommandCodec;
+import org.cornelcove.work.state.WorkCommand;
+import org.cornelcove.work.state.WorkState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+class TermTest {
+    private static final LeadSettings SETTINGS = new LeadSettings(5000, 200, 120_000);
+
+    private final WorkState state = new WorkState();
+    private final ManualLoop loop = new ManualLoop();
+    private final FakeWorkers workers = new FakeWorkers(loop);
+    private long index;
+    private long fence;
+
+    @BeforeEach
+    void begin() {
+        apply(new WorkCommand.Configure(Steps.RULES));
+        lead();
+    }
+
+    private byte[] apply(WorkCommand command) {
+        return state.apply(++index, CommandCodec.encode(List.of(command)));
+    }
+
+    private void lead() {
+        if (loop.term != null) {
+            loop.term.end();
+        }
+        Proposals proposals = new Proposals(
+                entry -> {
+                    CompletableFuture<byte[]> done = new CompletableFuture<>();
+                    loop.later(10, () -> done.complete(state.apply(++index, entry)));
+                    return done;
+                },
+                loop::execute);
+        loop.term = new Term(++fence, SETTINGS, state, proposals, workers, loop);
+    }
+
+    private void submit(JobSpec spec) {
+        apply(new WorkCommand.Submit(spec, Steps.QUEUE, loop.wallMs()));
+        loop.term.openJob(state.job(spec.id()).orElseThrow());
+    }
+
+    private void cancel(String job) {
+        apply(new WorkCommand.Cancel(job, loop.wallMs()));
+        loop.term.jobEnded(job);
+    }
+
+    private JobPhase phase(String job) {
+        return state.job(job).orElseThrow().phase();
+    }
+
+    private void runWithBeats(long ms) {
+        for (long passedMs = 0; passedMs < ms; passedMs += 1000) {
+            workers.beat(loop.nowMs());
+            loop.run(1000);
+        }
+    }
+
+    private FakeWorkers.Life busy() {
+        return workers.lives.values().stream()
+                .filter(life -> !life.running.isEmpty())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void eachTaskOfAJobRunsOnce() {
+        workers.add("w1", 1);
+        workers.add("w2", 1);
+        submit(Steps.job("j", Steps.plain(12), Steps.plain(3, 0)));
+        runWithBeats(4000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.size(), is(15));
+        assertThat(workers.starts.values(), everyItem(is(1)));
+        assertThat(workers.faults, empty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {300, 2000, 4000, 12_000})
+    void aStartThatIsCarriedOutLateDoesNotRunBesideAnother(long lateMs) {
+        workers.add("w1", 1).lateStartMs = lateMs;
+        submit(Steps.job("j", Steps.plain(2)));
+        loop.run(100);
+        workers.add("w2", 1);
+        runWithBeats(3000);
+        workers.lives.get("w1").lateStartMs = 0;
+        runWithBeats(15_000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void tasksOfASilentWorkerWaitUntilItsLeaseIsOver() {
+        FakeWorkers.Life cut = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(100);
+        cut.silent = true;
+        workers.add("w2", 1);
+        runWithBeats(3000);
+        assertThat(phase("j"), is(JobPhase.RUNNING));
+        runWithBeats(6000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void aNewLifeUnderTheSameIdFreesTheTasksOfTheOldOne() {
+        FakeWorkers.Life old = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(3)));
+        loop.run(100);
+        old.crash();
+        workers.add("w1", 2, old.info.address());
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void aLateHeartbeatOfAnEarlierLifeAtTheSameAddressChangesNothing() {
+        FakeWorkers.Life old = workers.add("w1", 1, "10.0.0.1:1");
+        old.crash();
+        workers.add("w2", 2, "10.0.0.1:1");
+        loop.term.announce(workers.info("w1", 1, "10.0.0.1:1", false, 9));
+        submit(Steps.job("j", Steps.plain(3)));
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.values(), everyItem(is(1)));
+    }
+
+    @Test
+    void aNewLeaderGoesOnWithWhatRuns() {
+        workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(5)));
+        loop.run(200);
+        lead();
+        workers.beat(loop.nowMs());
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.values(), everyItem(is(1)));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void aNewLeaderThatReachesNotAllWorkersWaitsForTheirLeases() {
+        workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(2)));
+        loop.run(200);
+        busy().silent = true;
+        lead();
+        workers.add("w2", 1);
+        runWithBeats(5000);
+        assertThat(phase("j"), is(JobPhase.RUNNING));
+        runWithBeats(4000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 4000})
+    void nothingOfACancelledJobGoesOn(long lateStartMs) {
+        FakeWorkers.Life life = workers.add("w1", 1);
+        life.lateStartMs = lateStartMs;
+        submit(Steps.job("j", Steps.lasting("i", 1000, 0)));
+        loop.run(100);
+        cancel("j");
+        life.lateStartMs = 0;
+        runWithBeats(8000);
+        assertThat(life.running.keySet(), empty());
+        assertThat(
+                state.job("j")
+                        .orElseThrow()
+                        .task(new TaskKey("j", 0, 0, 0))
+                        .orElseThrow()
+                        .runs(),
+                empty());
+    }
+
+    @Test
+    void aWorkerThatFailsEverythingSpoilsNoJobs() {
+        workers.add("w1", 1).fails = true;
+        workers.add("w2", 1);
+        for (int job = 0; job < 6; job++) {
+            submit(Steps.job("j" + job, Steps.plain(2)));
+        }
+        runWithBeats(6000);
+        for (int job = 0; job < 6; job++) {
+            assertThat(phase("j" + job), is(JobPhase.COMPLETED));
+        }
+    }
+
+    @Test
+    void alastingTaskIsStartedAgainHoweverItEnds() {
+        workers.add("w1", 1);
+        submit(Steps.job("j", Steps.lasting("i", 1000, 0)));
+        runWithBeats(3000);
+        assertThat(workers.starts.get(new TaskKey("j", 0, 0, 0)), greaterThan(3));
+        assertThat(phase("j"), is(JobPhase.RUNNING));
+    }
+
+    @Test
+    void withoutItsLeaseALeaderOrdersNothing() {
+        workers.add("w1", 1);
+        loop.leased = false;
+        submit(Steps.job("j", Steps.plain(2)));
+        runWithBeats(2000);
+        assertThat(workers.starts.keySet(), empty());
+    }
+}
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/plan/InterferenceTest.java
@@ -0,0 +1,83 @@
+package org.cornelcove.work.plan;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+class InterferenceTest {
+    /** A worker with swinging load, on which three images of fill work come and go; one disturbs strongly. */
+    private static Interference learned(int looks) {
+        Random random = new Random(11);
+        Map<String, Double> harm = Map.of("heavy", 4.0, "light", 0.1, "none", 0.0);
+        Interference interference = new Interference();
+        Map<String, Double> before = new HashMap<>();
+        double tailBefore = 0;
+        for (int look = 0; look < looks; look++) {
+            Map<String, Double> now = new HashMap<>();
+            double tail = 0.5 * Math.sin(look / 4.5) + 0.05 * random.nextGaussian();
+            for (String image : harm.keySet()) {
+                double use = random.nextInt(3) == 0 ? 0.1 * random.nextInt(3) : before.getOrDefault(image, 0.0);
+                now.put(image, use);
+                tail += harm.get(image) * use;
+            }
+            Map<String, Double> change = new HashMap<>();
+            now.forEach((image, use) -> change.put(image, use - before.getOrDefault(image, 0.0)));
+            if (look > 0) {
+                interference.observe("serving", tail - tailBefore, change);
+            }
+            before.clear();
+            before.putAll(now);
+            tailBefore = tail;
+        }
+        return interference;
+    }
+
+    @Test
+    void findsThePairThatDisturbsThoughTheLoadSwings() {
+        Interference interference = learned(300);
+        assertThat(interference.harm("serving", "heavy"), closeTo(4.0, 0.8));
+        assertThat(interference.harm("serving", "light"), lessThan(0.6));
+        assertThat(interference.harm("serving", "none"), lessThan(0.5));
+    }
+
+    @Test
+    void onlyTheHarmfulImageIsSlowed() {
+        Interference interference = learned(300);
+        List<PaceControl.Serving> serving = List.of(new PaceControl.Serving("serving", 0.95, false));
+        int[] next = PaceControl.next(
+                serving,
+                List.of(new PaceControl.Fill("heavy", 0.1, 100), new PaceControl.Fill("none", 0.1, 100)),
+                interference);
+        assertThat(next[0], lessThan(60));
+        assertThat(next[1], is(100));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.3, 100", "1.2, 0"})
+    void slowedWorkComesBackWhenTheTailAllowsIt(double share, int wanted) {
+        int[] next = PaceControl.next(
+                List.of(new PaceControl.Serving("serving", share, false)),
+                List.of(new PaceControl.Fill("heavy", 0.1, 0)),
+                learned(300));
+        assertThat(next[0], is(wanted));
+    }
+
+    @Test
+    void nothingIsTriedOnATaskThatStaysOverItsTarget() {
+        int[] next = PaceControl.next(
+                List.of(new PaceControl.Serving("serving", 1.3, true)),
+                List.of(new PaceControl.Fill("none", 0.1, 100)),
+                learned(300));
+        assertThat(next[0], is(0));
+    }
+}
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/plan/OrderAndHealthTest.java
@@ -0,0 +1,46 @@
+package org.cornelcove.work.plan;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class OrderAndHealthTest {
+    @Test
+    void atACrestUrgentWorkComesFirstAndHopelessWorkLast() {
+        QueueOrder.Waiting hopeless = new QueueOrder.Waiting(0, 0, 1000);
+        QueueOrder.Waiting later = new QueueOrder.Waiting(0, 9500, 2000);
+        QueueOrder.Waiting sooner = new QueueOrder.Waiting(0, 9600, 500);
+        QueueOrder.Waiting bulk = new QueueOrder.Waiting(2, 8000, 1500);
+        List<QueueOrder.Waiting> order = new ArrayList<>(List.of(hopeless, bulk, later, sooner));
+        order.sort(QueueOrder.at(10_000));
+        assertThat(order, is(List.of(sooner, later, bulk, hopeless)));
+    }
+
+    @Test
+    void aJobThatCanNeverBeDoneSpoilsNoWorker() {
+        WorkerHealth health = new WorkerHealth();
+        health.failed("poison", 0);
+        health.failed("poison", 10);
+        health.failed("poison", 20);
+        assertThat(health.aside(30), is(false));
+    }
+
+    @Test
+    void aWorkerThatFailsEverythingIsSetAsideAndTriedLessAndLessOften() {
+        WorkerHealth health = new WorkerHealth();
+        health.failed("a", 0);
+        health.failed("b", 100);
+        assertThat(health.aside(4000), is(true));
+        assertThat(health.aside(4200), is(false));
+        assertThat(health.onTrial(), is(true));
+        health.failed("c", 4300);
+        assertThat(health.aside(12_000), is(true));
+        health.succeeded();
+        assertThat(health.aside(12_001), is(false));
+        assertThat(health.onTrial(), is(false));
+    }
+}
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
@@ -0,0 +1,161 @@
+package org.cornelcove.work.state;
+
+import java.util.List;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkRules;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+class WorkStateTest {
+    private final WorkState state = new WorkState();
+    private long index;
+
+    private Verdict apply(WorkCommand command) {
+        return Verdict.values()[state.apply(++index, CommandCodec.encode(List.of(command)))[0]];
+    }
+
+    private Verdict submit(JobSpec spec) {
+        return apply(new WorkCommand.Submit(spec, Steps.QUEUE, 1000));
+    }
+
+    private Verdict start(TaskKey task, int runId) {
+        return apply(new WorkCommand.Start(task, runId, "w", 7, 1000));
+    }
+
+    private Verdict end(TaskKey task, int runId, RunEnd how) {
+        return apply(new WorkCommand.End(task, runId, how, "", 2000));
+    }
+
+    private JobPhase phase(String job) {
+        return state.job(job).orElseThrow().phase();
+    }
+
+    private static TaskKey task(int step, int index) {
+        return new TaskKey("j", 0, step, index);
+    }
+
+    @Test
+    void theSameIdAgainIsTheSameJob() {
+        assertThat(submit(Steps.job("j", Steps.plain(1))), is(Verdict.DONE));
+        assertThat(submit(Steps.job("j", Steps.plain(5))), is(Verdict.UNCHANGED));
+        assertThat(state.job("j").orElseThrow().spec().steps().get(0).count(), is(1));
+    }
+
+    @Test
+    void aStepWaitsForTheOnesBeforeIt() {
+        submit(Steps.job("j", Steps.plain(2), Steps.plain(1, 0)));
+        assertThat(start(task(1, 0), 1), is(Verdict.REFUSED));
+        start(task(0, 0), 1);
+        start(task(0, 1), 1);
+        end(task(0, 0), 1, RunEnd.DONE);
+        assertThat(start(task(1, 0), 1), is(Verdict.REFUSED));
+        end(task(0, 1), 1, RunEnd.DONE);
+        assertThat(start(task(1, 0), 1), is(Verdict.DONE));
+        end(task(1, 0), 1, RunEnd.DONE);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    @Test
+    void aTaskHasOneRunAtATimeUnlessCopiesMayRun() {
+        submit(Steps.job("j", Steps.plain(1), Steps.copies(1)));
+        assertThat(start(task(0, 0), 1), is(Verdict.DONE));
+        assertThat(start(task(0, 0), 2), is(Verdict.REFUSED));
+        assertThat(start(task(1, 0), 1), is(Verdict.DONE));
+        assertThat(start(task(1, 0), 2), is(Verdict.DONE));
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"STOPPED", "LAPSED", "BROKEN", "ALONE", "LOST"})
+    void onlyFailuresCountAsAttempts(RunEnd how) {
+        submit(Steps.job("j", Steps.plain(1)));
+        for (int runId = 1; runId <= 2 * Steps.QUEUE.attempts(); runId++) {
+            assertThat(start(task(0, 0), runId), is(Verdict.DONE));
+            end(task(0, 0), runId, how);
+        }
+        assertThat(phase("j"), is(JobPhase.RUNNING));
+    }
+
+    @Test
+    void aJobFailsWithTheLastAttemptOfATask() {
+        submit(Steps.job("j", Steps.plain(1)));
+        for (int runId = 1; runId <= Steps.QUEUE.attempts(); runId++) {
+            assertThat(phase("j"), is(runId == 1 ? JobPhase.QUEUED : JobPhase.RUNNING));
+            start(task(0, 0), runId);
+            end(task(0, 0), runId, RunEnd.FAILED);
+        }
+        assertThat(phase("j"), is(JobPhase.FAILED));
+        assertThat(start(task(0, 0), 9), is(Verdict.REFUSED));
+    }
+
+    @Test
+    void aDoneTaskNeverRunsAgainAndARunNumberNeverComesBack() {
+        submit(Steps.job("j", Steps.plain(2)));
+        start(task(0, 0), 1);
+        end(task(0, 0), 1, RunEnd.DONE);
+        assertThat(start(task(0, 0), 2), is(Verdict.REFUSED));
+        start(task(0, 1), 4);
+        end(task(0, 1), 4, RunEnd.LOST);
+        assertThat(start(task(0, 1), 4), is(Verdict.REFUSED));
+        assertThat(start(task(0, 1), 5), is(Verdict.DONE));
+    }
+
+    @Test
+    void oneMemberThatEndsAsDoneStandsForItsGang() {
+        submit(Steps.job("j", Steps.gang(3)));
+        for (int member = 0; member < 3; member++) {
+            start(task(0, member), 1);
+        }
+        end(task(0, 1), 1, RunEnd.DONE);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    @Test
+    void aCancelledJobStaysCancelledAndStartsNothing() {
+        submit(Steps.job("j", Steps.plain(1)));
+        start(task(0, 0), 1);
+        assertThat(apply(new WorkCommand.Cancel("j", 5)), is(Verdict.DONE));
+        assertThat(apply(new WorkCommand.Cancel("j", 6)), is(Verdict.UNCHANGED));
+        end(task(0, 0), 1, RunEnd.DONE);
+        assertThat(phase("j"), is(JobPhase.CANCELLED));
+        assertThat(start(task(0, 0), 2), is(Verdict.REFUSED));
+        assertThat(apply(new WorkCommand.Cancel("other", 6)), is(Verdict.UNKNOWN));
+    }
+
+    @Test
+    void rulesOfTheVersionHeldChangeNothingWhateverTheyHold() {
+        assertThat(apply(new WorkCommand.Configure(Steps.RULES)), is(Verdict.DONE));
+        WorkRules other = new WorkRules(1, new byte[] {2}, List.of(), List.of());
+        assertThat(apply(new WorkCommand.Configure(other)), is(Verdict.UNCHANGED));
+        assertThat(state.rules().source(), equalTo(new byte[] {1}));
+    }
+
+    @Test
+    void aSnapshotHoldsEverything() {
+        apply(new WorkCommand.Configure(Steps.RULES));
+        submit(Steps.job("j", Steps.plain(2), Steps.plain(1, 0)));
+        submit(Steps.job("k", Steps.lasting("i", 10, 50)));
+        start(task(0, 0), 1);
+        apply(new WorkCommand.End(task(0, 0), 1, RunEnd.FAILED, "saved", 2000));
+        start(task(0, 0), 2);
+        start(task(0, 1), 1);
+        end(task(0, 1), 1, RunEnd.DONE);
+        WorkState copy = new WorkState();
+        copy.restore(state.snapshot());
+        assertThat(copy.snapshot(), equalTo(state.snapshot()));
+        Task task = copy.job("j").orElseThrow().task(task(0, 0)).orElseThrow();
+        assertThat(task.checkpoint(), is("saved"));
+        assertThat(task.failures(), is(1));
+        assertThat(task.runs().get(0).runId(), is(2));
+        assertThat(copy.rules().queues(), is(Steps.RULES.queues()));
+    }
+}
