--- a/work/src/main/java/org/cornelcove/work/lead/WorkerInfo.java
+++ b/work/src/main/java/org/cornelcove/work/job/WorkerInfo.java
@@ -1,4 +1,4 @@
-package org.cornelcove.work.lead;
+package org.cornelcove.work.job;
 
 import java.util.List;
 import java.util.OptionalLong;
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -17,6 +17,7 @@
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.plan.HostView;
 import org.cornelcove.work.plan.Placement;
@@ -73,6 +74,7 @@
         this.gainedMs = clock.nowMs();
         this.conversation = new Conversation(this, driver);
         synchronized (state) {
+            state.workers().values().forEach(this::remember);
             state.jobs().values().stream().filter(job -> !job.phase().ended()).forEach(this::takeOver);
             state.jobs().values().stream().filter(job -> job.phase().ended()).forEach(this::inheritRuns);
         }
@@ -108,11 +110,23 @@
         });
     }
 
+    /** Knows a worker that an earlier leader heard: it can be called, and gets nothing until it has answered. */
+    private void remember(WorkerInfo info) {
+        Worker worker = new Worker(info.id(), info.bornMs());
+        worker.info = Optional.of(info);
+        worker.inheritedUntilMs = inheritedUntilMs();
+        workers.put(info.id(), worker);
+    }
+
+    private long inheritedUntilMs() {
+        return gainedMs + DEPOSED_MS + (long) (settings.leaseMs() / SLOWEST_CLOCK);
+    }
+
     private void inherit(Job job, TaskKey task, Run run) {
         Worker worker = workers.get(run.worker());
         if (worker == null || worker.bornMs < run.born()) {
             worker = new Worker(run.worker(), run.born());
-            worker.inheritedUntilMs = gainedMs + DEPOSED_MS + (long) (settings.leaseMs() / SLOWEST_CLOCK);
+            worker.inheritedUntilMs = inheritedUntilMs();
             workers.put(run.worker(), worker);
         }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
@@ -253,6 +267,7 @@
         if (worker == null) {
             worker = new Worker(info.id(), info.bornMs());
             workers.put(info.id(), worker);
+            proposals.add(new WorkCommand.Hello(info), result -> {});
             EventLog.event("worker.new", "worker", info.id(), "born", info.bornMs(), "address", info.address());
         }
         boolean newer =
@@ -261,6 +276,7 @@
             boolean drains =
                     info.draining() && worker.info.filter(WorkerInfo::draining).isEmpty();
             worker.info = Optional.of(info);
+            worker.announced = true;
             worker.heard(nowMs, OptionalLong.of(info.clockMs()));
             placementDue = true;
             if (drains) {
@@ -301,6 +317,7 @@
             return;
         }
         worker.gone = true;
+        proposals.add(new WorkCommand.Farewell(worker.id, worker.bornMs), result -> {});
         EventLog.event(
                 "worker.gone", "worker", worker.id, "born", worker.bornMs, "runs", worker.runCount(), "why", why);
         List<ActiveRun> lost = new ArrayList<>();
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -14,6 +14,7 @@
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.state.Job;
 import org.cornelcove.work.state.Verdict;
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -10,6 +10,7 @@
 
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.plan.WorkerHealth;
 
 /**
@@ -61,6 +62,8 @@
     int fillCpu;
     final TreeSet<Long> endsUnderWay = new TreeSet<>();
     long avoidUntilMs;
+    /** Whether this leader heard a heartbeat: only that tells whether the worker is about to leave. */
+    boolean announced;
     boolean leaving;
     boolean gone;
 
@@ -171,6 +174,7 @@
 
     boolean usable(long nowMs) {
         return info.isPresent()
+                && announced
                 && !gone
                 && !leaving
                 && !info.get().draining()
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -6,6 +6,7 @@
 
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkerInfo;
 
 /** Calls workers. Each future completes, with {@link Reply#NO_ANSWER} at the latest at the call's timeout. */
 public interface WorkerDriver {
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -25,6 +25,8 @@
     private static final int START = 4;
     private static final int END = 5;
     private static final int FORGET = 6;
+    private static final int HELLO = 7;
+    private static final int FAREWELL = 8;
 
     private CommandCodec() {}
 
@@ -91,6 +93,11 @@
         } else if (command instanceof WorkCommand.Configure configure) {
             packer.packInt(CONFIGURE);
             SpecCodec.writeRules(packer, configure.rules());
+        } else if (command instanceof WorkCommand.Hello hello) {
+            packer.packInt(HELLO);
+            SpecCodec.writeWorker(packer, hello.worker());
+        } else if (command instanceof WorkCommand.Farewell farewell) {
+            packer.packInt(FAREWELL).packString(farewell.worker()).packLong(farewell.bornMs());
         } else if (command instanceof WorkCommand.Forget forget) {
             packer.packInt(FORGET).packString(forget.jobId());
         }
@@ -106,6 +113,8 @@
             case SUBMIT -> new WorkCommand.Submit(SpecCodec.readJob(in), SpecCodec.readQueue(in), in.unpackLong());
             case CANCEL -> new WorkCommand.Cancel(in.unpackString(), in.unpackLong());
             case CONFIGURE -> new WorkCommand.Configure(SpecCodec.readRules(in));
+            case HELLO -> new WorkCommand.Hello(SpecCodec.readWorker(in));
+            case FAREWELL -> new WorkCommand.Farewell(in.unpackString(), in.unpackLong());
             case FORGET -> new WorkCommand.Forget(in.unpackString());
             default -> throw Failure.of(ErrorKind.FRAME_MALFORMED, "unknown command " + kind)
                     .asException();
--- a/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.PoolRule;
@@ -10,6 +11,7 @@
 import org.cornelcove.work.job.Schedule;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.job.WorkerInfo;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -152,4 +154,51 @@
         }
         return new WorkRules(version, source, List.copyOf(queues), List.copyOf(pools));
     }
+
+    static void writeWorker(MessagePacker out, WorkerInfo worker) throws IOException {
+        out.packString(worker.id())
+                .packLong(worker.bornMs())
+                .packString(worker.address())
+                .packString(worker.zone())
+                .packString(worker.pool())
+                .packInt(worker.cpuMillis())
+                .packInt(worker.memoryMb())
+                .packInt(worker.accelerators());
+        out.packArrayHeader(worker.labels().size());
+        for (String label : worker.labels()) {
+            out.packString(label);
+        }
+    }
+
+    /** Reads a worker; what changes with each heartbeat is not kept. */
+    static WorkerInfo readWorker(MessageUnpacker in) throws IOException {
+        String id = in.unpackString();
+        long bornMs = in.unpackLong();
+        String address = in.unpackString();
+        String zone = in.unpackString();
+        String pool = in.unpackString();
+        int cpuMillis = in.unpackInt();
+        int memoryMb = in.unpackInt();
+        int accelerators = in.unpackInt();
+        int count = in.unpackArrayHeader();
+        List<String> labels = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            labels.add(in.unpackString());
+        }
+        return new WorkerInfo(
+                id,
+                bornMs,
+                address,
+                zone,
+                pool,
+                false,
+                OptionalLong.empty(),
+                0,
+                cpuMillis,
+                memoryMb,
+                accelerators,
+                List.copyOf(labels),
+                0,
+                0);
+    }
 }
--- a/work/src/main/java/org/cornelcove/work/state/StateCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -8,6 +8,7 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.job.WorkerInfo;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -18,9 +19,13 @@
 final class StateCodec {
     private StateCodec() {}
 
-    static byte[] encode(WorkRules rules, Collection<Job> jobs) {
+    static byte[] encode(WorkRules rules, Collection<WorkerInfo> workers, Collection<Job> jobs) {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             SpecCodec.writeRules(out, rules);
+            out.packArrayHeader(workers.size());
+            for (WorkerInfo worker : workers) {
+                SpecCodec.writeWorker(out, worker);
+            }
             out.packArrayHeader(jobs.size());
             for (Job job : jobs) {
                 writeJob(out, job);
@@ -31,13 +36,18 @@
         }
     }
 
-    static WorkRules decode(byte[] snapshot, Map<String, Job> into) {
+    static WorkRules decode(byte[] snapshot, Map<String, WorkerInfo> workers, Map<String, Job> jobs) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(snapshot)) {
             WorkRules rules = SpecCodec.readRules(in);
+            int workerCount = in.unpackArrayHeader();
+            for (int i = 0; i < workerCount; i++) {
+                WorkerInfo worker = SpecCodec.readWorker(in);
+                workers.put(worker.id(), worker);
+            }
             int count = in.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
                 Job job = readJob(in);
-                into.put(job.spec.id(), job);
+                jobs.put(job.spec.id(), job);
             }
             return rules;
         } catch (IOException | MessagePackException e) {
--- a/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
@@ -5,6 +5,7 @@
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.job.WorkerInfo;
 
 /** A change of the durable state. */
 public sealed interface WorkCommand {
@@ -54,6 +55,21 @@
      */
     record End(TaskKey task, int runId, RunEnd how, String checkpoint, long atMs) implements WorkCommand {}
 
+    /**
+     * Notes a new life of a worker, so that the next leader can call it before it is heard.
+     *
+     * @param worker what it said first
+     */
+    record Hello(WorkerInfo worker) implements WorkCommand {}
+
+    /**
+     * Drops a life of a worker that is over.
+     *
+     * @param worker the worker
+     * @param bornMs the life
+     */
+    record Farewell(String worker, long bornMs) implements WorkCommand {}
+
     /**
      * Drops a job that ended long ago.
      *
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -11,6 +11,7 @@
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.job.WorkerInfo;
 
 /**
  * The rules, jobs and runs that survive. A command that does not fit is refused here, whatever leader proposed it: a
@@ -24,6 +25,7 @@
 public final class WorkState implements StateMachine {
     private WorkRules rules = WorkRules.NONE;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, WorkerInfo> workers = new LinkedHashMap<>();
 
     /**
      * Returns the rules in force.
@@ -43,6 +45,15 @@
         return jobs;
     }
 
+    /**
+     * Returns the newest life of each worker as it said first, by id; read it under this object's monitor.
+     *
+     * @return the workers
+     */
+    public Map<String, WorkerInfo> workers() {
+        return workers;
+    }
+
     /**
      * Finds a job.
      *
@@ -85,12 +96,34 @@
             return cancel(cancel);
         } else if (command instanceof WorkCommand.Configure configure) {
             return configure(configure.rules());
+        } else if (command instanceof WorkCommand.Hello hello) {
+            return hello(hello.worker());
+        } else if (command instanceof WorkCommand.Farewell farewell) {
+            return farewell(farewell);
         } else if (command instanceof WorkCommand.Forget forget) {
             return jobs.remove(forget.jobId()) == null ? Verdict.UNCHANGED : Verdict.DONE;
         }
         throw new IllegalStateException("unknown command " + command);
     }
 
+    private Verdict hello(WorkerInfo worker) {
+        WorkerInfo known = workers.get(worker.id());
+        if (known != null && known.bornMs() >= worker.bornMs()) {
+            return Verdict.UNCHANGED;
+        }
+        workers.put(worker.id(), worker);
+        return Verdict.DONE;
+    }
+
+    private Verdict farewell(WorkCommand.Farewell farewell) {
+        WorkerInfo known = workers.get(farewell.worker());
+        if (known == null || known.bornMs() != farewell.bornMs()) {
+            return Verdict.UNCHANGED;
+        }
+        workers.remove(farewell.worker());
+        return Verdict.DONE;
+    }
+
     private Verdict configure(WorkRules next) {
         if (next.version() <= rules.version()) {
             return Verdict.UNCHANGED;
@@ -200,12 +233,13 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return StateCodec.encode(rules, jobs.values());
+        return StateCodec.encode(rules, workers.values(), jobs.values());
     }
 
     @Override
     public synchronized void restore(byte[] snapshot) {
         jobs.clear();
-        rules = StateCodec.decode(snapshot, jobs);
+        workers.clear();
+        rules = StateCodec.decode(snapshot, workers, jobs);
     }
 }
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -12,6 +12,7 @@
 
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkerInfo;
 
 /**
  * Workers that keep the promises of real ones and no more: a lease on their own clock, a fence, ends that stay until
--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -224,4 +224,15 @@
         runWithBeats(2000);
         assertThat(workers.starts.keySet(), empty());
     }
+
+    @Test
+    void aNewLeaderCallsTheWorkersOfTheLastOneBeforeItHearsThem() {
+        workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(5)));
+        loop.run(200);
+        lead();
+        loop.run(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.values(), everyItem(is(1)));
+    }
 }
