--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -23,6 +23,8 @@
     private static final long MOVE_AFTER_MS = 1500;
 
     private static final int NEARLY_STILL_PERCENT = 20;
+    /** A place is worth a move where the work would take a lasting task at most so far to its target. */
+    private static final double CALM_COST = 0.3;
 
     /** What a look at a worker showed. */
     private record Sample(long atMs, Map<String, Double> use, Map<ActiveRun, Double> tails) {}
@@ -129,7 +131,9 @@
                 run.pausedSinceMs = 0;
             } else if (run.pausedSinceMs == 0) {
                 run.pausedSinceMs = nowMs;
-            } else if (nowMs - run.pausedSinceMs > MOVE_AFTER_MS && run.step.checkpointing()) {
+            } else if (nowMs - run.pausedSinceMs > MOVE_AFTER_MS
+                    && run.step.checkpointing()
+                    && term.hasCalmPlace(run, CALM_COST)) {
                 moving.add(run);
             }
         }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -21,6 +21,7 @@
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.plan.HostView;
 import org.cornelcove.work.plan.Placement;
+import org.cornelcove.work.plan.Stragglers;
 import org.cornelcove.work.state.Job;
 import org.cornelcove.work.state.Occurrence;
 import org.cornelcove.work.state.Run;
@@ -55,6 +56,9 @@
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
     private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
     private final Backlog backlog = new Backlog();
+    /** How long the done tasks of steps that may run in copies took, by the step of one occurrence. */
+    private final Map<String, List<Long>> doneMs = new HashMap<>();
+
     private final long gainedMs;
     private boolean placementDue = true;
     private boolean over;
@@ -197,6 +201,7 @@
      */
     void jobEnded(String jobId) {
         backlog.drop(jobId);
+        doneMs.keySet().removeIf(step -> step.startsWith(jobId));
         List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(conversation::wantStop);
     }
 
@@ -212,6 +217,9 @@
         }
         Job job = run.job;
         placementDue = true;
+        if (how == RunEnd.DONE && run.step.copies() && run.confirmedMs > 0) {
+            doneMs.computeIfAbsent(stepName(run.task), any -> new ArrayList<>()).add(clock.nowMs() - run.confirmedMs);
+        }
         if (job.phase().ended()) {
             jobEnded(run.task.jobId());
             return;
@@ -335,9 +343,66 @@
             conversation.look(worker, nowMs);
         }
         placementDue = true;
+        copyStragglers(nowMs);
         forgetOldJobs();
     }
 
+    /** Tells whether fill work that stands still would run freely on another worker. */
+    boolean hasCalmPlace(ActiveRun run, double maxCost) {
+        long nowMs = clock.nowMs();
+        String pool = state.queueOf(run.job).pool();
+        return workers.values().stream()
+                .filter(w -> w != run.worker
+                        && w.usable(nowMs)
+                        && w.info.get().pool().equals(pool))
+                .anyMatch(w -> conversation.disturbance(w, run.step) < maxCost
+                        && Placement.fits(run.step, view(w, run.step, run.task, "")));
+    }
+
+    private static String stepName(TaskKey task) {
+        return task.jobId() + '.' + task.occurrence() + '.' + task.step();
+    }
+
+    private void copyStragglers(long nowMs) {
+        List<ActiveRun> late = new ArrayList<>();
+        for (Set<ActiveRun> runs : runsByJob.values()) {
+            for (ActiveRun run : runs) {
+                if (run.step.copies()
+                        && run.stage == ActiveRun.Stage.CONFIRMED
+                        && !run.stopWanted
+                        && isLate(run, nowMs)) {
+                    late.add(run);
+                }
+            }
+        }
+        late.forEach(this::copy);
+    }
+
+    private boolean isLate(ActiveRun run, long nowMs) {
+        long[] done = doneMs.getOrDefault(stepName(run.task), List.of()).stream()
+                .mapToLong(ms -> ms)
+                .toArray();
+        return nowMs - run.confirmedMs > Stragglers.copyAfterMs(run.step.estimateMs(), done, run.step.count());
+    }
+
+    private void copy(ActiveRun late) {
+        Task task = late.job.task(late.task).orElseThrow();
+        if (task.done() || task.runs().size() > 1 || task.lastRunId() != late.runId) {
+            return;
+        }
+        String pool = state.queueOf(late.job).pool();
+        long nowMs = clock.nowMs();
+        List<Worker> others = workers.values().stream()
+                .filter(w -> w != late.worker
+                        && w.usable(nowMs)
+                        && w.info.get().pool().equals(pool))
+                .toList();
+        choose(late.step, late.task, others).ifPresent(worker -> {
+            EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
+            begin(late.job, late.task, late.runId + 1, worker);
+        });
+    }
+
     private void forgetOldJobs() {
         long beforeMs = clock.wallMs() - settings.forgetMs();
         synchronized (state) {
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -64,6 +64,7 @@
     long avoidUntilMs;
     /** Whether this leader heard a heartbeat: only that tells whether the worker is about to leave. */
     boolean announced;
+
     boolean leaving;
     boolean gone;
 
