Lasting tasks gather by image, fill work waits for a place where it runs, mild pairs are left alone

Change: the brake spares images known to be mild; lasting tasks gather by image; fill work stays queued up to 1.8 s unless a worker would let it run; late jobs no longer go before those that can still be in time.

--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -29,6 +29,8 @@
         final int step;
         final Deque<Integer> indices = new ArrayDeque<>();
         final QueueOrder.Waiting order;
+        /** Since when a task of it waits, on the monotonic clock. */
+        long waitingSinceMs;
 
         private WaitingStep(Job job, int occurrence, int step, QueueOrder.Waiting order) {
             this.job = job;
@@ -56,7 +58,7 @@
      * @param number the occurrence, counted from 0
      * @param queue the queue as the rules have it
      */
-    void open(Job job, int number, QueueRule queue) {
+    void open(Job job, int number, QueueRule queue, long nowMs) {
         Occurrence occurrence = job.occurrence(number);
         List<StepSpec> steps = job.spec().steps();
         for (int step = 0; step < steps.size(); step++) {
@@ -65,7 +67,7 @@
                 Task[] tasks = occurrence.step(step);
                 for (int index = 0; index < tasks.length; index++) {
                     if (!tasks[index].done() && tasks[index].runs().isEmpty()) {
-                        add(job, new TaskKey(job.spec().id(), number, step, index), queue);
+                        add(job, new TaskKey(job.spec().id(), number, step, index), queue, nowMs);
                     }
                 }
             }
@@ -79,10 +81,13 @@
      * @param task the task
      * @param queue the queue as the rules have it
      */
-    void add(Job job, TaskKey task, QueueRule queue) {
+    void add(Job job, TaskKey task, QueueRule queue, long nowMs) {
         StepKey key = new StepKey(task.jobId(), task.occurrence(), task.step());
         WaitingStep step = waiting.computeIfAbsent(
                 key, any -> new WaitingStep(job, task.occurrence(), task.step(), orderOf(job, task, queue)));
+        if (step.indices.isEmpty()) {
+            step.waitingSinceMs = nowMs;
+        }
         if (!step.indices.contains(task.index())) {
             step.indices.addLast(task.index());
         }
@@ -92,7 +97,8 @@
         long dueMs = job.spec().schedule().dueMs(task.occurrence());
         long sinceMs = Math.max(job.submittedMs(), dueMs);
         long objectiveMs = (long) (queue.stretch() * chainMs(job.spec().steps())) + queue.targetLatencyMs();
-        return new QueueOrder.Waiting(queue.priority(), sinceMs, objectiveMs);
+        return new QueueOrder.Waiting(
+                queue.priority(), sinceMs, objectiveMs, chainMs(job.spec().steps(), task.step()));
     }
 
     /**
@@ -102,9 +108,13 @@
      * @return the longest chain of estimated work
      */
     static long chainMs(List<StepSpec> steps) {
+        return chainMs(steps, 0);
+    }
+
+    private static long chainMs(List<StepSpec> steps, int first) {
         long[] endMs = new long[steps.size()];
         long longest = 0;
-        for (int i = 0; i < endMs.length; i++) {
+        for (int i = first; i < endMs.length; i++) {
             StepSpec step = steps.get(i);
             long startMs = 0;
             for (int after : step.after()) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -43,6 +43,8 @@
     /** How much slower a worker's clock may run, as a divisor of a lease's length. */
     private static final double SLOWEST_CLOCK = 0.97;
 
+    /** How long fill work waits for a worker on which it runs freely, below the platform's three seconds. */
+    private static final long PATIENCE_MS = 1800;
     /** From a worker's farewell, which it waits to be acknowledged, until it has surely ended. */
     private static final long LEAVE_MS = 400;
 
@@ -169,7 +171,7 @@
             return;
         }
         if (job.spec().schedule().repeatCount() == 0) {
-            backlog.open(job, 0, state.queueOf(job));
+            backlog.open(job, 0, state.queueOf(job), clock.nowMs());
         } else {
             nextOccurrence.putIfAbsent(job.spec().id(), 0);
         }
@@ -186,7 +188,7 @@
             int next = entry.getValue();
             while (next < job.get().spec().schedule().occurrences()
                     && job.get().spec().schedule().dueMs(next) <= wallMs) {
-                backlog.open(job.get(), next++, state.queueOf(job.get()));
+                backlog.open(job.get(), next++, state.queueOf(job.get()), clock.nowMs());
                 placementDue = true;
             }
             entry.setValue(next);
@@ -229,10 +231,10 @@
         if (task.done()) {
             stopCopies(run);
             if (occurrence.stepDone(run.task.step())) {
-                backlog.open(job, run.task.occurrence(), state.queueOf(job));
+                backlog.open(job, run.task.occurrence(), state.queueOf(job), clock.nowMs());
             }
         } else if (task.runs().isEmpty()) {
-            backlog.add(job, run.task, state.queueOf(job));
+            backlog.add(job, run.task, state.queueOf(job), clock.nowMs());
         }
     }
 
@@ -397,7 +399,7 @@
                         && w.usable(nowMs)
                         && w.info.get().pool().equals(pool))
                 .toList();
-        choose(late.step, late.task, others).ifPresent(worker -> {
+        choose(late.step, late.task, others, false).ifPresent(worker -> {
             EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
             begin(late.job, late.task, late.runId + 1, worker);
         });
@@ -461,7 +463,8 @@
                 step.indices.removeFirst();
                 continue;
             }
-            Optional<Worker> worker = choose(step.spec(), key, pool);
+            boolean patient = clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
+            Optional<Worker> worker = choose(step.spec(), key, pool, patient);
             if (worker.isEmpty()) {
                 return;
             }
@@ -482,7 +485,7 @@
                     runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
         }
         for (int index = 0; index < size; index++) {
-            Optional<Worker> worker = choose(step.spec(), step.task(index), pool);
+            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false);
             if (worker.isEmpty()) {
                 members.forEach(this::untrack);
                 return;
@@ -496,13 +499,13 @@
         members.forEach(this::commitStart);
     }
 
-    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool) {
+    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean patient) {
         List<HostView> views = new ArrayList<>(pool.size());
         String rack = step.sameRack() ? rackOfStep(task) : "";
         for (Worker worker : pool) {
             views.add(view(worker, step, task, rack));
         }
-        OptionalInt best = Placement.choose(step, views);
+        OptionalInt best = Placement.choose(step, views, patient);
         return best.isPresent() ? Optional.of(pool.get(best.getAsInt())) : Optional.empty();
     }
 
@@ -527,6 +530,7 @@
                 rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
                 worker.runsOfStep(task),
                 worker.serving,
+                worker.servingOthers(step.image()),
                 worker.fillCpu,
                 worker.servingCpu,
                 step.fill() ? conversation.disturbance(worker, step) : 0,
@@ -565,7 +569,7 @@
     private void requeue(ActiveRun run) {
         Task task = run.job.task(run.task).orElseThrow();
         if (!run.job.phase().ended() && !task.done() && task.runs().isEmpty()) {
-            backlog.add(run.job, run.task, state.queueOf(run.job));
+            backlog.add(run.job, run.task, state.queueOf(run.job), clock.nowMs());
         }
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -125,6 +125,15 @@
         return failedTasks.contains(task);
     }
 
+    int servingOthers(String image) {
+        int count = 0;
+        for (ActiveRun run : runs.values()) {
+            boolean hasTarget = run.step.lasting() && run.step.targetMs() > 0;
+            count += hasTarget && !run.step.image().equals(image) ? 1 : 0;
+        }
+        return count;
+    }
+
     int runsOfStep(TaskKey task) {
         int count = 0;
         for (ActiveRun run : runs.values()) {
--- a/work/src/main/java/org/cornelcove/work/plan/HostView.java
+++ b/work/src/main/java/org/cornelcove/work/plan/HostView.java
@@ -12,6 +12,7 @@
  * @param inStepRack whether it stands where other tasks of a step for one rack run, true when that doesn't matter
  * @param runsOfStep how many tasks of the same step it runs
  * @param serving how many lasting tasks with a target it runs
+ * @param servingOthers how many of these run another image than the step's
  * @param fillCpuMillis what its fill tasks use at full speed
  * @param servingCpuMillis what its lasting tasks reserve
  * @param disturbance how far a fill task of this step would take a lasting task there to its target; over 1, too far
@@ -28,6 +29,7 @@
         boolean inStepRack,
         int runsOfStep,
         int serving,
+        int servingOthers,
         int fillCpuMillis,
         int servingCpuMillis,
         double disturbance,
--- a/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
+++ b/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
@@ -17,8 +17,12 @@
     public static final int FULL_PERCENT = 100;
     /** The share of its target that a tail is kept under: figures are rough, and half a second old. */
     private static final double AIM_SHARE = 0.75;
-    /** Harm too small to matter. */
-    private static final double NO_HARM = 0.01;
+    /** Harm of a pair below this leaves a task over its target that is there by its own load. */
+    private static final double MILD_HARM = 0.7;
+    /** How much more room, as a logarithm, a task gets that was over its target twice: what is known was not enough. */
+    private static final double BRAKE = 0.4;
+    /** The least room, so that a share of it can be told. */
+    private static final double LEAST_ROOM = 0.01;
     /** Steps of the pace, so that small changes send no orders. */
     private static final int STEP_PERCENT = 10;
 
@@ -57,21 +61,18 @@
             percents[i] = FULL_PERCENT;
             order.add(i);
         }
-        if (serving.stream().anyMatch(task -> task.over() && task.share() >= 1)) {
-            // What is known of the pairs was not enough; nothing is tried on a task that is over its target.
-            return new int[fills.size()];
-        }
         for (Serving task : serving) {
             double now = 0;
             for (Fill fill : fills) {
                 now += harm(task, fill, known) * fill.percent() / FULL_PERCENT;
             }
-            double tail = Math.log(Math.max(task.share(), 1e-3));
-            double room = Math.log(AIM_SHARE) - (tail - now);
+            double own = Math.log(Math.max(task.share(), 1e-3)) - now;
+            double room = Math.log(AIM_SHARE) - own - (task.over() ? BRAKE : 0);
             order.sort(Comparator.comparingDouble((Integer i) -> harm(task, fills.get(i), known)));
             for (int i : order) {
                 double harm = harm(task, fills.get(i), known);
-                if (harm > NO_HARM) {
+                boolean mild = known.harm(task.image(), fills.get(i).image()) < MILD_HARM;
+                if (harm > 0 && !(mild && own > 0)) {
                     double part = Math.max(0, Math.min(1, room / harm));
                     percents[i] = Math.min(percents[i], part * FULL_PERCENT);
                 }
@@ -102,10 +103,8 @@
         double worst = 0;
         for (Serving task : serving) {
             double harm = known.harm(task.image(), image) * cpuShare;
-            if (harm > NO_HARM) {
-                double room = Math.log(AIM_SHARE) - Math.log(Math.max(task.share(), 1e-3));
-                worst = Math.max(worst, harm / Math.max(room, NO_HARM));
-            }
+            double room = Math.log(AIM_SHARE) - Math.log(Math.max(task.share(), 1e-3));
+            worst = Math.max(worst, harm / Math.max(room, harm < MILD_HARM * cpuShare ? 1 : LEAST_ROOM));
         }
         return worst;
     }
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -9,8 +9,9 @@
  * Chooses the worker for a task: among those with room, the one with the lowest cost.
  *
  * <p>Load pattern: a site half full of lasting tasks, short urgent tasks and fill work at once. Work is spread, so that a
- * crest finds room everywhere; fill work and lasting tasks with a target keep apart, because their harm shows only half
- * a second late. Packing tightly lost: a lost worker took several tasks of one job, and fill work found nothing left.
+ * crest finds room everywhere. Lasting tasks with a target gather by image, so that fill work which disturbs one image
+ * finds workers without it; mixed evenly, each worker held some task that some fill work disturbs. Packing tightly lost: a
+ * lost worker took several tasks of one job, and fill work found nothing left.
  */
 public final class Placement {
     /** Cost of a rack without the data, in shares of a worker; far work takes a multiple of its time. */
@@ -23,8 +24,8 @@
     private static final double CROWDED_COST = 4;
     /** What lasting tasks use of what they reserve, on the average. */
     private static final double SERVING_USE = 0.5;
-    /** Cost of another lasting task with a target, whose load disturbs the first. */
-    private static final double SERVING_COST = 0.1;
+    /** Cost of a worker whose lasting tasks with a target all run other images. */
+    private static final double OTHER_IMAGE_COST = 1.5;
     /** Cost of a worker on which this task has failed. */
     private static final double FAILED_COST = 6;
     /** Cost of another task of the same step, so that one lost worker takes few of them. */
@@ -33,18 +34,19 @@
     private Placement() {}
 
     /**
-     * Returns the place in the list of the best worker, empty when none has room.
+     * Chooses a worker for a task.
      *
      * @param step the step
-     * @param hosts the hosts
-     * @return the place in the list of the best worker, empty when none has room
+     * @param hosts the workers to choose from
+     * @param patient whether the task can wait for a worker on which it would do more than stand still
+     * @return the place in the list of the best worker, empty when there is none now
      */
-    public static OptionalInt choose(StepSpec step, List<HostView> hosts) {
+    public static OptionalInt choose(StepSpec step, List<HostView> hosts, boolean patient) {
         int best = -1;
         double bestCost = Double.MAX_VALUE;
         for (int i = 0; i < hosts.size(); i++) {
             HostView host = hosts.get(i);
-            if (!fits(step, host)) {
+            if (!fits(step, host) || patient && !worthwhile(step, host)) {
                 continue;
             }
             double cost = cost(step, host);
@@ -71,6 +73,19 @@
                 && (step.maxPerWorker() == 0 || host.runsOfStep() < step.maxPerWorker());
     }
 
+    /**
+     * Tells whether fill work would do more than stand still on a worker. Elsewhere it is better off in the queue, from
+     * which it can still go to the first worker that becomes free.
+     *
+     * @param step the step
+     * @param host the worker
+     * @return false for fill work that would disturb a lasting task, or find nothing left
+     */
+    public static boolean worthwhile(StepSpec step, HostView host) {
+        boolean roomLeft = host.fillCpuMillis() == 0 || host.fillCpuMillis() + step.cpuMillis() <= left(host);
+        return !step.fill() || host.disturbance() <= 1 && roomLeft;
+    }
+
     private static double cost(StepSpec step, HostView host) {
         double cost = 1 - (double) host.cpuFreeMillis() / Math.max(1, host.cpuMillis());
         cost += host.inDataRack() ? 0 : FAR_COST;
@@ -82,7 +97,7 @@
             cost += Math.min(MAX_DISTURBANCE, host.disturbance()) * DISTURBANCE_COST;
             cost += crowding(step, host);
         } else if (step.lasting() && step.targetMs() > 0) {
-            cost += host.serving() * SERVING_COST;
+            cost += OTHER_IMAGE_COST * host.servingOthers() / Math.max(1, host.serving());
         }
         return cost;
     }
@@ -95,9 +110,12 @@
      * @return the result
      */
     private static double crowding(StepSpec step, HostView host) {
-        double left = host.cpuFreeMillis() + host.servingCpuMillis() * (1 - SERVING_USE);
         double wanted = host.fillCpuMillis() + step.cpuMillis();
-        double crowded = Math.max(0, wanted - left) / Math.max(1, host.cpuMillis());
+        double crowded = Math.max(0, wanted - left(host)) / Math.max(1, host.cpuMillis());
         return crowded * CROWDED_COST + (double) host.fillCpuMillis() / Math.max(1, host.cpuMillis());
     }
+
+    private static double left(HostView host) {
+        return host.cpuFreeMillis() + host.servingCpuMillis() * (1 - SERVING_USE);
+    }
 }
--- a/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
+++ b/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
@@ -3,8 +3,9 @@
 import java.util.Comparator;
 
 /**
- * The order in which steps that wait get room: by priority, then by the instant at which their job should be done. Jobs
- * that are so late that they earn nothing come last, so that they don't pull others after them.
+ * The order in which steps that wait get room: jobs that can still meet their objective first, then those that are late,
+ * last those that are so late that they are worth nothing to their caller; within these by priority, then by the instant
+ * at which the job should be done. So a crest leaves few jobs late, and those don't pull others after them.
  *
  * <p>Load pattern: a crest of several times the usual work, in which first come first served makes everything late.
  */
@@ -20,10 +21,12 @@
      * @param priority the queue's, 0 comes first
      * @param submittedMs when the job was accepted
      * @param objectiveMs how long the job may take
+     * @param remainingMs how long its chain of work from this step on is likely to take
      */
-    public record Waiting(int priority, long submittedMs, long objectiveMs) {
-        private boolean hopeless(long nowMs) {
-            return nowMs - submittedMs > HOPELESS_FACTOR * objectiveMs;
+    public record Waiting(int priority, long submittedMs, long objectiveMs, long remainingMs) {
+        private int lateness(long nowMs) {
+            long endMs = nowMs - submittedMs + remainingMs;
+            return endMs <= objectiveMs ? 0 : endMs <= HOPELESS_FACTOR * objectiveMs ? 1 : 2;
         }
 
         private long dueMs() {
@@ -38,7 +41,7 @@
      * @return the order at an instant
      */
     public static Comparator<Waiting> at(long nowMs) {
-        return Comparator.<Waiting, Boolean>comparing(w -> w.hopeless(nowMs))
+        return Comparator.<Waiting, Integer>comparing(w -> w.lateness(nowMs))
                 .thenComparing(Waiting::priority)
                 .thenComparing(Waiting::dueMs);
     }
