Fill work waits as long as its pool is busy; a new leader sets paces anew; costs of a place are remembered

Cause: after 1.5 s fill work went anywhere and stood still there (85% of it), to overshoot when tails fell; a new leader took inherited fill work to run at full pace; each pass computed the disturbance of each waiting step on each worker anew.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -19,6 +19,9 @@
         INHERITED
     }
 
+    /** A pace that only an earlier leader knew. */
+    static final int UNKNOWN_PACE = -1;
+
     final Job job;
     final TaskKey task;
     final int runId;
@@ -39,7 +42,9 @@
     int percent = -1;
     long progressMs;
     double figure = -1;
-    int pacePercent = PaceControl.FULL_PERCENT;
+    /** The pace that the worker was told; {@link #UNKNOWN_PACE} where an earlier leader told it. */
+    int pacePercent;
+
     long pausedSinceMs;
     /** Whether a lasting task was over its target at the last look. */
     boolean over;
@@ -51,6 +56,7 @@
         this.worker = worker;
         this.step = job.spec().steps().get(task.step());
         this.stage = stage;
+        this.pacePercent = stage == Stage.INHERITED ? UNKNOWN_PACE : PaceControl.FULL_PERCENT;
         this.createdMs = nowMs;
         this.progressMs = nowMs;
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -58,6 +58,11 @@
 
     // Starts
 
+    /** Keeps what was learned. */
+    void keepLearned(long nowMs) {
+        pace.keepLearned(nowMs);
+    }
+
     /**
      * Returns how badly a fill task of a step would disturb a worker.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -10,6 +10,7 @@
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.plan.Interference;
 import org.cornelcove.work.plan.PaceControl;
+import org.cornelcove.work.state.WorkCommand;
 
 /** Learns how fill work disturbs lasting tasks, and sets its pace. Used on the leader's loop only. */
 final class PaceKeeper {
@@ -20,12 +21,15 @@
     /** A change of the processor in use below this share of a worker is noise. */
     private static final double LEAST_CHANGE = 0.02;
     /** Fill work that stood still for so long is moved, where it can take its progress along. */
-    private static final long MOVE_AFTER_MS = 1500;
+    private static final long MOVE_AFTER_MS = 2500;
 
     private static final int NEARLY_STILL_PERCENT = 20;
     /** A place is worth a move where the work would take a lasting task at most so far to its target. */
     private static final double CALM_COST = 0.3;
 
+    /** How often what was learned is kept; a few kilobytes each time. */
+    private static final long KEEP_EVERY_MS = 3000;
+
     /** What a look at a worker showed. */
     private record Sample(long atMs, Map<String, Double> use, Map<ActiveRun, Double> tails) {}
 
@@ -33,10 +37,24 @@
     private final WorkerDriver driver;
     private final Interference interference = new Interference();
     private final Map<Worker, Sample> samples = new HashMap<>();
+    private long keptMs;
 
     PaceKeeper(Term term, WorkerDriver driver) {
         this.term = term;
         this.driver = driver;
+        interference.remember(term.state.learned());
+    }
+
+    /** Keeps what was learned where the next leader finds it. */
+    void keepLearned(long nowMs) {
+        if (samples.isEmpty() || nowMs - keptMs < KEEP_EVERY_MS) {
+            return;
+        }
+        keptMs = nowMs;
+        List<Interference.Pair> known = interference.summary();
+        if (!known.isEmpty()) {
+            term.proposals.add(new WorkCommand.Learned(known), result -> {});
+        }
     }
 
     /**
@@ -51,6 +69,7 @@
             return List.of();
         }
         worker.pacedMs = nowMs;
+        worker.disturbances.clear();
         learn(worker, nowMs);
         return worker.fills > 0 ? pace(worker, nowMs) : List.of();
     }
@@ -104,27 +123,46 @@
      * @return how badly a fill task of a step would disturb the worker's lasting tasks
      */
     double cost(Worker worker, StepSpec step) {
-        double share = (double) step.cpuMillis()
-                / Math.max(1, worker.info.orElseThrow().cpuMillis());
-        return PaceControl.cost(serving(worker), step.image(), share, interference);
+        String kind = step.image() + ' ' + step.cpuMillis();
+        return worker.disturbances.computeIfAbsent(kind, any -> {
+            double share = (double) step.cpuMillis()
+                    / Math.max(1, worker.info.orElseThrow().cpuMillis());
+            return PaceControl.cost(
+                    serving(worker), fills(worker, fillRuns(worker)), step.image(), share, interference);
+        });
     }
 
-    private List<ActiveRun> pace(Worker worker, long nowMs) {
-        double cpu = worker.info.orElseThrow().cpuMillis();
+    private static List<ActiveRun> fillRuns(Worker worker) {
         List<ActiveRun> runs = new ArrayList<>();
-        List<PaceControl.Fill> fills = new ArrayList<>();
-        for (ActiveRun run : worker.runs()) {
-            if (run.step.fill() && run.stage == ActiveRun.Stage.CONFIRMED && !run.stopWanted) {
-                runs.add(run);
-                fills.add(new PaceControl.Fill(run.step.image(), run.step.cpuMillis() / cpu, run.pacePercent));
+        if (worker.fills > 0) {
+            for (ActiveRun run : worker.runs()) {
+                if (run.step.fill() && !run.stopWanted) {
+                    runs.add(run);
+                }
             }
         }
+        return runs;
+    }
+
+    private static List<PaceControl.Fill> fills(Worker worker, List<ActiveRun> runs) {
+        double cpu = worker.info.orElseThrow().cpuMillis();
+        List<PaceControl.Fill> fills = new ArrayList<>();
+        for (ActiveRun run : runs) {
+            fills.add(
+                    new PaceControl.Fill(run.step.image(), run.step.cpuMillis() / cpu, Math.max(0, run.figure) / cpu));
+        }
+        return fills;
+    }
+
+    private List<ActiveRun> pace(Worker worker, long nowMs) {
+        List<ActiveRun> runs = fillRuns(worker);
+        List<PaceControl.Fill> fills = fills(worker, runs);
         int[] percents = PaceControl.next(serving(worker), fills, interference);
         noteOver(worker);
         List<ActiveRun> moving = new ArrayList<>();
         for (int i = 0; i < percents.length; i++) {
             ActiveRun run = runs.get(i);
-            if (percents[i] != run.pacePercent) {
+            if (percents[i] != run.pacePercent && run.stage == ActiveRun.Stage.CONFIRMED) {
                 set(run, percents[i]);
             }
             if (percents[i] > NEARLY_STILL_PERCENT) {
@@ -133,6 +171,7 @@
                 run.pausedSinceMs = nowMs;
             } else if (nowMs - run.pausedSinceMs > MOVE_AFTER_MS
                     && run.step.checkpointing()
+                    && moving.isEmpty()
                     && term.hasCalmPlace(run, CALM_COST)) {
                 moving.add(run);
             }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -43,8 +43,12 @@
     /** How much slower a worker's clock may run, as a divisor of a lease's length. */
     private static final double SLOWEST_CLOCK = 0.97;
 
+    /** The least time between two passes over all that waits; ends come in bursts. */
+    private static final long PLACE_EVERY_MS = 8;
     /** How long fill work waits for a worker on which it runs freely, below the platform's three seconds. */
-    private static final long PATIENCE_MS = 1800;
+    private static final long PATIENCE_MS = 1500;
+    /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
+    private static final double BUSY_SHARE = 0.55;
     /** From a worker's farewell, which it waits to be acknowledged, until it has surely ended. */
     private static final long LEAVE_MS = 400;
 
@@ -63,6 +67,7 @@
 
     private final long gainedMs;
     private boolean placementDue = true;
+    private long placedMs;
     private boolean over;
 
     Term(
@@ -346,6 +351,7 @@
         }
         placementDue = true;
         copyStragglers(nowMs);
+        conversation.keepLearned(nowMs);
         forgetOldJobs();
     }
 
@@ -421,8 +427,10 @@
 
     /** Does what became due in this pass of the loop. */
     void settle() {
-        if (placementDue && clock.leased()) {
+        long nowMs = clock.nowMs();
+        if (placementDue && nowMs - placedMs >= PLACE_EVERY_MS && clock.leased()) {
             placementDue = false;
+            placedMs = nowMs;
             place();
         }
         proposals.flush();
@@ -441,21 +449,34 @@
                         .add(worker);
             }
         }
+        Map<String, Boolean> busy = new HashMap<>();
         for (Backlog.WaitingStep step : steps) {
             if (step.job.phase().ended()) {
                 step.indices.clear();
                 continue;
             }
-            List<Worker> pool = usable.getOrDefault(state.queueOf(step.job).pool(), List.of());
+            String name = state.queueOf(step.job).pool();
+            List<Worker> pool = usable.getOrDefault(name, List.of());
             if (step.spec().gang()) {
                 placeGang(step, pool);
             } else {
-                placeTasks(step, pool);
+                placeTasks(step, pool, busy.computeIfAbsent(name, any -> isBusy(pool)));
             }
         }
     }
 
-    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool) {
+    /** Tells whether most of a pool is reserved, so that fill work may wait as long as it takes. */
+    private static boolean isBusy(List<Worker> pool) {
+        long used = 0;
+        long held = 0;
+        for (Worker worker : pool) {
+            used += worker.cpuUsed;
+            held += worker.info.orElseThrow().cpuMillis();
+        }
+        return used > BUSY_SHARE * held;
+    }
+
+    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, boolean busy) {
         while (!step.indices.isEmpty()) {
             TaskKey key = step.task(step.indices.peekFirst());
             Task task = step.job.task(key).orElseThrow();
@@ -463,7 +484,7 @@
                 step.indices.removeFirst();
                 continue;
             }
-            boolean patient = clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
+            boolean patient = busy || clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
             Optional<Worker> worker = choose(step.spec(), key, pool, patient);
             if (worker.isEmpty()) {
                 return;
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -31,6 +31,9 @@
     final String id;
     final long bornMs;
     final WorkerHealth health = new WorkerHealth();
+    /** How badly fill work of an image and size would disturb it, until a look, a start or an end changes that. */
+    final Map<String, Double> disturbances = new HashMap<>();
+
     private final Set<TaskKey> failedTasks = new HashSet<>();
     private final Map<RunKey, ActiveRun> runs = new HashMap<>();
     Optional<WorkerInfo> info = Optional.empty();
@@ -97,6 +100,7 @@
     }
 
     private void use(StepSpec step, int sign) {
+        disturbances.clear();
         cpuUsed += step.fill() ? 0 : sign * step.cpuMillis();
         memoryUsed += sign * step.memoryMb();
         acceleratorsUsed += sign * step.accelerators();
--- a/work/src/main/java/org/cornelcove/work/plan/Interference.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Interference.java
@@ -1,6 +1,8 @@
 package org.cornelcove.work.plan;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -30,8 +32,47 @@
         final Map<String, Double> harm = new HashMap<>();
     }
 
+    /**
+     * What is known of a pair.
+     *
+     * @param serving the image of the lasting task
+     * @param fill the image of the fill work
+     * @param harm by how much the logarithm of the tail rises when the fill work uses the whole worker
+     */
+    public record Pair(String serving, String fill, double harm) {}
+
     private final Map<String, Model> models = new HashMap<>();
 
+    /** What an earlier leader learned; it stands in for an unknown pair. */
+    private final Map<String, Map<String, Double>> learnedBefore = new HashMap<>();
+
+    /**
+     * Takes over what was learned before.
+     *
+     * @param pairs what was known then
+     */
+    public void remember(List<Pair> pairs) {
+        pairs.forEach(pair -> learnedBefore
+                .computeIfAbsent(pair.serving(), any -> new HashMap<>())
+                .put(pair.fill(), pair.harm()));
+    }
+
+    /**
+     * Tells what is known.
+     *
+     * @return each pair that was observed by now
+     */
+    public List<Pair> summary() {
+        List<Pair> pairs = new ArrayList<>();
+        models.forEach(
+                (serving, model) -> model.harm.forEach((fill, harm) -> pairs.add(new Pair(serving, fill, harm))));
+        return pairs;
+    }
+
+    private double assumed(String serving, String fill) {
+        return learnedBefore.getOrDefault(serving, Map.of()).getOrDefault(fill, UNKNOWN_HARM);
+    }
+
     /**
      * Takes an observation.
      *
@@ -51,19 +92,21 @@
             model.targets.merge(image, change * tailChange, (old, add) -> old * MEMORY + add);
         });
         for (int sweep = 0; sweep < SWEEPS; sweep++) {
-            useChange.keySet().forEach(image -> improve(model, image));
+            useChange.keySet().forEach(image -> improve(serving, model, image));
         }
     }
 
-    private static void improve(Model model, String image) {
+    private void improve(String serving, Model model, String image) {
         Map<String, Double> row = model.products.get(image);
         double explained = 0;
         for (Map.Entry<String, Double> other : row.entrySet()) {
             if (!other.getKey().equals(image)) {
-                explained += other.getValue() * model.harm.getOrDefault(other.getKey(), UNKNOWN_HARM);
+                explained +=
+                        other.getValue() * model.harm.getOrDefault(other.getKey(), assumed(serving, other.getKey()));
             }
         }
-        double harm = (model.targets.get(image) - explained + RIDGE * UNKNOWN_HARM) / (row.get(image) + RIDGE);
+        double harm =
+                (model.targets.get(image) - explained + RIDGE * assumed(serving, image)) / (row.get(image) + RIDGE);
         model.harm.put(image, Math.max(0, harm));
     }
 
@@ -76,6 +119,7 @@
      */
     public double harm(String serving, String fill) {
         Model model = models.get(serving);
-        return model == null ? UNKNOWN_HARM : model.harm.getOrDefault(fill, UNKNOWN_HARM);
+        Double harm = model == null ? null : model.harm.get(fill);
+        return harm == null ? assumed(serving, fill) : harm;
     }
 }
--- a/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
+++ b/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
@@ -42,9 +42,9 @@
      *
      * @param image its image
      * @param cpuShare what it uses at full speed, as a share of the worker
-     * @param percent its pace now
+     * @param usedShare what it used when the tails were taken, as a share of the worker; 0 for one that began since
      */
-    public record Fill(String image, double cpuShare, int percent) {}
+    public record Fill(String image, double cpuShare, double usedShare) {}
 
     /**
      * Returns the next pace of each fill task.
@@ -64,7 +64,7 @@
         for (Serving task : serving) {
             double now = 0;
             for (Fill fill : fills) {
-                now += harm(task, fill, known) * fill.percent() / FULL_PERCENT;
+                now += known.harm(task.image(), fill.image()) * fill.usedShare();
             }
             double own = Math.log(Math.max(task.share(), 1e-3)) - now;
             double room = Math.log(AIM_SHARE) - own - (task.over() ? BRAKE : 0);
@@ -94,16 +94,22 @@
      * Returns how much of the way to its target a fill task more would take the worst lasting task; over 1, too far.
      *
      * @param serving the lasting tasks beside it
+     * @param fills the fill work beside them
      * @param image the image
-     * @param cpuShare the cpu share
+     * @param cpuShare what it would use, as a share of the worker
      * @param known what is known of the images
      * @return how much of the way to its target a fill task more would take the worst lasting task; over 1, too far
      */
-    public static double cost(List<Serving> serving, String image, double cpuShare, Interference known) {
+    public static double cost(
+            List<Serving> serving, List<Fill> fills, String image, double cpuShare, Interference known) {
         double worst = 0;
         for (Serving task : serving) {
             double harm = known.harm(task.image(), image) * cpuShare;
-            double room = Math.log(AIM_SHARE) - Math.log(Math.max(task.share(), 1e-3));
+            double begun = 0;
+            for (Fill fill : fills) {
+                begun += fill.usedShare() > 0 ? 0 : harm(task, fill, known);
+            }
+            double room = Math.log(AIM_SHARE) - Math.log(Math.max(task.share(), 1e-3)) - begun;
             worst = Math.max(worst, harm / Math.max(room, harm < MILD_HARM * cpuShare ? 1 : LEAST_ROOM));
         }
         return worst;
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -27,6 +27,7 @@
     private static final int FORGET = 6;
     private static final int HELLO = 7;
     private static final int FAREWELL = 8;
+    private static final int LEARNED = 9;
 
     private CommandCodec() {}
 
@@ -93,6 +94,9 @@
         } else if (command instanceof WorkCommand.Configure configure) {
             packer.packInt(CONFIGURE);
             SpecCodec.writeRules(packer, configure.rules());
+        } else if (command instanceof WorkCommand.Learned learned) {
+            packer.packInt(LEARNED);
+            SpecCodec.writePairs(packer, learned.pairs());
         } else if (command instanceof WorkCommand.Hello hello) {
             packer.packInt(HELLO);
             SpecCodec.writeWorker(packer, hello.worker());
@@ -115,6 +119,7 @@
             case CONFIGURE -> new WorkCommand.Configure(SpecCodec.readRules(in));
             case HELLO -> new WorkCommand.Hello(SpecCodec.readWorker(in));
             case FAREWELL -> new WorkCommand.Farewell(in.unpackString(), in.unpackLong());
+            case LEARNED -> new WorkCommand.Learned(SpecCodec.readPairs(in));
             case FORGET -> new WorkCommand.Forget(in.unpackString());
             default -> throw Failure.of(ErrorKind.FRAME_MALFORMED, "unknown command " + kind)
                     .asException();
--- a/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
@@ -12,6 +12,7 @@
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.Interference;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -201,4 +202,20 @@
                 0,
                 0);
     }
+
+    static void writePairs(MessagePacker out, List<Interference.Pair> pairs) throws IOException {
+        out.packArrayHeader(pairs.size());
+        for (Interference.Pair pair : pairs) {
+            out.packString(pair.serving()).packString(pair.fill()).packDouble(pair.harm());
+        }
+    }
+
+    static List<Interference.Pair> readPairs(MessageUnpacker in) throws IOException {
+        int count = in.unpackArrayHeader();
+        List<Interference.Pair> pairs = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            pairs.add(new Interference.Pair(in.unpackString(), in.unpackString(), in.unpackDouble()));
+        }
+        return List.copyOf(pairs);
+    }
 }
--- a/work/src/main/java/org/cornelcove/work/state/StateCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -9,6 +10,7 @@
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.Interference;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -19,9 +21,11 @@
 final class StateCodec {
     private StateCodec() {}
 
-    static byte[] encode(WorkRules rules, Collection<WorkerInfo> workers, Collection<Job> jobs) {
+    static byte[] encode(
+            WorkRules rules, List<Interference.Pair> learned, Collection<WorkerInfo> workers, Collection<Job> jobs) {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             SpecCodec.writeRules(out, rules);
+            SpecCodec.writePairs(out, learned);
             out.packArrayHeader(workers.size());
             for (WorkerInfo worker : workers) {
                 SpecCodec.writeWorker(out, worker);
@@ -36,9 +40,11 @@
         }
     }
 
-    static WorkRules decode(byte[] snapshot, Map<String, WorkerInfo> workers, Map<String, Job> jobs) {
+    static WorkRules decode(
+            byte[] snapshot, List<Interference.Pair> learned, Map<String, WorkerInfo> workers, Map<String, Job> jobs) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(snapshot)) {
             WorkRules rules = SpecCodec.readRules(in);
+            learned.addAll(SpecCodec.readPairs(in));
             int workerCount = in.unpackArrayHeader();
             for (int i = 0; i < workerCount; i++) {
                 WorkerInfo worker = SpecCodec.readWorker(in);
--- a/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
@@ -1,11 +1,14 @@
 package org.cornelcove.work.state;
 
+import java.util.List;
+
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.Interference;
 
 /** A change of the durable state. */
 public sealed interface WorkCommand {
@@ -70,6 +73,13 @@
      */
     record Farewell(String worker, long bornMs) implements WorkCommand {}
 
+    /**
+     * Keeps what was learned about images, so that the next leader need not learn it anew.
+     *
+     * @param pairs all that is known
+     */
+    record Learned(List<Interference.Pair> pairs) implements WorkCommand {}
+
     /**
      * Drops a job that ended long ago.
      *
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -1,5 +1,6 @@
 package org.cornelcove.work.state;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.Interference;
 
 /**
  * The rules, jobs and runs that survive. A command that does not fit is refused here, whatever leader proposed it: a
@@ -24,6 +26,7 @@
  */
 public final class WorkState implements StateMachine {
     private WorkRules rules = WorkRules.NONE;
+    private List<Interference.Pair> learned = List.of();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, WorkerInfo> workers = new LinkedHashMap<>();
 
@@ -45,6 +48,15 @@
         return jobs;
     }
 
+    /**
+     * Returns what leaders learned about images.
+     *
+     * @return the pairs that were observed
+     */
+    public synchronized List<Interference.Pair> learned() {
+        return learned;
+    }
+
     /**
      * Returns the newest life of each worker as it said first, by id; read it under this object's monitor.
      *
@@ -100,6 +112,9 @@
             return hello(hello.worker());
         } else if (command instanceof WorkCommand.Farewell farewell) {
             return farewell(farewell);
+        } else if (command instanceof WorkCommand.Learned lesson) {
+            learned = lesson.pairs();
+            return Verdict.DONE;
         } else if (command instanceof WorkCommand.Forget forget) {
             return jobs.remove(forget.jobId()) == null ? Verdict.UNCHANGED : Verdict.DONE;
         }
@@ -233,13 +248,15 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return StateCodec.encode(rules, workers.values(), jobs.values());
+        return StateCodec.encode(rules, learned, workers.values(), jobs.values());
     }
 
     @Override
     public synchronized void restore(byte[] snapshot) {
         jobs.clear();
         workers.clear();
-        rules = StateCodec.decode(snapshot, workers, jobs);
+        List<Interference.Pair> pairs = new ArrayList<>();
+        rules = StateCodec.decode(snapshot, pairs, workers, jobs);
+        learned = pairs;
     }
 }
