--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -441,20 +441,8 @@
         }
         run.endProposed = true;
         term.untrack(run);
-        if (how != RunEnd.DONE) {
-            EventLog.event(
-                    "run.end",
-                    "task",
-                    run.task.text(),
-                    "run",
-                    run.runId,
-                    "worker",
-                    run.worker.id,
-                    "how",
-                    how,
-                    "why",
-                    why);
-        }
+        EventLog.event(
+                "run.end", "task", run.task.text(), "run", run.runId, "worker", run.worker.id, "how", how, "why", why);
         WorkCommand end = new WorkCommand.End(run.task, run.runId, how, checkpoint, term.clock.wallMs());
         term.proposals.add(end, result -> {
             if (!term.over() && (result.is(Verdict.DONE) || result.is(Verdict.UNCHANGED))) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -573,6 +573,18 @@
                 return;
             }
             if (result.is(Verdict.DONE)) {
+                EventLog.event(
+                        "run.begin",
+                        "task",
+                        run.task.text(),
+                        "run",
+                        run.runId,
+                        "worker",
+                        run.worker.id,
+                        "heardMsAgo",
+                        clock.nowMs() - run.worker.heardMs,
+                        "waitedMs",
+                        clock.nowMs() - run.createdMs);
                 conversation.start(run);
             } else {
                 EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
