--- a/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/call/LeaderRouterTest.java
@@ -142,4 +142,19 @@
         Throwable thrown = assertThrows(CompletionException.class, answer::join);
         return ((FailureException) thrown.getCause()).failure().kind();
     }
+
+    @Test
+    void withoutAnyHostACallWaitsForOneAndFailsAsNotTaken() {
+        assertThat(kindOf(router.repeat(CALL, "hello", 200, 100)), is(ErrorKind.NO_QUORUM));
+        CompletableFuture<String> answer = router.repeat(CALL, "hello", LONG_MS, 100);
+        host(null);
+        assertThat(answer.join(), is("hello"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NOT_LEADER, NO_QUORUM", "CALL_TIMEOUT, PROPOSAL_OUTCOME_UNKNOWN"})
+    void aRepeatedCallThatAHostMayHaveTakenIsNeverToldAsNotTaken(ErrorKind first, ErrorKind told) {
+        host(first);
+        assertThat(kindOf(router.repeat(CALL, "hello", 300, 100)), is(told));
+    }
 }
--- a/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
+++ b/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,8 @@
 
     private static final long RETRY_PAUSE_MS = 25;
     private static final long READ_ATTEMPTS = 3;
+    /** A call with less time left would most likely end without an answer, and its outcome would be unknown. */
+    private static final long LEAST_ATTEMPT_MS = 30;
 
     private final CallClient client;
     private final Supplier<List<String>> addresses;
@@ -74,7 +77,7 @@
      */
     public <Q, R> CompletableFuture<R> call(Call<Q, R> call, Q request, long timeoutMs) {
         return attempt(
-                new Search<>(call, request, deadlineNs(timeoutMs), timeoutMs, false, new AtomicBoolean()),
+                new Search<>(call, request, deadlineNs(timeoutMs), timeoutMs, false, Optional.empty()),
                 preferred.get());
     }
 
@@ -87,14 +90,13 @@
      * @param timeoutMs how long to look for a leader and to wait for its answer, together
      * @param <Q> the request's type
      * @param <R> the answer's type
-     * @return the answer; fails with kind {@code NO_QUORUM} or {@code PROPOSAL_OUTCOME_UNKNOWN} when no host
-     *     answered in time, and with the failure that the leader gave otherwise
+     * @return the answer; fails with kind {@code NO_QUORUM} when no host answered in time, and with the failure that
+     *     the leader gave otherwise
      */
     public <Q, R> CompletableFuture<R> read(Call<Q, R> call, Q request, long timeoutMs) {
         long attemptMs = Math.max(1, timeoutMs / READ_ATTEMPTS);
         return attempt(
-                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, new AtomicBoolean()),
-                preferred.get());
+                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, Optional.empty()), preferred.get());
     }
 
     /**
@@ -111,7 +113,7 @@
      */
     public <Q, R> CompletableFuture<R> repeat(Call<Q, R> call, Q request, long timeoutMs, long attemptMs) {
         return attempt(
-                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, new AtomicBoolean()),
+                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, Optional.of(new AtomicBoolean())),
                 preferred.get());
     }
 
@@ -127,10 +129,10 @@
      * @param deadlineNs when the search is over
      * @param attemptMs how long to wait for one host at most
      * @param reads whether it may be asked of several hosts, since it changes nothing, or nothing the second time
-     * @param taken whether a host may have taken it
+     * @param taken whether a host may have taken it, for calls whose caller has to know
      */
     private record Search<Q, R>(
-            Call<Q, R> call, Q request, long deadlineNs, long attemptMs, boolean reads, AtomicBoolean taken) {
+            Call<Q, R> call, Q request, long deadlineNs, long attemptMs, boolean reads, Optional<AtomicBoolean> taken) {
         Set<ErrorKind> goOn() {
             return reads ? UNANSWERED : NOT_TAKEN;
         }
@@ -138,11 +140,16 @@
 
     private <Q, R> CompletableFuture<R> attempt(Search<Q, R> search, int position) {
         long leftMs = TimeUnit.NANOSECONDS.toMillis(search.deadlineNs() - System.nanoTime());
-        if (leftMs <= 0) {
-            ErrorKind kind = search.taken().get() ? ErrorKind.PROPOSAL_OUTCOME_UNKNOWN : ErrorKind.NO_QUORUM;
+        if (leftMs < (search.taken().isPresent() ? LEAST_ATTEMPT_MS : 1)) {
+            ErrorKind kind = search.taken().filter(AtomicBoolean::get).isPresent()
+                    ? ErrorKind.PROPOSAL_OUTCOME_UNKNOWN
+                    : ErrorKind.NO_QUORUM;
             return CompletableFuture.failedFuture(Failure.of(kind).asException());
         }
         List<String> known = addresses.get();
+        if (known.isEmpty()) {
+            return later(search, position);
+        }
         String address = known.get(Math.floorMod(position, known.size()));
         return client.call(address, search.call(), search.request(), Math.min(leftMs, search.attemptMs()))
                 .handle((answer, thrown) -> {
@@ -150,7 +157,7 @@
                         return CompletableFuture.completedFuture(answer);
                     }
                     if (!isAmong(NOT_TAKEN, thrown)) {
-                        search.taken().set(true);
+                        search.taken().ifPresent(taken -> taken.set(true));
                     }
                     if (isAmong(MOVE_ON, thrown)) {
                         preferred.compareAndSet(position, position + 1);
