--- a/work/src/main/java/org/cornelcove/work/lead/Proposals.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -5,12 +5,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.error.FailureException;
+import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.state.CommandCodec;
 import org.cornelcove.work.state.Verdict;
 import org.cornelcove.work.state.WorkCommand;
@@ -72,9 +74,11 @@
         commands = new ArrayList<>();
         listeners = new ArrayList<>();
         underWay++;
+        long startNs = System.nanoTime();
         propose.apply(entry)
                 .whenComplete((verdicts, thrown) -> loop.execute(() -> {
                     underWay--;
+                    Metrics.took("commit", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
                     tell(waiting, verdicts, thrown);
                     flush();
                 }));
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -19,6 +19,7 @@
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.plan.HostView;
 import org.cornelcove.work.plan.Placement;
 import org.cornelcove.work.plan.Stragglers;
@@ -585,6 +586,7 @@
                         clock.nowMs() - run.worker.heardMs,
                         "waitedMs",
                         clock.nowMs() - run.createdMs);
+                Metrics.took("start." + state.queueOf(run.job).name(), clock.wallMs() - run.job.submittedMs());
                 conversation.start(run);
             } else {
                 EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
--- a/work/src/main/java/org/cornelcove/work/log/EventLog.java
+++ b/work/src/main/java/org/cornelcove/work/log/EventLog.java
@@ -48,6 +48,7 @@
     }
 
     private void put(String name, Object... fields) {
+        Metrics.count("event." + name);
         if (!withinRate()) {
             dropped.incrementAndGet();
             return;
--- /dev/null
+++ b/work/src/main/java/org/cornelcove/work/log/Metrics.java
@@ -0,0 +1,63 @@
+package org.cornelcove.work.log;
+
+import java.util.Map;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.UniformReservoir;
+
+/**
+ * Counters and latency histograms of this process, read as text. Every event of the {@link EventLog} is counted here
+ * too, also those whose line was dropped.
+ */
+public final class Metrics {
+    private static final MetricRegistry REGISTRY = new MetricRegistry();
+    private static final double P99 = 0.99;
+
+    private Metrics() {}
+
+    /**
+     * Counts something.
+     *
+     * @param name what
+     */
+    public static void count(String name) {
+        REGISTRY.counter(name).inc();
+    }
+
+    /**
+     * Takes a latency into the histogram of a class of work.
+     *
+     * @param name what was measured, without a unit
+     * @param ms how long it took
+     */
+    public static void took(String name, long ms) {
+        REGISTRY.histogram(name + "_ms", () -> new Histogram(new UniformReservoir()))
+                .update(ms);
+    }
+
+    /**
+     * Writes all values, one a line.
+     *
+     * @return the text
+     */
+    public static String text() {
+        StringBuilder text = new StringBuilder();
+        REGISTRY.getCounters()
+                .forEach((name, counter) ->
+                        text.append(name).append(' ').append(counter.getCount()).append('\n'));
+        for (Map.Entry<String, Histogram> entry : REGISTRY.getHistograms().entrySet()) {
+            Snapshot values = entry.getValue().getSnapshot();
+            String name = entry.getKey();
+            text.append(name)
+                    .append("_count ")
+                    .append(entry.getValue().getCount())
+                    .append('\n');
+            text.append(name).append("_p50 ").append(values.getMedian()).append('\n');
+            text.append(name).append("_p99 ").append(values.getValue(P99)).append('\n');
+            text.append(name).append("_max ").append(values.getMax()).append('\n');
+        }
+        return text.toString();
+    }
+}
