--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -172,7 +172,7 @@
             } else if (nowMs - run.pausedSinceMs > MOVE_AFTER_MS
                     && run.step.checkpointing()
                     && moving.isEmpty()
-                    && term.hasCalmPlace(run, CALM_COST)) {
+                    && term.placements().hasCalmPlace(run, CALM_COST)) {
                 moving.add(run);
             }
         }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -8,26 +8,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.RunEnd;
-import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
-import org.cornelcove.work.log.Metrics;
-import org.cornelcove.work.plan.HostView;
-import org.cornelcove.work.plan.Placement;
-import org.cornelcove.work.plan.Stragglers;
 import org.cornelcove.work.state.Job;
 import org.cornelcove.work.state.Occurrence;
 import org.cornelcove.work.state.Run;
 import org.cornelcove.work.state.Task;
-import org.cornelcove.work.state.Verdict;
 import org.cornelcove.work.state.WorkCommand;
 import org.cornelcove.work.state.WorkState;
 
@@ -46,10 +39,6 @@
 
     /** The least time between two passes over all that waits; ends come in bursts. */
     private static final long PLACE_EVERY_MS = 8;
-    /** How long fill work waits for a worker on which it runs freely, below the platform's three seconds. */
-    private static final long PATIENCE_MS = 1500;
-    /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
-    private static final double BUSY_SHARE = 0.55;
     /** From a worker's farewell, which it waits to be acknowledged, until it has surely ended. */
     private static final long LEAVE_MS = 400;
 
@@ -58,13 +47,12 @@
     final WorkState state;
     final Proposals proposals;
     final LoopClock clock;
-    private final Conversation conversation;
+    final Conversation conversation;
+    private final Placements placements;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
     private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
     private final Backlog backlog = new Backlog();
-    /** How long the done tasks of steps that may run in copies took, by the step of one occurrence. */
-    private final Map<String, List<Long>> doneMs = new HashMap<>();
 
     private final long gainedMs;
     private boolean placementDue = true;
@@ -85,6 +73,7 @@
         this.clock = clock;
         this.gainedMs = clock.nowMs();
         this.conversation = new Conversation(this, driver);
+        this.placements = new Placements(this);
         synchronized (state) {
             state.workers().values().forEach(this::remember);
             state.jobs().values().stream().filter(job -> !job.phase().ended()).forEach(this::takeOver);
@@ -152,7 +141,11 @@
         }
     }
 
-    private void track(ActiveRun run) {
+    Set<ActiveRun> runsOf(String jobId) {
+        return runsByJob.getOrDefault(jobId, Set.of());
+    }
+
+    void track(ActiveRun run) {
         run.worker.add(run);
         runsByJob.computeIfAbsent(run.task.jobId(), any -> new HashSet<>()).add(run);
     }
@@ -209,7 +202,7 @@
      */
     void jobEnded(String jobId) {
         backlog.drop(jobId);
-        doneMs.keySet().removeIf(step -> step.startsWith(jobId));
+        placements.forget(jobId);
         List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(conversation::wantStop);
     }
 
@@ -225,10 +218,11 @@
         }
         Job job = run.job;
         placementDue = true;
-        if (how == RunEnd.DONE && run.step.copies() && run.confirmedMs > 0) {
-            doneMs.computeIfAbsent(stepName(run.task), any -> new ArrayList<>()).add(clock.nowMs() - run.confirmedMs);
+        if (how == RunEnd.DONE) {
+            placements.noteDone(run);
         }
         if (job.phase().ended()) {
+            EventLog.event("job.ended", "job", run.task.jobId(), "phase", job.phase(), "task", run.task.text());
             jobEnded(run.task.jobId());
             return;
         }
@@ -351,67 +345,11 @@
             conversation.look(worker, nowMs);
         }
         placementDue = true;
-        copyStragglers(nowMs);
+        placements.copyStragglers(runsByJob.values(), nowMs);
         conversation.keepLearned(nowMs);
         forgetOldJobs();
     }
 
-    /** Tells whether fill work that stands still would run freely on another worker. */
-    boolean hasCalmPlace(ActiveRun run, double maxCost) {
-        long nowMs = clock.nowMs();
-        String pool = state.queueOf(run.job).pool();
-        return workers.values().stream()
-                .filter(w -> w != run.worker
-                        && w.usable(nowMs)
-                        && w.info.get().pool().equals(pool))
-                .anyMatch(w -> conversation.disturbance(w, run.step) < maxCost
-                        && Placement.fits(run.step, view(w, run.step, run.task, "")));
-    }
-
-    private static String stepName(TaskKey task) {
-        return task.jobId() + '.' + task.occurrence() + '.' + task.step();
-    }
-
-    private void copyStragglers(long nowMs) {
-        List<ActiveRun> late = new ArrayList<>();
-        for (Set<ActiveRun> runs : runsByJob.values()) {
-            for (ActiveRun run : runs) {
-                if (run.step.copies()
-                        && run.stage == ActiveRun.Stage.CONFIRMED
-                        && !run.stopWanted
-                        && isLate(run, nowMs)) {
-                    late.add(run);
-                }
-            }
-        }
-        late.forEach(this::copy);
-    }
-
-    private boolean isLate(ActiveRun run, long nowMs) {
-        long[] done = doneMs.getOrDefault(stepName(run.task), List.of()).stream()
-                .mapToLong(ms -> ms)
-                .toArray();
-        return nowMs - run.confirmedMs > Stragglers.copyAfterMs(run.step.estimateMs(), done, run.step.count());
-    }
-
-    private void copy(ActiveRun late) {
-        Task task = late.job.task(late.task).orElseThrow();
-        if (task.done() || task.runs().size() > 1 || task.lastRunId() != late.runId) {
-            return;
-        }
-        String pool = state.queueOf(late.job).pool();
-        long nowMs = clock.nowMs();
-        List<Worker> others = workers.values().stream()
-                .filter(w -> w != late.worker
-                        && w.usable(nowMs)
-                        && w.info.get().pool().equals(pool))
-                .toList();
-        choose(late.step, late.task, others, false).ifPresent(worker -> {
-            EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
-            begin(late.job, late.task, late.runId + 1, worker);
-        });
-    }
-
     private void forgetOldJobs() {
         long beforeMs = clock.wallMs() - settings.forgetMs();
         synchronized (state) {
@@ -432,182 +370,23 @@
         if (placementDue && nowMs - placedMs >= PLACE_EVERY_MS && clock.leased()) {
             placementDue = false;
             placedMs = nowMs;
-            place();
+            placements.place(backlog.inOrder(clock.wallMs()), nowMs);
         }
         proposals.flush();
     }
 
-    private void place() {
-        long nowMs = clock.nowMs();
-        List<Backlog.WaitingStep> steps = backlog.inOrder(clock.wallMs());
-        if (steps.isEmpty()) {
-            return;
-        }
-        Map<String, List<Worker>> usable = new HashMap<>();
-        for (Worker worker : workers.values()) {
-            if (worker.usable(nowMs)) {
-                usable.computeIfAbsent(worker.info.get().pool(), any -> new ArrayList<>())
-                        .add(worker);
-            }
-        }
-        Map<String, Boolean> busy = new HashMap<>();
-        for (Backlog.WaitingStep step : steps) {
-            if (step.job.phase().ended()) {
-                step.indices.clear();
-                continue;
-            }
-            String name = state.queueOf(step.job).pool();
-            List<Worker> pool = usable.getOrDefault(name, List.of());
-            if (step.spec().gang()) {
-                placeGang(step, pool);
-            } else {
-                placeTasks(step, pool, busy.computeIfAbsent(name, any -> isBusy(pool)));
-            }
-        }
-    }
-
-    /** Tells whether most of a pool is reserved, so that fill work may wait as long as it takes. */
-    private static boolean isBusy(List<Worker> pool) {
-        long used = 0;
-        long held = 0;
-        for (Worker worker : pool) {
-            used += worker.cpuUsed;
-            held += worker.info.orElseThrow().cpuMillis();
-        }
-        return used > BUSY_SHARE * held;
-    }
-
-    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, boolean busy) {
-        while (!step.indices.isEmpty()) {
-            TaskKey key = step.task(step.indices.peekFirst());
-            Task task = step.job.task(key).orElseThrow();
-            if (task.done() || !task.runs().isEmpty()) {
-                step.indices.removeFirst();
-                continue;
-            }
-            boolean patient = busy || clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
-            Optional<Worker> worker = choose(step.spec(), key, pool, patient);
-            if (worker.isEmpty()) {
-                return;
-            }
-            step.indices.removeFirst();
-            begin(step.job, key, task.lastRunId() + 1, worker.get());
-        }
-    }
-
-    private void placeGang(Backlog.WaitingStep step, List<Worker> pool) {
-        int size = step.spec().count();
-        if (step.indices.size() < size) {
-            return;
-        }
-        List<ActiveRun> members = new ArrayList<>();
-        int runId = 0;
-        for (int index = 0; index < size; index++) {
-            runId = Math.max(
-                    runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
-        }
-        for (int index = 0; index < size; index++) {
-            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false);
-            if (worker.isEmpty()) {
-                members.forEach(this::untrack);
-                return;
-            }
-            ActiveRun run = new ActiveRun(
-                    step.job, step.task(index), runId + 1, worker.get(), ActiveRun.Stage.COMMITTING, clock.nowMs());
-            track(run);
-            members.add(run);
-        }
-        step.indices.clear();
-        members.forEach(this::commitStart);
-    }
-
-    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean patient) {
-        List<HostView> views = new ArrayList<>(pool.size());
-        String rack = step.sameRack() ? rackOfStep(task) : "";
-        for (Worker worker : pool) {
-            views.add(view(worker, step, task, rack));
-        }
-        OptionalInt best = Placement.choose(step, views, patient);
-        return best.isPresent() ? Optional.of(pool.get(best.getAsInt())) : Optional.empty();
-    }
-
-    private String rackOfStep(TaskKey task) {
-        for (ActiveRun run : runsByJob.getOrDefault(task.jobId(), Set.of())) {
-            if (run.sameStep(task) && run.worker.info.isPresent()) {
-                return run.worker.info.get().rack();
-            }
-        }
-        return "";
-    }
-
-    private HostView view(Worker worker, StepSpec step, TaskKey task, String rackOfStep) {
-        WorkerInfo info = worker.info.orElseThrow();
-        return new HostView(
-                info.cpuMillis() - worker.cpuUsed,
-                info.memoryMb() - worker.memoryUsed,
-                info.accelerators() - worker.acceleratorsUsed,
-                info.cpuMillis(),
-                step.requiredLabel().isEmpty() || info.labels().contains(step.requiredLabel()),
-                step.dataRack().isEmpty() || info.labels().contains(step.dataRack()),
-                rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
-                worker.runsOfStep(task),
-                worker.serving,
-                worker.servingOthers(step.image()),
-                worker.fillCpu,
-                worker.servingCpu,
-                step.fill() ? conversation.disturbance(worker, step) : 0,
-                worker.failedTask(task),
-                worker.health.suspicion());
-    }
-
-    private void begin(Job job, TaskKey task, int runId, Worker worker) {
-        ActiveRun run = new ActiveRun(job, task, runId, worker, ActiveRun.Stage.COMMITTING, clock.nowMs());
-        track(run);
-        commitStart(run);
-    }
-
-    private void commitStart(ActiveRun run) {
-        WorkCommand start =
-                new WorkCommand.Start(run.task, run.runId, run.worker.id, run.worker.bornMs, clock.wallMs());
-        proposals.add(start, result -> {
-            if (over) {
-                return;
-            }
-            if (result.is(Verdict.DONE)) {
-                EventLog.event(
-                        "run.begin",
-                        "task",
-                        run.task.text(),
-                        "run",
-                        run.runId,
-                        "worker",
-                        run.worker.id,
-                        "heardMsAgo",
-                        clock.nowMs() - run.worker.heardMs,
-                        "waitedMs",
-                        clock.nowMs() - run.createdMs);
-                Metrics.took("start." + state.queueOf(run.job).name(), clock.wallMs() - run.job.submittedMs());
-                conversation.start(run);
-            } else {
-                EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
-                untrack(run);
-                requeue(run);
-            }
-        });
-    }
-
-    /**
-     * Puts a task back whose start was refused, where it still has to run.
-     *
-     * @param run the run
-     */
-    private void requeue(ActiveRun run) {
+    /** Puts a task back whose start was refused, where it still has to run. */
+    void requeue(ActiveRun run) {
         Task task = run.job.task(run.task).orElseThrow();
         if (!run.job.phase().ended() && !task.done() && task.runs().isEmpty()) {
             backlog.add(run.job, run.task, state.queueOf(run.job), clock.nowMs());
         }
     }
 
+    Placements placements() {
+        return placements;
+    }
+
     /**
      * Returns how many jobs of a queue have not begun.
      *
