--- a/work/src/main/java/org/cornelcove/work/group/ControlNode.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlNode.java
@@ -72,7 +72,7 @@
      * @param settings its settings
      * @param client makes the calls
      * @param leader the leader
-     * @return the result
+     * @return the running control host
      */
     public static ControlNode open(GroupSettings settings, CallClient client, WorkLeader leader) {
         ControlNode control = new ControlNode(settings, client, leader);
--- a/work/src/main/java/org/cornelcove/work/group/ControlPeers.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlPeers.java
@@ -34,8 +34,8 @@
      * Returns peers that know only the seeds, which are read anew each time.
      *
      * @param client makes the calls
-     * @param self the self
-     * @param seeds the seeds
+     * @param self the address of this process
+     * @param seeds tells the addresses of the settings
      * @return peers that know only the seeds, which are read anew each time
      */
     public static ControlPeers create(CallClient client, String self, Supplier<List<String>> seeds) {
--- a/work/src/main/java/org/cornelcove/work/group/MembershipPlan.java
+++ b/work/src/main/java/org/cornelcove/work/group/MembershipPlan.java
@@ -45,10 +45,10 @@
      * Decides about a newcomer, given the group as its leader knows it and the number of members it should have.
      *
      * @param group the group
-     * @param size the size
+     * @param size how many members the group should have
      * @param id the identifier
      * @param address the address
-     * @return the result
+     * @return the next step
      */
     public static Step decide(ReplicaStatus group, int size, long id, String address) {
         Optional<Member> known =
--- a/work/src/main/java/org/cornelcove/work/job/TaskKey.java
+++ b/work/src/main/java/org/cornelcove/work/job/TaskKey.java
@@ -26,7 +26,7 @@
      * Reads a key; empty when the text is not one.
      *
      * @param text the text
-     * @return the result
+     * @return the key
      */
     public static Optional<TaskKey> parse(String text) {
         String[] parts = text.split("\\.", -1);
--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -129,7 +129,7 @@
     /**
      * Drops everything of a job.
      *
-     * @param jobId the job id
+     * @param jobId the job
      */
     void drop(String jobId) {
         waiting.keySet().removeIf(key -> key.jobId().equals(jobId));
@@ -139,7 +139,7 @@
     /**
      * Returns the steps that have waiting tasks, the most urgent first.
      *
-     * @param wallMs the wall ms
+     * @param wallMs the Unix time
      * @return the steps that have waiting tasks, the most urgent first
      */
     List<WaitingStep> inOrder(long wallMs) {
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -286,7 +286,7 @@
      * Fill work beside a lasting task with a target is looked at more often, because its harm shows only in looks.
      *
      * @param worker the worker
-     * @return the result
+     * @return how long the worker may wait
      */
     private static long waitMs(Worker worker) {
         return worker.serving > 0 && worker.fills > 0 ? MIXED_LOOK_WAIT_MS : LOOK_WAIT_MS;
@@ -415,7 +415,7 @@
      *
      * @param worker the worker
      * @param listed the listed
-     * @param sentMs the sent ms
+     * @param sentMs when the look was sent
      */
     private void endUnlisted(Worker worker, Set<ActiveRun> listed, long sentMs) {
         List<ActiveRun> unlisted = new ArrayList<>();
--- a/work/src/main/java/org/cornelcove/work/lead/JobReply.java
+++ b/work/src/main/java/org/cornelcove/work/lead/JobReply.java
@@ -38,7 +38,7 @@
     /**
      * Returns a refusal: nothing was done.
      *
-     * @param retryAfterS the retry after s
+     * @param retryAfterS when to come back
      * @return a refusal: nothing was done
      */
     public static JobReply refused(int retryAfterS) {
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -62,7 +62,7 @@
      *
      * @param worker the worker
      * @param nowMs the time on a monotonic clock
-     * @return the result
+     * @return fill work that should move to another worker
      */
     List<ActiveRun> adjust(Worker worker, long nowMs) {
         if (worker.serving == 0 || nowMs - worker.pacedMs < EVERY_MS) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -198,7 +198,7 @@
     /**
      * Stops all that still runs of an ended job.
      *
-     * @param jobId the job id
+     * @param jobId the job
      */
     void jobEnded(String jobId) {
         backlog.drop(jobId);
@@ -320,7 +320,7 @@
      * Ends a life: whatever it was told, nothing of it runs any more.
      *
      * @param worker the worker
-     * @param why the why
+     * @param why what is told in the log
      */
     void lifeOver(Worker worker, String why) {
         if (worker.gone) {
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -68,7 +68,7 @@
      *
      * @param fence rises with each leader
      * @param member the member
-     * @param state the state
+     * @param state the durable state
      * @param leaseEndMs the lease end ms
      */
     public void gained(long fence, Replica member, WorkState state, LongSupplier leaseEndMs) {
@@ -96,7 +96,7 @@
      * Takes a heartbeat of a worker; fails with kind {@code NOT_LEADER}.
      *
      * @param info what it says of itself
-     * @return the result
+     * @return done once it is noted
      */
     public CompletableFuture<Void> announce(WorkerInfo info) {
         return onTerm((leading, answer) -> {
@@ -108,8 +108,8 @@
     /**
      * Takes a worker's farewell; fails with kind {@code NOT_LEADER}.
      *
-     * @param workerId the worker id
-     * @return the result
+     * @param workerId the worker
+     * @return done once it is noted
      */
     public CompletableFuture<Void> leave(String workerId) {
         return onTerm((leading, answer) -> {
@@ -122,7 +122,7 @@
      * Replaces the rules; rules that are not newer change nothing. Fails with the kinds of {@link Replica#propose}.
      *
      * @param rules the rules
-     * @return the result
+     * @return done once the rules are committed
      */
     public CompletableFuture<Void> configure(WorkRules rules) {
         return onTerm((leading, answer) -> leading.proposals.add(new WorkCommand.Configure(rules), result -> {
@@ -153,7 +153,7 @@
      * Answers a caller; fails with the kinds of {@link Replica#propose}.
      *
      * @param call what the caller asks
-     * @return the result
+     * @return what the caller is told
      */
     public CompletableFuture<JobReply> call(JobCall call) {
         return switch (call.kind()) {
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -103,7 +103,7 @@
      *
      * @param worker the worker
      * @param order what to do
-     * @return the result
+     * @return how it was answered
      */
     CompletableFuture<Answer> start(WorkerInfo worker, StartOrder order);
 
@@ -114,7 +114,7 @@
      * @param task the task
      * @param runId the run's number
      * @param fence rises with each leader
-     * @return the result
+     * @return how it was answered
      */
     CompletableFuture<Answer> stop(WorkerInfo worker, TaskKey task, int runId, long fence);
 
@@ -123,7 +123,7 @@
      *
      * @param worker the worker
      * @param order what to do
-     * @return the result
+     * @return how it was answered
      */
     CompletableFuture<Look> hold(WorkerInfo worker, HoldOrder order);
 
@@ -133,9 +133,9 @@
      * @param worker the worker
      * @param task the task
      * @param runId the run's number
-     * @param percent the percent
+     * @param percent the share of its speed
      * @param fence rises with each leader
-     * @return the result
+     * @return how it was answered
      */
     CompletableFuture<Answer> pace(WorkerInfo worker, TaskKey task, int runId, int percent, long fence);
 }
--- a/work/src/main/java/org/cornelcove/work/plan/Interference.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Interference.java
@@ -114,7 +114,7 @@
      * Returns by how much the logarithm of the tail rises when fill work uses the whole worker.
      *
      * @param serving the lasting tasks beside it
-     * @param fill the fill
+     * @param fill the image of the fill work
      * @return by how much the logarithm of the tail rises when fill work uses the whole worker
      */
     public double harm(String serving, String fill) {
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -62,7 +62,7 @@
      * Tells whether a task fits on a worker.
      *
      * @param step the step
-     * @param host the host name that the caller used
+     * @param host the worker
      * @return whether a task fits on a worker
      */
     public static boolean fits(StepSpec step, HostView host) {
@@ -106,8 +106,8 @@
      * Fill work takes what the rest leaves: what is free, and what lasting tasks reserve and don't use.
      *
      * @param step the step
-     * @param host the host name that the caller used
-     * @return the result
+     * @param host the worker
+     * @return how crowded the worker would be, in shares of it
      */
     private static double crowding(StepSpec step, HostView host) {
         double wanted = host.fillCpuMillis() + step.cpuMillis();
--- a/work/src/main/java/org/cornelcove/work/plan/WorkerHealth.java
+++ b/work/src/main/java/org/cornelcove/work/plan/WorkerHealth.java
@@ -35,7 +35,7 @@
     /**
      * Takes note of a run that failed, stalled or was not taken.
      *
-     * @param jobId the job id
+     * @param jobId the job
      * @param nowMs the time on a monotonic clock
      */
     public void failed(String jobId, long nowMs) {
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -35,7 +35,7 @@
      * Encodes a batch.
      *
      * @param batch the batch
-     * @return the result
+     * @return one log entry
      */
     public static byte[] encode(List<WorkCommand> batch) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
@@ -53,7 +53,7 @@
      * Decodes a batch; fails with kind {@code FRAME_MALFORMED}.
      *
      * @param bytes the encoded form
-     * @return the result
+     * @return the batch
      */
     public static List<WorkCommand> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
--- a/work/src/main/java/org/cornelcove/work/state/Occurrence.java
+++ b/work/src/main/java/org/cornelcove/work/state/Occurrence.java
@@ -57,7 +57,7 @@
     /**
      * Tells whether all earlier steps that a step waits for are done.
      *
-     * @param spec the spec
+     * @param spec the step
      * @return whether all earlier steps that a step waits for are done
      */
     public boolean stepReady(StepSpec spec) {
