--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -95,7 +95,7 @@
         run.stage = ActiveRun.Stage.STARTING;
         Task task = run.job.task(run.task).orElseThrow();
         StartOrder order = new StartOrder(
-                run.task, run.runId, run.job.spec().taskSpec(), task.checkpoint(), deadline.getAsLong(), term.fence);
+                run.task, run.runId, run.job.spec().taskText(), task.checkpoint(), deadline.getAsLong(), term.fence);
         driver.start(run.worker.info.get(), order)
                 .whenComplete((answer, thrown) -> term.clock.execute(() -> started(run, answer)));
     }
--- a/work/src/main/java/org/cornelcove/work/lead/JobCall.java
+++ b/work/src/main/java/org/cornelcove/work/lead/JobCall.java
@@ -11,11 +11,11 @@
  * @param kind what is asked
  * @param host the host name that the caller used
  * @param path the path that the caller used: a queue's prefix, and the job's id
- * @param taskSpec the text for the tasks of a job to accept
+ * @param taskText the text for the tasks of a job to accept
  * @param steps the steps of a job to accept
  * @param schedule the times of a job to accept
  */
-public record JobCall(Kind kind, String host, String path, String taskSpec, List<StepSpec> steps, Schedule schedule) {
+public record JobCall(Kind kind, String host, String path, String taskText, List<StepSpec> steps, Schedule schedule) {
     /** What is asked. */
     public enum Kind {
         /** Accept a job. */
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -173,7 +173,7 @@
             }
             String id = call.path().substring(queue.get().pathPrefix().length());
             JobSpec spec = new JobSpec(
-                    id, queue.get().host(), queue.get().pathPrefix(), call.taskSpec(), call.steps(), call.schedule());
+                    id, queue.get().host(), queue.get().pathPrefix(), call.taskText(), call.steps(), call.schedule());
             WorkCommand submit = new WorkCommand.Submit(spec, queue.get(), clock.wallMs());
             leading.proposals.add(submit, result -> {
                 if (result.failure().isPresent()) {
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -47,22 +47,22 @@
      *
      * @param task the task
      * @param runId the run
-     * @param taskSpec the caller's text
+     * @param taskText the caller's text
      * @param checkpoint saved progress, empty for none
      * @param deadlineMs the end of the lease on the worker's clock
      * @param fence rises with each leader
      */
-    record StartOrder(TaskKey task, int runId, String taskSpec, String checkpoint, long deadlineMs, long fence) {}
+    record StartOrder(TaskKey task, int runId, String taskText, String checkpoint, long deadlineMs, long fence) {}
 
     /**
      * A renewal of the lease, and a look.
      *
      * @param fence rises with each leader
-     * @param lastSeen the newest end that was noted
+     * @param notedThrough the newest end that was noted
      * @param deadlineMs the end of the lease on the worker's clock, empty to leave it as it is
      * @param waitMs how long the worker may wait for an end before it answers
      */
-    record HoldOrder(long fence, long lastSeen, OptionalLong deadlineMs, long waitMs) {}
+    record HoldOrder(long fence, long notedThrough, OptionalLong deadlineMs, long waitMs) {}
 
     /**
      * A run that is there.
--- a/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
@@ -24,7 +24,7 @@
         out.packString(spec.id())
                 .packString(spec.host())
                 .packString(spec.pathPrefix())
-                .packString(spec.taskSpec());
+                .packString(spec.taskText());
         out.packArrayHeader(spec.steps().size());
         for (StepSpec step : spec.steps()) {
             writeStep(out, step);
@@ -38,14 +38,14 @@
         String id = in.unpackString();
         String host = in.unpackString();
         String pathPrefix = in.unpackString();
-        String taskSpec = in.unpackString();
+        String taskText = in.unpackString();
         int count = in.unpackArrayHeader();
         List<StepSpec> steps = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             steps.add(readStep(in));
         }
         Schedule schedule = new Schedule(in.unpackLong(), in.unpackLong(), in.unpackInt());
-        return new JobSpec(id, host, pathPrefix, taskSpec, List.copyOf(steps), schedule);
+        return new JobSpec(id, host, pathPrefix, taskText, List.copyOf(steps), schedule);
     }
 
     private static void writeStep(MessagePacker out, StepSpec step) throws IOException {
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -198,9 +198,9 @@
         life.fence = order.fence();
         order.deadlineMs().ifPresent(deadline -> life.leaseMs = Math.max(life.leaseMs, deadline));
         life.ended.stream()
-                .filter(row -> row.number() <= order.lastSeen() && row.how() == RunEnd.DONE)
+                .filter(row -> row.number() <= order.notedThrough() && row.how() == RunEnd.DONE)
                 .forEach(row -> noted.add(row.task()));
-        life.ended.removeIf(row -> row.number() <= order.lastSeen());
+        life.ended.removeIf(row -> row.number() <= order.notedThrough());
         CompletableFuture<Look> future = new CompletableFuture<>();
         waitForEnd(life, order.waitMs(), future);
         return future;
