Lasting tasks gather by the fill work that they bear; fill work near a target slowed only by its part

Beside a lasting task between 0.75 and 1 of its target all fill work was stopped, also what adds nothing to its tail. Change: difference() of images by the fill work that they bear replaces equality of images; a worker without lasting tasks costs more than one with its kind; fill work prefers workers that little else can use; the pace leaves half of the rest to the target. New log line step.waits: why a step finds no worker.

--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -63,6 +63,10 @@
         pace.keepLearned(nowMs);
     }
 
+    PaceKeeper pace() {
+        return pace;
+    }
+
     /**
      * Returns how badly a fill task of a step would disturb a worker.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.lead.WorkerDriver.Reply;
@@ -69,7 +71,7 @@
             return List.of();
         }
         worker.pacedMs = nowMs;
-        worker.disturbances.clear();
+        worker.forgetFit();
         learn(worker, nowMs);
         return worker.fills > 0 ? pace(worker, nowMs) : List.of();
     }
@@ -132,6 +134,42 @@
         });
     }
 
+    /**
+     * Returns how unlike the worker's lasting tasks and another are to fill work.
+     *
+     * @param worker the worker
+     * @param step the step of the other one
+     * @return 0 for alike, 1 for unlike
+     */
+    double strangeness(Worker worker, StepSpec step) {
+        return worker.strangeness.computeIfAbsent(step.image(), image -> {
+            double sum = 0;
+            for (ActiveRun run : worker.runs()) {
+                sum += hasTarget(run) ? interference.difference(image, run.step.image()) : 0;
+            }
+            return sum / Math.max(1, worker.serving);
+        });
+    }
+
+    /**
+     * Returns which share of all fill work the worker's lasting tasks bear.
+     *
+     * @param worker the worker
+     * @return 1 when they bear everything
+     */
+    double openness(Worker worker) {
+        if (worker.openness < 0) {
+            Set<String> images = new HashSet<>();
+            for (ActiveRun run : worker.runs()) {
+                if (hasTarget(run)) {
+                    images.add(run.step.image());
+                }
+            }
+            worker.openness = interference.openness(images);
+        }
+        return worker.openness;
+    }
+
     private static List<ActiveRun> fillRuns(Worker worker) {
         List<ActiveRun> runs = new ArrayList<>();
         if (worker.fills > 0) {
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -32,6 +32,9 @@
     /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
     private static final double BUSY_SHARE = 0.55;
 
+    /** How often a step that waits says why. */
+    private static final long TELL_WAITING_EVERY_MS = 1000;
+
     private final Term term;
     /** How long the done tasks of steps that may run in copies took, by the step of one occurrence. */
     private final Map<String, List<Long>> doneMs = new HashMap<>();
@@ -158,6 +161,7 @@
             boolean patient = busy || term.clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
             Optional<Worker> worker = choose(step.spec(), key, pool, patient);
             if (worker.isEmpty()) {
+                tellWaiting(step, key, pool);
                 return;
             }
             step.indices.removeFirst();
@@ -165,6 +169,39 @@
         }
     }
 
+    private void tellWaiting(Backlog.WaitingStep step, TaskKey next, List<Worker> pool) {
+        long nowMs = term.clock.nowMs();
+        if (nowMs - step.waitingSinceMs < TELL_WAITING_EVERY_MS || nowMs - step.toldMs < TELL_WAITING_EVERY_MS) {
+            return;
+        }
+        step.toldMs = nowMs;
+        Placement.Refusals why = Placement.refusals(
+                step.spec(),
+                pool.stream().map(w -> view(w, step.spec(), next, "")).toList());
+        EventLog.event(
+                "step.waits",
+                "task",
+                next.text(),
+                "tasks",
+                step.indices.size(),
+                "waitedMs",
+                nowMs - step.waitingSinceMs,
+                "image",
+                step.spec().image(),
+                "workers",
+                pool.size(),
+                "mismatch",
+                why.mismatch(),
+                "full",
+                why.full(),
+                "disturbed",
+                why.disturbed(),
+                "crowded",
+                why.crowded(),
+                "leastDisturbance",
+                why.leastDisturbance());
+    }
+
     private void placeGang(Backlog.WaitingStep step, List<Worker> pool) {
         int size = step.spec().count();
         if (step.indices.size() < size) {
@@ -227,7 +264,8 @@
                 rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
                 worker.runsOfStep(task),
                 worker.serving,
-                worker.servingOthers(step.image()),
+                step.lasting() ? term.conversation.pace().strangeness(worker, step) : 0,
+                step.fill() ? term.conversation.pace().openness(worker) : 0,
                 worker.fillCpu,
                 worker.servingCpu,
                 step.fill() ? term.conversation.disturbance(worker, step) : 0,
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -34,6 +34,11 @@
     /** How badly fill work of an image and size would disturb it, until a look, a start or an end changes that. */
     final Map<String, Double> disturbances = new HashMap<>();
 
+    /** How unlike its lasting tasks and an image are to fill work; kept like the disturbances. */
+    final Map<String, Double> strangeness = new HashMap<>();
+    /** Which share of all fill work its lasting tasks bear, negative when not known; kept like the disturbances. */
+    double openness = -1;
+
     private final Set<TaskKey> failedTasks = new HashSet<>();
     private final Map<RunKey, ActiveRun> runs = new HashMap<>();
     Optional<WorkerInfo> info = Optional.empty();
@@ -99,8 +104,15 @@
         }
     }
 
-    private void use(StepSpec step, int sign) {
+    /** What runs here, or what is known of it, has changed. */
+    void forgetFit() {
         disturbances.clear();
+        strangeness.clear();
+        openness = -1;
+    }
+
+    private void use(StepSpec step, int sign) {
+        forgetFit();
         cpuUsed += step.fill() ? 0 : sign * step.cpuMillis();
         memoryUsed += sign * step.memoryMb();
         acceleratorsUsed += sign * step.accelerators();
@@ -129,15 +141,6 @@
         return failedTasks.contains(task);
     }
 
-    int servingOthers(String image) {
-        int count = 0;
-        for (ActiveRun run : runs.values()) {
-            boolean hasTarget = run.step.lasting() && run.step.targetMs() > 0;
-            count += hasTarget && !run.step.image().equals(image) ? 1 : 0;
-        }
-        return count;
-    }
-
     int runsOfStep(TaskKey task) {
         int count = 0;
         for (ActiveRun run : runs.values()) {
--- a/work/src/main/java/org/cornelcove/work/plan/HostView.java
+++ b/work/src/main/java/org/cornelcove/work/plan/HostView.java
@@ -12,7 +12,8 @@
  * @param inStepRack whether it stands where other tasks of a step for one rack run, true when that doesn't matter
  * @param runsOfStep how many tasks of the same step it runs
  * @param serving how many lasting tasks with a target it runs
- * @param servingOthers how many of these run another image than the step's
+ * @param strangeness how differently fill work bears on the step's image and on those, 0 for alike and 1 for unlike
+ * @param openness which share of the known images of fill work could run beside those
  * @param fillCpuMillis what its fill tasks use at full speed
  * @param servingCpuMillis what its lasting tasks reserve
  * @param disturbance how far a fill task of this step would take a lasting task there to its target; over 1, too far
@@ -29,7 +30,8 @@
         boolean inStepRack,
         int runsOfStep,
         int serving,
-        int servingOthers,
+        double strangeness,
+        double openness,
         int fillCpuMillis,
         int servingCpuMillis,
         double disturbance,
--- a/work/src/main/java/org/cornelcove/work/plan/Interference.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Interference.java
@@ -1,9 +1,12 @@
 package org.cornelcove.work.plan;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What fill work of one image does to the tail of lasting tasks of another, learned from pairs of looks at a worker: how
@@ -41,6 +44,9 @@
      */
     public record Pair(String serving, String fill, double harm) {}
 
+    /** Harm from which fill work finds no place beside a lasting task: one usual fill task takes it to its target. */
+    private static final double EXCLUDING_HARM = 2;
+
     private final Map<String, Model> models = new HashMap<>();
 
     /** What an earlier leader learned; it stands in for an unknown pair. */
@@ -110,6 +116,63 @@
         model.harm.put(image, Math.max(0, harm));
     }
 
+    private Set<String> fillImages() {
+        Set<String> fills = new HashSet<>();
+        learnedBefore.values().forEach(row -> fills.addAll(row.keySet()));
+        models.values().forEach(model -> fills.addAll(model.harm.keySet()));
+        return fills;
+    }
+
+    private boolean observed(String serving, String fill) {
+        Model model = models.get(serving);
+        return model != null && model.harm.containsKey(fill)
+                || learnedBefore.getOrDefault(serving, Map.of()).containsKey(fill);
+    }
+
+    private double excluded(String serving, String fill) {
+        return Math.min(1, harm(serving, fill) / EXCLUDING_HARM);
+    }
+
+    /**
+     * Returns how differently fill work bears on two images of lasting tasks. Images that the same fill work disturbs go
+     * well together on a worker.
+     *
+     * @param one an image
+     * @param other an image
+     * @return 0 when all known fill work treats both alike, 1 when it is all unlike, or not known
+     */
+    public double difference(String one, String other) {
+        if (one.equals(other)) {
+            return 0;
+        }
+        Set<String> fills = fillImages();
+        double sum = 0;
+        for (String fill : fills) {
+            boolean known = observed(one, fill) && observed(other, fill);
+            sum += known ? Math.abs(excluded(one, fill) - excluded(other, fill)) : 1;
+        }
+        return fills.isEmpty() ? 1 : sum / fills.size();
+    }
+
+    /**
+     * Returns which share of the known images of fill work could run beside some lasting tasks.
+     *
+     * @param serving the images of the lasting tasks
+     * @return 1 when they bear all fill work
+     */
+    public double openness(Collection<String> serving) {
+        Set<String> fills = fillImages();
+        double open = 0;
+        for (String fill : fills) {
+            double worst = 0;
+            for (String image : serving) {
+                worst = Math.max(worst, excluded(image, fill));
+            }
+            open += 1 - worst;
+        }
+        return fills.isEmpty() ? 1 : open / fills.size();
+    }
+
     /**
      * Returns by how much the logarithm of the tail rises when fill work uses the whole worker.
      *
--- a/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
+++ b/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
@@ -17,6 +17,8 @@
     public static final int FULL_PERCENT = 100;
     /** The share of its target that a tail is kept under: figures are rough, and half a second old. */
     private static final double AIM_SHARE = 0.75;
+    /** The part of the way to its target that fill work may take of a task whose own load is above the aim. */
+    private static final double REST_SHARE = 0.5;
     /** Harm of a pair below this leaves a task over its target that is there by its own load. */
     private static final double MILD_HARM = 0.7;
     /** How much more room, as a logarithm, a task gets that was over its target twice: what is known was not enough. */
@@ -67,7 +69,7 @@
                 now += known.harm(task.image(), fill.image()) * fill.usedShare();
             }
             double own = Math.log(Math.max(task.share(), 1e-3)) - now;
-            double room = Math.log(AIM_SHARE) - own - (task.over() ? BRAKE : 0);
+            double room = Math.max(Math.log(AIM_SHARE) - own, -own * REST_SHARE) - (task.over() ? BRAKE : 0);
             order.sort(Comparator.comparingDouble((Integer i) -> harm(task, fills.get(i), known)));
             for (int i : order) {
                 double harm = harm(task, fills.get(i), known);
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -9,9 +9,10 @@
  * Chooses the worker for a task: among those with room, the one with the lowest cost.
  *
  * <p>Load pattern: a site half full of lasting tasks, short urgent tasks and fill work at once. Work is spread, so that a
- * crest finds room everywhere. Lasting tasks with a target gather by image, so that fill work which disturbs one image
- * finds workers without it; mixed evenly, each worker held some task that some fill work disturbs. Packing tightly lost: a
- * lost worker took several tasks of one job, and fill work found nothing left.
+ * crest finds room everywhere. Lasting tasks with a target gather by the fill work that they bear, so that each kind of it
+ * finds workers where it disturbs nothing; mixed evenly, each worker held some task that some fill work disturbs. Fill
+ * work that disturbs little leaves the workers that bear everything to the rest. Packing tightly lost: a lost worker took
+ * several tasks of one job, and fill work found nothing left.
  */
 public final class Placement {
     /** Cost of a rack without the data, in shares of a worker; far work takes a multiple of its time. */
@@ -24,8 +25,14 @@
     private static final double CROWDED_COST = 4;
     /** What lasting tasks use of what they reserve, on the average. */
     private static final double SERVING_USE = 0.5;
-    /** Cost of a worker whose lasting tasks with a target all run other images. */
-    private static final double OTHER_IMAGE_COST = 1.5;
+    /** Cost of a worker whose lasting tasks bear other fill work than the new one does. */
+    private static final double STRANGE_COST = 3;
+    /** Cost, to a lasting task with a target, of a worker without any: its kind fills up the workers that it has. */
+    private static final double NEW_GROUP_COST = 1.5;
+    /** Cost of another lasting task of the same step, which a lost worker would take with it. */
+    private static final double LASTING_SIBLING_COST = 0.9;
+    /** Cost, to fill work, of a worker on which all fill work could run. */
+    private static final double OPEN_COST = 1.5;
     /** Cost of a worker on which this task has failed. */
     private static final double FAILED_COST = 6;
     /** Cost of another task of the same step, so that one lost worker takes few of them. */
@@ -86,6 +93,45 @@
         return !step.fill() || host.disturbance() <= 1 && roomLeft;
     }
 
+    /**
+     * Why a task found no worker: how many workers each reason ruled out, the first that applies.
+     *
+     * @param mismatch another label, or enough tasks of the step there
+     * @param full no room for what the task reserves
+     * @param disturbed the task would take a lasting task over its target
+     * @param crowded other fill work takes what is left
+     * @param leastDisturbance the lowest disturbance among workers with room
+     */
+    public record Refusals(int mismatch, int full, int disturbed, int crowded, double leastDisturbance) {}
+
+    /**
+     * Counts why a patient task finds no worker.
+     *
+     * @param step the step
+     * @param hosts the workers to choose from
+     * @return how many workers each reason rules out
+     */
+    public static Refusals refusals(StepSpec step, List<HostView> hosts) {
+        int mismatch = 0;
+        int full = 0;
+        int disturbed = 0;
+        int crowded = 0;
+        double least = Double.MAX_VALUE;
+        for (HostView host : hosts) {
+            boolean tooMany = step.maxPerWorker() > 0 && host.runsOfStep() >= step.maxPerWorker();
+            if (!host.matchesLabel() || tooMany) {
+                mismatch++;
+            } else if (!fits(step, host)) {
+                full++;
+            } else {
+                least = Math.min(least, host.disturbance());
+                disturbed += host.disturbance() > 1 ? 1 : 0;
+                crowded += host.disturbance() <= 1 && !worthwhile(step, host) ? 1 : 0;
+            }
+        }
+        return new Refusals(mismatch, full, disturbed, crowded, least);
+    }
+
     private static double cost(StepSpec step, HostView host) {
         double cost = 1 - (double) host.cpuFreeMillis() / Math.max(1, host.cpuMillis());
         cost += host.inDataRack() ? 0 : FAR_COST;
@@ -95,9 +141,10 @@
         cost += host.suspicion();
         if (step.fill()) {
             cost += Math.min(MAX_DISTURBANCE, host.disturbance()) * DISTURBANCE_COST;
-            cost += crowding(step, host);
+            cost += crowding(step, host) + OPEN_COST * host.openness();
         } else if (step.lasting() && step.targetMs() > 0) {
-            cost += OTHER_IMAGE_COST * host.servingOthers() / Math.max(1, host.serving());
+            cost += host.serving() == 0 ? NEW_GROUP_COST : STRANGE_COST * host.strangeness();
+            cost += host.runsOfStep() * LASTING_SIBLING_COST;
         }
         return cost;
     }
--- a/work/src/test/java/org/cornelcove/work/plan/InterferenceTest.java
+++ b/work/src/test/java/org/cornelcove/work/plan/InterferenceTest.java
@@ -101,4 +101,32 @@
         assertThat(first, lessThan(1.0));
         assertThat(second, greaterThan(1.0));
     }
+
+    /** The load pattern: a lasting task's own load takes it near its target while harmless work stands beside it. */
+    @Test
+    void nearTheTargetByItsOwnLoadOnlyWorkThatWouldTakeItOverIsSlowed() {
+        int[] next = PaceControl.next(
+                List.of(new PaceControl.Serving("serving", 0.86, false)),
+                List.of(new PaceControl.Fill("none", 0.1, 0), new PaceControl.Fill("heavy", 0.1, 0)),
+                learned(300));
+        assertThat(next[0], is(100));
+        assertThat(next[1], lessThan(30));
+    }
+
+    @Test
+    void imagesThatTheSameFillWorkDisturbsAreAlike() {
+        Interference interference = new Interference();
+        interference.remember(List.of(
+                new Interference.Pair("a", "heavy", 4),
+                new Interference.Pair("a", "none", 0),
+                new Interference.Pair("b", "heavy", 3),
+                new Interference.Pair("b", "none", 0),
+                new Interference.Pair("c", "heavy", 0),
+                new Interference.Pair("c", "none", 0)));
+        assertThat(interference.difference("a", "b"), is(0.0));
+        assertThat(interference.difference("a", "c"), is(0.5));
+        assertThat(interference.difference("a", "unknown"), is(1.0));
+        assertThat(interference.openness(List.of("b", "c")), is(0.5));
+        assertThat(interference.openness(List.of("c")), is(1.0));
+    }
 }
--- a/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
+++ b/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
@@ -1,6 +1,7 @@
 package org.cornelcove.work.plan;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalInt;
 
@@ -9,16 +10,17 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 class PlacementTest {
     private static HostView host(int cpuFree, int fillCpu, double disturbance) {
         return new HostView(
-                cpuFree, 8000, 0, 32_000, true, true, true, 0, 0, 0, fillCpu, 16_000, disturbance, false, 0);
+                cpuFree, 8000, 0, 32_000, true, true, true, 0, 0, 0, 0, fillCpu, 16_000, disturbance, false, 0);
     }
 
     private static HostView host(boolean label, boolean rack, int ofStep, boolean failed, double suspicion) {
-        return new HostView(16_000, 8000, 0, 32_000, label, rack, true, ofStep, 0, 0, 0, 0, 0, failed, suspicion);
+        return new HostView(16_000, 8000, 0, 32_000, label, rack, true, ofStep, 0, 0, 0, 0, 0, 0, failed, suspicion);
     }
 
     @Test
@@ -71,8 +73,69 @@
 
     @Test
     void lastingTasksGatherByImage() {
-        HostView others = new HostView(20_000, 8000, 0, 32_000, true, true, true, 0, 3, 3, 0, 12_000, 0, false, 0);
-        HostView same = new HostView(4000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 0, 12_000, 0, false, 0);
+        HostView others = new HostView(20_000, 8000, 0, 32_000, true, true, true, 0, 3, 1, 0, 0, 12_000, 0, false, 0);
+        HostView same = new HostView(4000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 0, 0, 12_000, 0, false, 0);
         assertThat(Placement.choose(Steps.lasting("i", 2000, 50), List.of(others, same), true), is(OptionalInt.of(1)));
     }
+
+    /** The load pattern: a site starts, and 36 jobs of 5 images of lasting tasks come at once onto 45 empty workers. */
+    @Test
+    void atTheStartOfASiteMostWorkersGetLastingTasksOfOneImageOnly() {
+        int workers = 45;
+        int[] free = new int[workers];
+        int[][] images = new int[workers][5];
+        Arrays.fill(free, 32_000);
+        for (int job = 0; job < 36; job++) {
+            int image = job % 5;
+            int[] siblings = new int[workers];
+            for (int task = 0; task < 6; task++) {
+                List<HostView> hosts = new ArrayList<>();
+                for (int h = 0; h < workers; h++) {
+                    int serving = Arrays.stream(images[h]).sum();
+                    double strange = serving == 0 ? 0 : 1 - (double) images[h][image] / serving;
+                    hosts.add(new HostView(
+                            free[h],
+                            90_000,
+                            0,
+                            32_000,
+                            true,
+                            true,
+                            true,
+                            siblings[h],
+                            serving,
+                            strange,
+                            0,
+                            0,
+                            32_000 - free[h],
+                            0,
+                            false,
+                            0));
+                }
+                int chosen = Placement.choose(Steps.lasting("i" + image, 6400, 50), hosts, true)
+                        .orElseThrow();
+                free[chosen] -= 6400;
+                images[chosen][image]++;
+                siblings[chosen]++;
+            }
+        }
+        long pure = Arrays.stream(images)
+                .filter(host -> Arrays.stream(host).filter(n -> n > 0).count() == 1)
+                .count();
+        assertThat(pure, is(greaterThanOrEqualTo(40L)));
+    }
+
+    /** The load pattern: fill work that bears everything fills up the workers which disturbing fill work needs. */
+    @Test
+    void fillWorkLeavesWorkersThatBearEverythingToTheRest() {
+        HostView open = new HostView(9000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 1, 0, 12_000, 0, false, 0);
+        HostView closed = new HostView(2000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 0.4, 0, 12_000, 0, false, 0);
+        assertThat(Placement.choose(Steps.fill("f", 2000), List.of(open, closed), true), is(OptionalInt.of(1)));
+    }
+
+    @Test
+    void tellsWhyATaskFindsNoWorker() {
+        HostView full = new HostView(9000, 10, 0, 32_000, true, true, true, 0, 3, 0, 1, 0, 12_000, 0, false, 0);
+        List<HostView> hosts = List.of(full, host(2000, 2000, 1.5), host(0, 8000, 0), host(0, 8000, 0));
+        assertThat(Placement.refusals(Steps.fill("f", 4000), hosts), is(new Placement.Refusals(0, 1, 1, 2, 0)));
+    }
 }
