Placement: a backlog of hundreds of steps no longer holds up the leader's loop

Calls got no answer in time, leases ran out, and after the power-off the new leader came to the same point. loop.slow (new log line) showed passes of 200 to 960 ms.

--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -31,8 +31,6 @@
         final QueueOrder.Waiting order;
         /** Since when a task of it waits, on the monotonic clock. */
         long waitingSinceMs;
-        /** When it was last told in the log why it waits. */
-        long toldMs;
 
         private WaitingStep(Job job, int occurrence, int step, QueueOrder.Waiting order) {
             this.job = job;
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -32,13 +32,24 @@
     /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
     private static final double BUSY_SHARE = 0.55;
 
-    /** How often a step that waits says why. */
-    private static final long TELL_WAITING_EVERY_MS = 1000;
+    /** How long a step waits before the log may tell why. */
+    private static final long TELL_WAITING_AFTER_MS = 1000;
+    /** How often that is told, of one step each time; it costs a look at all workers. */
+    private static final long TELL_WAITING_EVERY_MS = 100;
+
+    /** How long it is believed that there is no calm place for some fill work; as long as a look takes to show one. */
+    private static final long CALM_PLACE_EVERY_MS = 500;
 
     private final Term term;
     /** How long the done tasks of steps that may run in copies took, by the step of one occurrence. */
     private final Map<String, List<Long>> doneMs = new HashMap<>();
 
+    private long toldWaitingMs;
+    /** Fill work that found no calm place of late. */
+    private NoRoom noCalmPlace = new NoRoom();
+
+    private long noCalmPlaceUntilMs;
+
     Placements(Term term) {
         this.term = term;
     }
@@ -46,13 +57,26 @@
     /** Tells whether fill work that stands still would run freely on another worker. */
     boolean hasCalmPlace(ActiveRun run, double maxCost) {
         long nowMs = term.clock.nowMs();
+        if (nowMs >= noCalmPlaceUntilMs) {
+            noCalmPlaceUntilMs = nowMs + CALM_PLACE_EVERY_MS;
+            noCalmPlace = new NoRoom();
+        }
         String pool = term.state.queueOf(run.job).pool();
-        return term.workers().stream()
-                .filter(w -> w != run.worker
-                        && w.usable(nowMs)
-                        && w.info.get().pool().equals(pool))
-                .anyMatch(w -> term.conversation.disturbance(w, run.step) < maxCost
-                        && Placement.fits(run.step, view(w, run.step, run.task, "")));
+        if (noCalmPlace.covers(pool, run.step, true)) {
+            return false;
+        }
+        for (Worker worker : term.workers()) {
+            if (worker != run.worker
+                    && worker.usable(nowMs)
+                    && worker.info.get().pool().equals(pool)
+                    && worker.hasRoom(run.step)
+                    && term.conversation.disturbance(worker, run.step) < maxCost
+                    && Placement.fits(run.step, view(worker, run.step, run.task, ""))) {
+                return true;
+            }
+        }
+        noCalmPlace.add(pool, run.step, true);
+        return false;
     }
 
     void noteDone(ActiveRun run) {
@@ -124,6 +148,7 @@
             }
         }
         Map<String, Boolean> busy = new HashMap<>();
+        NoRoom noRoom = new NoRoom();
         for (Backlog.WaitingStep step : steps) {
             if (step.job.phase().ended()) {
                 step.indices.clear();
@@ -134,7 +159,7 @@
             if (step.spec().gang()) {
                 placeGang(step, pool);
             } else {
-                placeTasks(step, pool, busy.computeIfAbsent(name, any -> isBusy(pool)));
+                placeTasks(step, pool, name, busy.computeIfAbsent(name, any -> isBusy(pool)), noRoom);
             }
         }
     }
@@ -150,7 +175,9 @@
         return used > BUSY_SHARE * held;
     }
 
-    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, boolean busy) {
+    private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, String poolName, boolean busy, NoRoom noRoom) {
+        boolean patient = busy || term.clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
+        Optional<Candidates> shared = Optional.empty();
         while (!step.indices.isEmpty()) {
             TaskKey key = step.task(step.indices.peekFirst());
             Task task = step.job.task(key).orElseThrow();
@@ -158,23 +185,64 @@
                 step.indices.removeFirst();
                 continue;
             }
-            boolean patient = busy || term.clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
-            Optional<Worker> worker = choose(step.spec(), key, pool, patient);
+            if (noRoom.covers(poolName, step.spec(), patient)) {
+                return;
+            }
+            // Only tasks that failed before, or have to stand together, see workers differently than their siblings.
+            boolean alike = task.failures() == 0 && !step.spec().sameRack();
+            Candidates candidates = alike && shared.isPresent() ? shared.get() : new Candidates(step.spec(), key, pool);
+            if (alike) {
+                shared = Optional.of(candidates);
+            }
+            Optional<Worker> worker = candidates.best(patient);
             if (worker.isEmpty()) {
+                noRoom.add(poolName, step.spec(), patient);
                 tellWaiting(step, key, pool);
                 return;
             }
             step.indices.removeFirst();
             begin(step.job, key, task.lastRunId() + 1, worker.get());
+            shared.ifPresent(c -> c.refresh(worker.get(), key));
+        }
+    }
+
+    /** The workers that have room for tasks of a step, as such a task sees them. */
+    private final class Candidates {
+        private final StepSpec step;
+        private final List<Worker> workers = new ArrayList<>();
+        private final List<HostView> views = new ArrayList<>();
+
+        Candidates(StepSpec step, TaskKey task, List<Worker> pool) {
+            this.step = step;
+            String rack = step.sameRack() ? rackOfStep(task) : "";
+            for (Worker worker : pool) {
+                if (worker.hasRoom(step)) {
+                    workers.add(worker);
+                    views.add(view(worker, step, task, rack));
+                }
+            }
+        }
+
+        Optional<Worker> best(boolean patient) {
+            OptionalInt best = Placement.choose(step, views, patient);
+            return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
+        }
+
+        void refresh(Worker worker, TaskKey task) {
+            int place = workers.indexOf(worker);
+            if (place >= 0) {
+                views.set(place, view(worker, step, task, ""));
+            }
         }
     }
 
     private void tellWaiting(Backlog.WaitingStep step, TaskKey next, List<Worker> pool) {
         long nowMs = term.clock.nowMs();
-        if (nowMs - step.waitingSinceMs < TELL_WAITING_EVERY_MS || nowMs - step.toldMs < TELL_WAITING_EVERY_MS) {
+        boolean longEnough = nowMs - step.waitingSinceMs >= TELL_WAITING_AFTER_MS;
+        if (!longEnough || nowMs - toldWaitingMs < TELL_WAITING_EVERY_MS) {
             return;
         }
-        step.toldMs = nowMs;
+        toldWaitingMs = nowMs;
         Placement.Refusals why = Placement.refusals(
                 step.spec(),
                 pool.stream().map(w -> view(w, step.spec(), next, "")).toList());
@@ -234,13 +302,7 @@
     }
 
     private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean patient) {
-        List<HostView> views = new ArrayList<>(pool.size());
-        String rack = step.sameRack() ? rackOfStep(task) : "";
-        for (Worker worker : pool) {
-            views.add(view(worker, step, task, rack));
-        }
-        OptionalInt best = Placement.choose(step, views, patient);
-        return best.isPresent() ? Optional.of(pool.get(best.getAsInt())) : Optional.empty();
+        return new Candidates(step, task, pool).best(patient);
     }
 
     private String rackOfStep(TaskKey task) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -17,6 +17,7 @@
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.state.Job;
 import org.cornelcove.work.state.Occurrence;
 import org.cornelcove.work.state.Run;
@@ -39,6 +40,8 @@
 
     /** The least time between two passes over all that waits; ends come in bursts. */
     private static final long PLACE_EVERY_MS = 8;
+    /** Passes take at most one part in so many of the loop, so that answers and leases don't wait behind a backlog. */
+    private static final long PLACE_PART = 4;
     /** From a worker's farewell, which it waits to be acknowledged, until it has surely ended. */
     private static final long LEAVE_MS = 400;
 
@@ -56,7 +59,7 @@
 
     private final long gainedMs;
     private boolean placementDue = true;
-    private long placedMs;
+    private long placeAgainMs;
     private boolean over;
 
     Term(
@@ -367,10 +370,12 @@
     /** Does what became due in this pass of the loop. */
     void settle() {
         long nowMs = clock.nowMs();
-        if (placementDue && nowMs - placedMs >= PLACE_EVERY_MS && clock.leased()) {
+        if (placementDue && nowMs >= placeAgainMs && clock.leased()) {
             placementDue = false;
-            placedMs = nowMs;
             placements.place(backlog.inOrder(clock.wallMs()), nowMs);
+            long tookMs = clock.nowMs() - nowMs;
+            placeAgainMs = nowMs + Math.max(PLACE_EVERY_MS, PLACE_PART * tookMs);
+            Metrics.took("place", tookMs);
         }
         proposals.flush();
     }
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -30,6 +30,9 @@
  */
 public final class WorkLeader implements AutoCloseable {
     private static final long TICK_MS = 50;
+    /** A piece of work on the loop that takes longer is told in the log; leases are renewed every second and a half. */
+    private static final long SLOW_MS = 100;
+
     private static final int RETRY_AFTER_S = 1;
 
     private final LeadSettings settings;
@@ -281,18 +284,23 @@
     }
 
     private void tick() {
-        guarded(() -> term.ifPresent(Term::tick));
+        guarded("tick", () -> term.ifPresent(Term::tick));
         settle();
     }
 
     private void settle() {
         settleDue = false;
-        guarded(() -> term.ifPresent(Term::settle));
+        guarded("settle", () -> term.ifPresent(Term::settle));
     }
 
-    private static void guarded(Runnable task) {
+    private static void guarded(String what, Runnable task) {
+        long startNs = System.nanoTime();
         try {
             task.run();
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+            if (tookMs > SLOW_MS) {
+                EventLog.event("loop.slow", "tookMs", tookMs, "what", what);
+            }
         } catch (RuntimeException e) {
             StackTraceElement[] stack = e.getStackTrace();
             EventLog.event("lead.fault", "cause", e, "where", stack.length == 0 ? "" : stack[0]);
@@ -331,7 +339,7 @@
         }
 
         private void pass(Runnable task) {
-            guarded(task);
+            guarded("answer", task);
             if (!settleDue) {
                 settleDue = true;
                 executor.execute(WorkLeader.this::settle);
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -137,6 +137,14 @@
         health.failed(task.jobId(), nowMs);
     }
 
+    /** Tells whether a task fits by size alone; cheap, so that only the few workers with room are looked at closely. */
+    boolean hasRoom(StepSpec step) {
+        WorkerInfo held = info.orElseThrow();
+        return (step.fill() || step.cpuMillis() <= held.cpuMillis() - cpuUsed)
+                && step.memoryMb() <= held.memoryMb() - memoryUsed
+                && step.accelerators() <= held.accelerators() - acceleratorsUsed;
+    }
+
     boolean failedTask(TaskKey task) {
         return failedTasks.contains(task);
     }
--- a/work/src/main/java/org/cornelcove/work/state/Job.java
+++ b/work/src/main/java/org/cornelcove/work/state/Job.java
@@ -14,6 +14,10 @@
     final JobSpec spec;
     final QueueRule acceptedBy;
     final long submittedMs;
+    /** The queue under the rules of {@link #queueVersion}, so that it is looked up once a version. */
+    QueueRule queue;
+
+    long queueVersion = -1;
     JobPhase phase = JobPhase.QUEUED;
     long endedMs;
     int doneOccurrences;
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -83,7 +83,11 @@
      * @return the queue of a job as the rules have it now, or as it was when the rules dropped it
      */
     public synchronized QueueRule queueOf(Job job) {
-        return rules.queueAt(job.spec.host(), job.spec.pathPrefix()).orElse(job.acceptedBy);
+        if (job.queueVersion != rules.version()) {
+            job.queue = rules.queueAt(job.spec.host(), job.spec.pathPrefix()).orElse(job.acceptedBy);
+            job.queueVersion = rules.version();
+        }
+        return job.queue;
     }
 
     @Override
