--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -150,6 +150,7 @@
         if (run.stopWanted) {
             stop(run);
         } else {
+            pace.begun(run);
             look(run.worker, nowMs);
         }
     }
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -76,6 +76,23 @@
         return worker.fills > 0 ? pace(worker, nowMs) : List.of();
     }
 
+    /**
+     * Sets the pace of fill work that has just begun by what is known of its image; its harm would else show only in the
+     * next look, half a second later.
+     *
+     * @param run the run
+     */
+    void begun(ActiveRun run) {
+        if (run.step.fill() && run.worker.serving > 0 && !run.stopWanted) {
+            List<ActiveRun> runs = fillRuns(run.worker);
+            int percent =
+                    PaceControl.next(serving(run.worker), fills(run.worker, runs), interference)[runs.indexOf(run)];
+            if (percent < run.pacePercent) {
+                set(run, percent);
+            }
+        }
+    }
+
     private void learn(Worker worker, long nowMs) {
         double cpu = worker.info.orElseThrow().cpuMillis();
         Sample sample = new Sample(nowMs, new HashMap<>(), new HashMap<>());
