--- a/work/src/main/java/org/cornelcove/work/lead/NoRoom.java
+++ b/work/src/main/java/org/cornelcove/work/lead/NoRoom.java
@@ -13,23 +13,22 @@
  * hundreds.
  */
 final class NoRoom {
-    private record Kind(
-            String pool, boolean fill, double maxDisturbance, String image, String label, int accelerators) {}
+    private record Kind(String pool, boolean fill, boolean patient, String image, String label, int accelerators) {}
 
     private record Size(int cpuMillis, int memoryMb) {}
 
     private final Map<Kind, List<Size>> refused = new HashMap<>();
 
     /** Notes a task that found no worker. One that is limited to some of a step on a worker says nothing of others. */
-    void add(String pool, StepSpec step, double maxDisturbance) {
+    void add(String pool, StepSpec step, boolean patient) {
         if (step.maxPerWorker() == 0 && !step.sameRack()) {
-            refused.computeIfAbsent(kindOf(pool, step, maxDisturbance), any -> new ArrayList<>())
+            refused.computeIfAbsent(kindOf(pool, step, patient), any -> new ArrayList<>())
                     .add(new Size(step.cpuMillis(), step.memoryMb()));
         }
     }
 
-    boolean covers(String pool, StepSpec step, double maxDisturbance) {
-        for (Size size : refused.getOrDefault(kindOf(pool, step, maxDisturbance), List.of())) {
+    boolean covers(String pool, StepSpec step, boolean patient) {
+        for (Size size : refused.getOrDefault(kindOf(pool, step, patient), List.of())) {
             if (size.cpuMillis() <= step.cpuMillis() && size.memoryMb() <= step.memoryMb()) {
                 return true;
             }
@@ -37,9 +36,9 @@
         return false;
     }
 
-    private static Kind kindOf(String pool, StepSpec step, double maxDisturbance) {
+    private static Kind kindOf(String pool, StepSpec step, boolean patient) {
         // Only fill work looks at images when it asks whether a worker is good enough.
         String image = step.fill() ? step.image() : "";
-        return new Kind(pool, step.fill(), maxDisturbance, image, step.requiredLabel(), step.accelerators());
+        return new Kind(pool, step.fill(), patient, image, step.requiredLabel(), step.accelerators());
     }
 }
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -15,7 +15,6 @@
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.plan.HostView;
-import org.cornelcove.work.plan.Patience;
 import org.cornelcove.work.plan.Placement;
 import org.cornelcove.work.plan.Stragglers;
 import org.cornelcove.work.state.Job;
@@ -28,6 +27,8 @@
  * Used on the leader's loop only.
  */
 final class Placements {
+    /** How long fill work waits for a worker on which it runs freely, below the platform's three seconds. */
+    private static final long PATIENCE_MS = 1500;
     /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
     private static final double BUSY_SHARE = 0.55;
 
@@ -61,7 +62,7 @@
             noCalmPlace = new NoRoom();
         }
         String pool = term.state.queueOf(run.job).pool();
-        if (noCalmPlace.covers(pool, run.step, maxCost)) {
+        if (noCalmPlace.covers(pool, run.step, true)) {
             return false;
         }
         for (Worker worker : term.workers()) {
@@ -74,7 +75,7 @@
                 return true;
             }
         }
-        noCalmPlace.add(pool, run.step, maxCost);
+        noCalmPlace.add(pool, run.step, true);
         return false;
     }
 
@@ -128,7 +129,7 @@
                         && w.usable(nowMs)
                         && w.info.get().pool().equals(pool))
                 .toList();
-        choose(late.step, late.task, others, Placement.ANYWHERE).ifPresent(worker -> {
+        choose(late.step, late.task, others, false).ifPresent(worker -> {
             EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
             begin(late.job, late.task, late.runId + 1, worker);
         });
@@ -175,7 +176,7 @@
     }
 
     private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, String poolName, boolean busy, NoRoom noRoom) {
-        double limit = Patience.maxDisturbance(busy, term.clock.nowMs() - step.waitingSinceMs);
+        boolean patient = busy || term.clock.nowMs() - step.waitingSinceMs < PATIENCE_MS;
         Optional<Candidates> shared = Optional.empty();
         while (!step.indices.isEmpty()) {
             TaskKey key = step.task(step.indices.peekFirst());
@@ -184,7 +185,7 @@
                 step.indices.removeFirst();
                 continue;
             }
-            if (noRoom.covers(poolName, step.spec(), limit)) {
+            if (noRoom.covers(poolName, step.spec(), patient)) {
                 return;
             }
             // Only tasks that failed before, or have to stand together, see workers differently than their siblings.
@@ -193,9 +194,9 @@
             if (alike) {
                 shared = Optional.of(candidates);
             }
-            Optional<Worker> worker = candidates.best(limit);
+            Optional<Worker> worker = candidates.best(patient);
             if (worker.isEmpty()) {
-                noRoom.add(poolName, step.spec(), limit);
+                noRoom.add(poolName, step.spec(), patient);
                 tellWaiting(step, key, pool);
                 return;
             }
@@ -222,8 +223,8 @@
             }
         }
 
-        Optional<Worker> best(double maxDisturbance) {
-            OptionalInt best = Placement.choose(step, views, maxDisturbance);
+        Optional<Worker> best(boolean patient) {
+            OptionalInt best = Placement.choose(step, views, patient);
             return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
         }
 
@@ -281,7 +282,7 @@
                     runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
         }
         for (int index = 0; index < size; index++) {
-            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, Placement.ANYWHERE);
+            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false);
             if (worker.isEmpty()) {
                 members.forEach(term::untrack);
                 return;
@@ -300,8 +301,8 @@
         members.forEach(this::commitStart);
     }
 
-    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, double maxDisturbance) {
-        return new Candidates(step, task, pool).best(maxDisturbance);
+    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean patient) {
+        return new Candidates(step, task, pool).best(patient);
     }
 
     private String rackOfStep(TaskKey task) {
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -38,11 +38,6 @@
     /** Cost of another task of the same step, so that one lost worker takes few of them. */
     private static final double SIBLING_COST = 0.05;
 
-    /** Fill work runs freely where it takes no lasting task further than to its target. */
-    public static final double FREELY = 1;
-    /** Fill work may go anywhere, also where it would stand still. */
-    public static final double ANYWHERE = Double.MAX_VALUE;
-
     private Placement() {}
 
     /**
@@ -50,16 +45,15 @@
      *
      * @param step the step
      * @param hosts the workers to choose from
-     * @param maxDisturbance how far on the way to its target the task may take a lasting task; {@link #ANYWHERE} when it
-     *     may stand still
+     * @param patient whether the task can wait for a worker on which it would do more than stand still
      * @return the place in the list of the best worker, empty when there is none now
      */
-    public static OptionalInt choose(StepSpec step, List<HostView> hosts, double maxDisturbance) {
+    public static OptionalInt choose(StepSpec step, List<HostView> hosts, boolean patient) {
         int best = -1;
         double bestCost = Double.MAX_VALUE;
         for (int i = 0; i < hosts.size(); i++) {
             HostView host = hosts.get(i);
-            if (!fits(step, host) || !worthwhile(step, host, maxDisturbance)) {
+            if (!fits(step, host) || patient && !worthwhile(step, host)) {
                 continue;
             }
             double cost = cost(step, host);
@@ -92,12 +86,11 @@
      *
      * @param step the step
      * @param host the worker
-     * @param maxDisturbance how far on the way to its target the task may take a lasting task
      * @return false for fill work that would disturb a lasting task, or find nothing left
      */
-    public static boolean worthwhile(StepSpec step, HostView host, double maxDisturbance) {
+    public static boolean worthwhile(StepSpec step, HostView host) {
         boolean roomLeft = host.fillCpuMillis() == 0 || host.fillCpuMillis() + step.cpuMillis() <= left(host);
-        return !step.fill() || maxDisturbance == ANYWHERE || host.disturbance() <= maxDisturbance && roomLeft;
+        return !step.fill() || host.disturbance() <= 1 && roomLeft;
     }
 
     /**
@@ -132,8 +125,8 @@
                 full++;
             } else {
                 least = Math.min(least, host.disturbance());
-                disturbed += host.disturbance() > FREELY ? 1 : 0;
-                crowded += host.disturbance() <= FREELY && !worthwhile(step, host, FREELY) ? 1 : 0;
+                disturbed += host.disturbance() > 1 ? 1 : 0;
+                crowded += host.disturbance() <= 1 && !worthwhile(step, host) ? 1 : 0;
             }
         }
         return new Refusals(mismatch, full, disturbed, crowded, least);
--- a/work/src/test/java/org/cornelcove/work/lead/NoRoomTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/NoRoomTest.java
@@ -1,7 +1,6 @@
 package org.cornelcove.work.lead;
 
 import org.cornelcove.work.Steps;
-import org.cornelcove.work.plan.Placement;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,23 +14,23 @@
     @CsvSource({"f, 4000, true", "f, 5000, true", "f, 3000, false", "g, 4000, false"})
     void coversWhatAsksForAtLeastAsMuch(String image, int cpuMillis, boolean covered) {
         NoRoom noRoom = new NoRoom();
-        noRoom.add("pool", Steps.fill("f", 4000), Placement.FREELY);
-        assertThat(noRoom.covers("pool", Steps.fill(image, cpuMillis), Placement.FREELY), is(covered));
+        noRoom.add("pool", Steps.fill("f", 4000), true);
+        assertThat(noRoom.covers("pool", Steps.fill(image, cpuMillis), true), is(covered));
     }
 
     @Test
     void aLessParticularTaskOrAnotherPoolIsNotCovered() {
         NoRoom noRoom = new NoRoom();
-        noRoom.add("pool", Steps.fill("f", 4000), Placement.FREELY);
-        assertThat(noRoom.covers("pool", Steps.fill("f", 4000), Placement.ANYWHERE), is(false));
-        assertThat(noRoom.covers("other", Steps.fill("f", 4000), Placement.FREELY), is(false));
+        noRoom.add("pool", Steps.fill("f", 4000), true);
+        assertThat(noRoom.covers("pool", Steps.fill("f", 4000), false), is(false));
+        assertThat(noRoom.covers("other", Steps.fill("f", 4000), true), is(false));
     }
 
     @Test
     void aStepThatIsSpreadSaysNothingOfOthers() {
         NoRoom noRoom = new NoRoom();
-        noRoom.add("pool", Steps.needing("", "", 1), Placement.FREELY);
-        assertThat(noRoom.covers("pool", Steps.needing("", "", 1), Placement.FREELY), is(false));
-        assertThat(noRoom.covers("pool", Steps.plain(1), Placement.FREELY), is(false));
+        noRoom.add("pool", Steps.needing("", "", 1), true);
+        assertThat(noRoom.covers("pool", Steps.needing("", "", 1), true), is(false));
+        assertThat(noRoom.covers("pool", Steps.plain(1), true), is(false));
     }
 }
--- a/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
+++ b/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
@@ -26,29 +26,27 @@
     @Test
     void nothingGoesWhereItDoesNotFit() {
         StepSpec step = Steps.plain(1);
-        assertThat(Placement.choose(step, List.of(host(999, 0, 0)), Placement.FREELY), is(OptionalInt.empty()));
-        assertThat(
-                Placement.choose(step, List.of(host(999, 0, 0), host(1000, 0, 0)), Placement.FREELY),
-                is(OptionalInt.of(1)));
+        assertThat(Placement.choose(step, List.of(host(999, 0, 0)), true), is(OptionalInt.empty()));
+        assertThat(Placement.choose(step, List.of(host(999, 0, 0), host(1000, 0, 0)), true), is(OptionalInt.of(1)));
     }
 
     @Test
     void labelAndSpreadBind() {
         StepSpec step = Steps.needing("gpu-kind", "", 2);
         List<HostView> hosts = List.of(host(false, true, 0, false, 0), host(true, true, 2, false, 0));
-        assertThat(Placement.choose(step, hosts, Placement.FREELY), is(OptionalInt.empty()));
+        assertThat(Placement.choose(step, hosts, true), is(OptionalInt.empty()));
     }
 
     @Test
     void aFullerWorkerNearTheDataIsBetterThanAnEmptyOneFarAway() {
         List<HostView> hosts = new ArrayList<>(List.of(host(true, false, 0, false, 0), host(true, true, 1, false, 0)));
-        assertThat(Placement.choose(Steps.needing("", "r1", 0), hosts, Placement.FREELY), is(OptionalInt.of(1)));
+        assertThat(Placement.choose(Steps.needing("", "r1", 0), hosts, true), is(OptionalInt.of(1)));
     }
 
     @Test
     void aTaskDoesNotGoBackToWhereItFailed() {
         List<HostView> hosts = List.of(host(true, true, 0, true, 0.7), host(true, true, 3, false, 0));
-        assertThat(Placement.choose(Steps.plain(1), hosts, Placement.FREELY), is(OptionalInt.of(1)));
+        assertThat(Placement.choose(Steps.plain(1), hosts, true), is(OptionalInt.of(1)));
     }
 
     /** The load pattern: a fleet that lasting tasks reserve almost whole, and a crest of fill work. */
@@ -61,9 +59,7 @@
             for (int h = 0; h < fillCpu.length; h++) {
                 hosts.add(host(2000, fillCpu[h], disturbance[h]));
             }
-            fillCpu[
-                    Placement.choose(Steps.fill("f", 2000), hosts, Placement.FREELY)
-                            .orElseThrow()] += 2000;
+            fillCpu[Placement.choose(Steps.fill("f", 2000), hosts, true).orElseThrow()] += 2000;
         }
         assertThat(fillCpu, is(new int[] {0, 8000, 8000, 8000}));
     }
@@ -71,20 +67,15 @@
     @Test
     void fillWorkWaitsRatherThanStandStillUnlessItHasWaitedLong() {
         List<HostView> hosts = List.of(host(2000, 2000, 1.5), host(0, 8000, 0));
-        assertThat(Placement.choose(Steps.fill("f", 4000), hosts, Placement.FREELY), is(OptionalInt.empty()));
-        assertThat(
-                Placement.choose(Steps.fill("f", 4000), hosts, Placement.ANYWHERE)
-                        .isPresent(),
-                is(true));
+        assertThat(Placement.choose(Steps.fill("f", 4000), hosts, true), is(OptionalInt.empty()));
+        assertThat(Placement.choose(Steps.fill("f", 4000), hosts, false).isPresent(), is(true));
     }
 
     @Test
     void lastingTasksGatherByImage() {
         HostView others = new HostView(20_000, 8000, 0, 32_000, true, true, true, 0, 3, 1, 0, 0, 12_000, 0, false, 0);
         HostView same = new HostView(4000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 0, 0, 12_000, 0, false, 0);
-        assertThat(
-                Placement.choose(Steps.lasting("i", 2000, 50), List.of(others, same), Placement.FREELY),
-                is(OptionalInt.of(1)));
+        assertThat(Placement.choose(Steps.lasting("i", 2000, 50), List.of(others, same), true), is(OptionalInt.of(1)));
     }
 
     /** The load pattern: a site starts, and 36 jobs of 5 images of lasting tasks come at once onto 45 empty workers. */
@@ -120,7 +111,7 @@
                             false,
                             0));
                 }
-                int chosen = Placement.choose(Steps.lasting("i" + image, 6400, 50), hosts, Placement.FREELY)
+                int chosen = Placement.choose(Steps.lasting("i" + image, 6400, 50), hosts, true)
                         .orElseThrow();
                 free[chosen] -= 6400;
                 images[chosen][image]++;
@@ -138,9 +129,7 @@
     void fillWorkLeavesWorkersThatBearEverythingToTheRest() {
         HostView open = new HostView(9000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 1, 0, 12_000, 0, false, 0);
         HostView closed = new HostView(2000, 8000, 0, 32_000, true, true, true, 0, 3, 0, 0.4, 0, 12_000, 0, false, 0);
-        assertThat(
-                Placement.choose(Steps.fill("f", 2000), List.of(open, closed), Placement.FREELY),
-                is(OptionalInt.of(1)));
+        assertThat(Placement.choose(Steps.fill("f", 2000), List.of(open, closed), true), is(OptionalInt.of(1)));
     }
 
     @Test
