--- a/wire/src/main/java/org/cornelcove/wire/CallClient.java
+++ b/wire/src/main/java/org/cornelcove/wire/CallClient.java
@@ -79,6 +79,25 @@
                 .thenApply(body -> Call.fromBytes(body, call.answerType()));
     }
 
+    /**
+     * Makes a call over a connection that has just shown that the other process lives. It costs a round trip more when
+     * nothing came over the connection of late, and leaves the outcome unknown far more seldom: a call to a host that
+     * has lost its power or hangs is then known not to be sent.
+     *
+     * @param address the other process, {@code ip:port}
+     * @param call the call
+     * @param request the request
+     * @param timeoutMs how long to wait for the answer
+     * @param <Q> the request's type
+     * @param <R> the answer's type
+     * @return as for {@link #call}
+     */
+    public <Q, R> CompletableFuture<R> callProved(String address, Call<Q, R> call, Q request, long timeoutMs) {
+        return peer(address)
+                .callProved(call.name(), Call.toBytes(request), timeoutMs)
+                .thenApply(body -> Call.fromBytes(body, call.answerType()));
+    }
+
     /**
      * Sends a notice without waiting; it is lost when the other process can't be reached.
      *
--- a/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
+++ b/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
@@ -151,7 +151,7 @@
             return later(search, position);
         }
         String address = known.get(Math.floorMod(position, known.size()));
-        return client.call(address, search.call(), search.request(), Math.min(leftMs, search.attemptMs()))
+        return send(search, address, Math.min(leftMs, search.attemptMs()))
                 .handle((answer, thrown) -> {
                     if (thrown == null) {
                         return CompletableFuture.completedFuture(answer);
@@ -169,6 +169,12 @@
                 .thenCompose(next -> next);
     }
 
+    private <Q, R> CompletableFuture<R> send(Search<Q, R> search, String address, long timeoutMs) {
+        return search.taken().isPresent()
+                ? client.callProved(address, search.call(), search.request(), timeoutMs)
+                : client.call(address, search.call(), search.request(), timeoutMs);
+    }
+
     /**
      * Asks again after a pause. A read goes round all hosts by itself: other calls move the preferred host on as well,
      * and could make it skip the one that answers.
--- a/wire/src/main/java/org/cornelcove/wire/Peer.java
+++ b/wire/src/main/java/org/cornelcove/wire/Peer.java
@@ -11,6 +11,7 @@
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
+import org.cornelcove.model.error.FailureException;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -30,6 +31,10 @@
     static final long PING_EVERY_MS = 400;
     /** A connection that leaves a ping without an answer so long is given up; the next use opens another. */
     private static final long PING_TIMEOUT_MS = 800;
+    /** A connection on which something came so recently needs no proof; far below the time in which a host is missed. */
+    private static final long PROVED_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** How long a connection may take to prove itself: a round trip, and a pause of a busy host. */
+    private static final long PROOF_TIMEOUT_MS = 300;
     /** A connection that was not used for so long is not tried. */
     private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(3);
 
@@ -56,7 +61,7 @@
 
     CompletableFuture<byte[]> call(String name, byte[] body, long timeoutMs) {
         CompletableFuture<byte[]> answer = new CompletableFuture<>();
-        connection().whenComplete((open, thrown) -> {
+        connectionWithin(timeoutMs).whenComplete((open, thrown) -> {
             if (thrown == null) {
                 open.request(name, body, timeoutMs, answer);
             } else {
@@ -66,6 +71,27 @@
         return answer;
     }
 
+    /** Calls once the connection has shown that it is alive; until then the call is surely not sent. */
+    CompletableFuture<byte[]> callProved(String name, byte[] body, long timeoutMs) {
+        long startNs = System.nanoTime();
+        CompletableFuture<byte[]> answer = new CompletableFuture<>();
+        connectionWithin(timeoutMs).thenCompose(open -> open.prove(timeoutMs)).whenComplete((open, thrown) -> {
+            long leftMs = timeoutMs - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+            if (thrown == null && leftMs > 0) {
+                open.request(name, body, leftMs, answer);
+            } else {
+                answer.completeExceptionally(notSent(
+                        thrown == null ? new IllegalStateException("no time left") : FailureException.causeOf(thrown)));
+            }
+        });
+        return answer;
+    }
+
+    /** A host without power lets an attempt to connect hang for longer than a caller may wait. */
+    private CompletableFuture<Open> connectionWithin(long timeoutMs) {
+        return connection().copy().orTimeout(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
     void send(String name, byte[] body) {
         connection().thenAccept(open -> open.connection.write(Envelope.notice(name, body)));
     }
@@ -143,6 +169,7 @@
         private final Connection<SocketAddress> connection;
         private final AtomicLong lastCallId = new AtomicLong();
         private final Map<Long, CompletableFuture<byte[]>> waiting = new ConcurrentHashMap<>();
+        private volatile long lastHeardNs = System.nanoTime() - PROVED_NS;
 
         Open(Connection<SocketAddress> connection) {
             this.connection = connection;
@@ -154,15 +181,25 @@
         }
 
         void ping() {
+            ping(PING_TIMEOUT_MS);
+        }
+
+        private CompletableFuture<byte[]> ping(long timeoutMs) {
             CompletableFuture<byte[]> answer = new CompletableFuture<>();
-            request(Envelope.PING, new byte[0], PING_TIMEOUT_MS, answer);
-            answer.whenComplete((body, thrown) -> {
+            request(Envelope.PING, new byte[0], timeoutMs, answer);
+            return answer.whenComplete((body, thrown) -> {
                 if (thrown != null) {
                     connection.closeSilently();
                 }
             });
         }
 
+        CompletableFuture<Open> prove(long timeoutMs) {
+            return System.nanoTime() - lastHeardNs < PROVED_NS
+                    ? CompletableFuture.completedFuture(this)
+                    : ping(Math.min(PROOF_TIMEOUT_MS, timeoutMs)).thenApply(pong -> this);
+        }
+
         void request(String name, byte[] body, long timeoutMs, CompletableFuture<byte[]> answer) {
             long callId = lastCallId.incrementAndGet();
             waiting.put(callId, answer);
@@ -190,6 +227,7 @@
         }
 
         void answered(Envelope envelope) {
+            lastHeardNs = System.nanoTime();
             CompletableFuture<byte[]> answer = waiting.remove(envelope.callId());
             if (answer == null) {
                 return;
--- a/wire/src/test/java/org/cornelcove/wire/CallTest.java
+++ b/wire/src/test/java/org/cornelcove/wire/CallTest.java
@@ -1,7 +1,10 @@
 package org.cornelcove.wire;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -20,7 +23,9 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -145,4 +150,23 @@
         Throwable thrown = assertThrows(CompletionException.class, answer::join);
         return ((FailureException) thrown.getCause()).failure().kind();
     }
+
+    /** A host that has lost its power leaves its connections open and takes in what is sent. */
+    @Test
+    void aProvedCallToAHostThatHangsIsKnownAsNotSent() throws IOException {
+        try (ServerSocket hanging = new ServerSocket(0)) {
+            String there = "127.0.0.1:" + hanging.getLocalPort();
+            assertThat(kindOf(client.callProved(there, NOTE, "never to arrive", 2000)), is(ErrorKind.CALL_NOT_SENT));
+            try (Socket connection = hanging.accept()) {
+                byte[] arrived = connection.getInputStream().readAllBytes();
+                assertThat(new String(arrived, StandardCharsets.ISO_8859_1), not(containsString("never to arrive")));
+            }
+        }
+    }
+
+    @Test
+    void aProvedCallToALivingHostIsAnswered() {
+        assertThat(client.callProved(address, ECHO, "hello", LONG_MS).join(), is("hello"));
+        assertThat(client.callProved(address, ECHO, "again", LONG_MS).join(), is("again"));
+    }
 }
