--- a/bench/src/main/java/org/cornelcove/bench/Bench.java
+++ b/bench/src/main/java/org/cornelcove/bench/Bench.java
@@ -15,6 +15,7 @@
 import org.cornelcove.bench.policy.PlacementBenchmark;
 import org.cornelcove.bench.policy.RetriesBenchmark;
 import org.cornelcove.bench.policy.SwingBenchmark;
+import org.cornelcove.bench.policy.TaskPlacementBenchmark;
 import org.cornelcove.bench.replication.CommitBenchmark;
 import org.cornelcove.bench.replication.FailoverBenchmark;
 import org.cornelcove.bench.replication.RecoveryBenchmark;
@@ -28,6 +29,7 @@
             new RetriesBenchmark(),
             new PlacementBenchmark(),
             new LeaderPlacementBenchmark(),
+            new TaskPlacementBenchmark(),
             new BlackHoleBenchmark(),
             new ColocationBenchmark(),
             new CommitBenchmark(),
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateDifferentialTest.java
@@ -0,0 +1,72 @@
+package org.cornelcove.work.state;
+
+import java.util.List;
+import java.util.Random;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.Schedule;
+import org.cornelcove.work.job.TaskKey;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Random commands, also such as no leader would send, against {@link NaiveJobs}; with a restart from a snapshot at times. */
+class WorkStateDifferentialTest {
+    private static final int COMMANDS = 400;
+    private static final List<JobSpec> JOBS = List.of(
+            Steps.job("a", Steps.plain(2), Steps.plain(1, 0)),
+            Steps.job("b", Steps.copies(2)),
+            Steps.job("c", Steps.gang(2), Steps.plain(1, 0)),
+            Steps.job("d", Steps.lasting("i", 1000, 50)),
+            new JobSpec(
+                    "e",
+                    Steps.QUEUE.host(),
+                    Steps.QUEUE.pathPrefix(),
+                    "spec",
+                    List.of(Steps.plain(1)),
+                    new Schedule(2, 1000, 500)));
+    private static final RunEnd[] ENDS = {RunEnd.DONE, RunEnd.DONE, RunEnd.FAILED, RunEnd.STOPPED, RunEnd.LOST};
+
+    private static TaskKey task(Random random) {
+        return new TaskKey(
+                "" + (char) ('a' + random.nextInt(6)), random.nextInt(2), random.nextInt(2), random.nextInt(2));
+    }
+
+    private static WorkCommand command(Random random) {
+        return switch (random.nextInt(12)) {
+            case 0 -> new WorkCommand.Submit(JOBS.get(random.nextInt(JOBS.size())), Steps.QUEUE, 1000);
+            case 1 -> new WorkCommand.Cancel("" + (char) ('a' + random.nextInt(60)), 1000);
+            case 2, 3, 4, 5, 6 -> new WorkCommand.Start(task(random), 1 + random.nextInt(12), "w", 7, 1000);
+            default -> new WorkCommand.End(
+                    task(random), 1 + random.nextInt(12), ENDS[random.nextInt(ENDS.length)], "", 2000);
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void answersAsTheNaiveVersionDoes(long seed) {
+        Random random = new Random(seed);
+        NaiveJobs naive = new NaiveJobs(Steps.QUEUE.attempts());
+        WorkState state = new WorkState();
+        for (int i = 1; i <= COMMANDS; i++) {
+            WorkCommand command = command(random);
+            Verdict verdict = Verdict.values()[state.apply(i, CommandCodec.encode(List.of(command)))[0]];
+            assertThat("command " + i + ' ' + command, verdict, is(naive.apply(command)));
+            if (random.nextInt(40) == 0) {
+                byte[] snapshot = state.snapshot();
+                state = new WorkState();
+                state.restore(snapshot);
+            }
+            for (String id : state.jobs().keySet()) {
+                assertThat(
+                        "after command " + i + ' ' + command,
+                        state.job(id).orElseThrow().phase(),
+                        is(naive.phase(id)));
+            }
+        }
+    }
+}
