--- a/work/src/test/java/org/cornelcove/work/state/WorkStateDifferentialTest.java
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateDifferentialTest.java
@@ -1,10 +1,12 @@
 package org.cornelcove.work.state;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.Schedule;
 import org.cornelcove.work.job.TaskKey;
@@ -17,6 +19,9 @@
 /** Random commands, also such as no leader would send, against {@link NaiveJobs}; with a restart from a snapshot at times. */
 class WorkStateDifferentialTest {
     private static final int COMMANDS = 400;
+    /** Few attempts, so that jobs fail in most runs. */
+    private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 0, 2, 2, 1000);
+
     private static final List<JobSpec> JOBS = List.of(
             Steps.job("a", Steps.plain(2), Steps.plain(1, 0)),
             Steps.job("b", Steps.copies(2)),
@@ -29,33 +34,46 @@
                     "spec",
                     List.of(Steps.plain(1)),
                     new Schedule(2, 1000, 500)));
-    private static final RunEnd[] ENDS = {RunEnd.DONE, RunEnd.DONE, RunEnd.FAILED, RunEnd.STOPPED, RunEnd.LOST};
+    private static final RunEnd[] ENDS = {RunEnd.DONE, RunEnd.FAILED, RunEnd.FAILED, RunEnd.STOPPED};
 
     private static TaskKey task(Random random) {
         return new TaskKey(
                 "" + (char) ('a' + random.nextInt(6)), random.nextInt(2), random.nextInt(2), random.nextInt(2));
     }
 
-    private static WorkCommand command(Random random) {
-        return switch (random.nextInt(12)) {
-            case 0 -> new WorkCommand.Submit(JOBS.get(random.nextInt(JOBS.size())), Steps.QUEUE, 1000);
-            case 1 -> new WorkCommand.Cancel("" + (char) ('a' + random.nextInt(60)), 1000);
-            case 2, 3, 4, 5, 6 -> new WorkCommand.Start(task(random), 1 + random.nextInt(12), "w", 7, 1000);
-            default -> new WorkCommand.End(
-                    task(random), 1 + random.nextInt(12), ENDS[random.nextInt(ENDS.length)], "", 2000);
-        };
+    /** Mostly commands that fit: run numbers that rise, ends of runs that were started. */
+    private static WorkCommand command(Random random, List<WorkCommand.Start> started, int nextRun) {
+        int kind = random.nextInt(24);
+        if (kind < 3) {
+            return new WorkCommand.Submit(JOBS.get(random.nextInt(JOBS.size())), QUEUE, 1000);
+        } else if (kind == 3) {
+            return new WorkCommand.Cancel("" + (char) ('a' + random.nextInt(30)), 1000);
+        } else if (kind < 14) {
+            int runId = random.nextInt(5) == 0 ? random.nextInt(nextRun) : nextRun;
+            return new WorkCommand.Start(task(random), runId, "w", 7, 1000);
+        }
+        RunEnd how = ENDS[random.nextInt(ENDS.length)];
+        if (started.isEmpty() || random.nextInt(5) == 0) {
+            return new WorkCommand.End(task(random), random.nextInt(nextRun), how, "", 2000);
+        }
+        WorkCommand.Start start = started.get(random.nextInt(started.size()));
+        return new WorkCommand.End(start.task(), start.runId(), how, "", 2000);
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void answersAsTheNaiveVersionDoes(long seed) {
         Random random = new Random(seed);
-        NaiveJobs naive = new NaiveJobs(Steps.QUEUE.attempts());
+        NaiveJobs naive = new NaiveJobs(QUEUE.attempts());
         WorkState state = new WorkState();
+        List<WorkCommand.Start> started = new ArrayList<>();
         for (int i = 1; i <= COMMANDS; i++) {
-            WorkCommand command = command(random);
+            WorkCommand command = command(random, started, i);
             Verdict verdict = Verdict.values()[state.apply(i, CommandCodec.encode(List.of(command)))[0]];
             assertThat("command " + i + ' ' + command, verdict, is(naive.apply(command)));
+            if (command instanceof WorkCommand.Start start && verdict == Verdict.DONE) {
+                started.add(start);
+            }
             if (random.nextInt(40) == 0) {
                 byte[] snapshot = state.snapshot();
                 state = new WorkState();
