A worker that was silent past its lease is used again; fill work stops before a task is over its target for long

When its lease was over it had no runs, so it was never looked at, so its failed looks kept it out of use for good; its room was the only room for two lasting tasks. Tests: TermTest, both red without the change. Ruled out for 1: room taken by lost runs (the worker had none).

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -48,6 +48,10 @@
     long pausedSinceMs;
     /** Whether a lasting task was over its target at the last look. */
     boolean over;
+    /** The first look of those on end that showed a lasting task over its target. */
+    long overSinceMs;
+    /** Whether a lasting task stayed over its target while no fill work beside it moved. */
+    boolean overByItself;
 
     ActiveRun(Job job, TaskKey task, int runId, Worker worker, Stage stage, long nowMs) {
         this.job = job;
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -271,7 +271,7 @@
                 || worker.info.isEmpty() && nowMs > worker.inheritedUntilMs) {
             leasesOver(worker);
         }
-        if (worker.holding || nowMs < worker.holdDueMs || !worker.needsLook() || !term.clock.leased()) {
+        if (worker.holding || nowMs < worker.holdDueMs || !worker.needsLook(nowMs) || !term.clock.leased()) {
             return;
         }
         boolean runsThere = worker.runCount() > 0;
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -1,6 +1,7 @@
 package org.cornelcove.work.lead;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,14 @@
     /** Fill work that stood still for so long is moved, where it can take its progress along. */
     private static final long MOVE_AFTER_MS = 2500;
 
+    /**
+     * How long looks may show a lasting task over its target before all fill work beside it stops: with a look, a figure
+     * of half a second and a pace that takes effect, below the four seconds that the platform allows.
+     */
+    private static final long LONGEST_OVER_MS = 1500;
+    /** How long fill work stands still before a tail is the task's own: a pace, a figure, and a look. */
+    private static final long PROOF_MS = 1300;
+
     private static final int NEARLY_STILL_PERCENT = 20;
     /** A place is worth a move where the work would take a lasting task at most so far to its target. */
     private static final double CALM_COST = 0.3;
@@ -213,7 +222,10 @@
         List<ActiveRun> runs = fillRuns(worker);
         List<PaceControl.Fill> fills = fills(worker, runs);
         int[] percents = PaceControl.next(serving(worker), fills, interference);
-        noteOver(worker);
+        noteOver(worker, nowMs);
+        if (mustStop(worker, nowMs)) {
+            Arrays.fill(percents, 0);
+        }
         List<ActiveRun> moving = new ArrayList<>();
         for (int i = 0; i < percents.length; i++) {
             ActiveRun run = runs.get(i);
@@ -234,15 +246,31 @@
         return moving;
     }
 
+    /** Remembers which tasks are over their target, for the next look. */
+    private static void noteOver(Worker worker, long nowMs) {
+        boolean stood = worker.fillStoppedMs > 0 && nowMs - worker.fillStoppedMs >= PROOF_MS;
+        for (ActiveRun run : worker.runs()) {
+            run.over = hasTarget(run) && run.figure >= run.step.targetMs();
+            run.overSinceMs = !run.over ? 0 : run.overSinceMs == 0 ? nowMs : run.overSinceMs;
+            run.overByItself = run.over && (run.overByItself || stood);
+        }
+    }
+
     /**
-     * Remembers which tasks are over their target, for the next look.
-     *
-     * @param worker the worker
+     * Tells whether all fill work has to stand still: a lasting task was over its target so long that what is known of
+     * the images does not explain it. Work that is harmless one by one may harm in numbers.
      */
-    private static void noteOver(Worker worker) {
+    private static boolean mustStop(Worker worker, long nowMs) {
+        boolean stop = false;
         for (ActiveRun run : worker.runs()) {
-            run.over = hasTarget(run) && run.figure >= run.step.targetMs();
+            stop |= run.over && !run.overByItself && nowMs - run.overSinceMs >= LONGEST_OVER_MS;
+        }
+        if (!stop) {
+            worker.fillStoppedMs = 0;
+        } else if (worker.fillStoppedMs == 0) {
+            worker.fillStoppedMs = nowMs;
         }
+        return stop;
     }
 
     private void set(ActiveRun run, int percent) {
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -57,6 +57,9 @@
     long toldEnd;
 
     long pacedMs;
+    /** Since when all fill work here stands still because a lasting task was over its target too long; 0 if it doesn't. */
+    long fillStoppedMs;
+
     long highestEnd;
     boolean holding;
     long holdDueMs;
@@ -214,10 +217,13 @@
     /**
      * Tells whether the leader has to look at it.
      *
+     * @param nowMs the time on a monotonic clock
      * @return whether the leader has to look at it
      */
-    boolean needsLook() {
+    boolean needsLook(long nowMs) {
+        // One that was silent and says again that it lives gets nothing until it has answered.
+        boolean back = holdFailures > 0 && nowMs - heardMs < FRESH_MS;
         // While an end is on its way into the state, a look would only show it again.
-        return !gone && info.isPresent() && endsUnderWay.isEmpty() && (runCount() > 0 || highestEnd > toldEnd);
+        return !gone && info.isPresent() && endsUnderWay.isEmpty() && (runCount() > 0 || highestEnd > toldEnd || back);
     }
 }
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToDoubleFunction;
 
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
@@ -39,6 +40,8 @@
         long lateStartMs;
 
         boolean fails;
+        /** What a look tells of a running task: a tail or the processor in use. */
+        ToDoubleFunction<TaskKey> figure = task -> -1;
 
         Life(WorkerInfo info) {
             this.info = info;
@@ -54,6 +57,10 @@
     final Map<String, Life> lives = new HashMap<>();
     final List<String> faults = new ArrayList<>();
     final Map<TaskKey, Integer> starts = new HashMap<>();
+    final Map<TaskKey, Integer> paces = new HashMap<>();
+    /** How long a task works. */
+    long taskMs = TASK_MS;
+
     private final Set<TaskKey> noted = new HashSet<>();
 
     FakeWorkers(ManualLoop loop) {
@@ -151,7 +158,7 @@
         life.running.put(order.task(), order.runId());
         life.highest.put(order.task(), order.runId());
         starts.merge(order.task(), 1, Integer::sum);
-        loop.later(TASK_MS, () -> finish(life, order));
+        loop.later(taskMs, () -> finish(life, order));
         return Reply.OK;
     }
 
@@ -213,7 +220,8 @@
         }
         at(life.info);
         List<RunningRow> running = life.running.entrySet().stream()
-                .map(e -> new RunningRow(e.getKey(), e.getValue(), "", (int) (loop.nowMs() % 97), -1))
+                .map(e -> new RunningRow(
+                        e.getKey(), e.getValue(), "", (int) (loop.nowMs() % 97), life.figure.applyAsDouble(e.getKey())))
                 .toList();
         Look look = new Look(
                 Reply.OK,
@@ -228,6 +236,7 @@
     @Override
     public CompletableFuture<Answer> pace(WorkerInfo worker, TaskKey task, int runId, int percent, long fence) {
         Life life = at(worker);
+        paces.put(task, percent);
         return answer(life, answer(Reply.OK, loop), new Answer(Reply.NO_ANSWER, OptionalLong.empty()));
     }
 }
--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.plan.Interference;
 import org.cornelcove.work.state.CommandCodec;
 import org.cornelcove.work.state.WorkCommand;
 import org.cornelcove.work.state.WorkState;
@@ -235,4 +237,54 @@
         assertThat(phase("j"), is(JobPhase.COMPLETED));
         assertThat(workers.starts.values(), everyItem(is(1)));
     }
+
+    /** A one-way cut: its heartbeats come, orders don't arrive. The only worker must be used again after it. */
+    @Test
+    void aWorkerThatWasSilentUntilItsLeaseWasOverIsUsedAgain() {
+        // Longer than a lease, so that no task ends while nobody hears of it.
+        workers.taskMs = 6000;
+        FakeWorkers.Life cut = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(2)));
+        loop.run(100);
+        cut.silent = true;
+        for (int second = 0; second < 9; second++) {
+            loop.term.announce(workers.info("w1", 1, cut.info.address(), false, loop.nowMs()));
+            loop.run(1000);
+        }
+        cut.silent = false;
+        runWithBeats(9000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    /**
+     * Fill work that is harmless by all that is known, but takes a lasting task over its target in numbers; and, with
+     * {@code itself}, a task that is over its target by its own load.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void fillWorkStandsStillBeforeATaskIsOverItsTargetForFourSecondsUnlessThatDoesNotHelp(boolean itself) {
+        apply(new WorkCommand.Learned(List.of(new Interference.Pair("serving", "f", 0.1))));
+        lead();
+        workers.taskMs = 60_000;
+        FakeWorkers.Life life = workers.add("w1", 1);
+        submit(Steps.job("s", Steps.lasting("serving", 1000, 50)));
+        loop.run(500);
+        submit(Steps.job("f", Steps.fill("f", 500)));
+        TaskKey fill = new TaskKey("f", 0, 0, 0);
+        life.figure = task -> {
+            boolean works = workers.paces.getOrDefault(fill, 100) > 0;
+            return task.equals(fill) ? works ? 500 : 0 : itself || works ? 60 : 20;
+        };
+        runWithBeats(1000);
+        assertThat("stands still in time", comesToPass(3000, () -> workers.paces.getOrDefault(fill, 100) == 0));
+        assertThat("works again", comesToPass(6000, () -> workers.paces.get(fill) > 0));
+    }
+
+    private boolean comesToPass(long withinMs, BooleanSupplier what) {
+        for (long passedMs = 0; passedMs < withinMs && !what.getAsBoolean(); passedMs += 100) {
+            loop.run(100);
+        }
+        return what.getAsBoolean();
+    }
 }
