A control host becomes a member only once its identity is on the disk

When writing the identity failed, the next try found it in memory and opened the member all the same. After a loss of power the host knew another identity, or none, and its group had lost a member.

--- a/work/src/main/java/org/cornelcove/work/group/ControlNode.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlNode.java
@@ -190,8 +190,7 @@
         if (identity == null) {
             Optional<MemberIdentity> first =
                     settings.newGroup() ? MemberIdentity.first(settings.address(), settings.seeds()) : Optional.empty();
-            identity = first.orElseGet(MemberIdentity::joining);
-            identity.write(settings.folder());
+            become(first.orElseGet(MemberIdentity::joining));
         }
         WorkState state = new WorkState();
         LeaderSwitch leaderSwitch = new LeaderSwitch(state);
@@ -219,6 +218,12 @@
         }
     }
 
+    /** Takes an identity once it is on the disk: a member that a restart doesn't know again is lost to its group. */
+    private void become(MemberIdentity next) throws IOException {
+        next.write(settings.folder());
+        identity = next;
+    }
+
     private void reopen(Optional<Failure> why) throws IOException {
         EventLog.event(
                 "member.stopped",
@@ -235,8 +240,7 @@
 
     private void beginAnew() throws IOException {
         Path old = identity.logFolder(settings.folder());
-        identity = MemberIdentity.joining();
-        identity.write(settings.folder());
+        become(MemberIdentity.joining());
         try (Stream<Path> files = Files.walk(old)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -20,7 +20,7 @@
  * they are noted, and orders that may get no answer and be carried out later. Notes each task that runs twice at once,
  * or again after its end was noted.
  */
-final class FakeWorkers implements WorkerDriver {
+public final class FakeWorkers implements WorkerDriver {
     static final long TASK_MS = 500;
     private static final long CALL_MS = 2;
     private static final long SILENCE_MS = 500;
@@ -63,7 +63,7 @@
 
     private final Set<TaskKey> noted = new HashSet<>();
 
-    FakeWorkers(ManualLoop loop) {
+    public FakeWorkers(ManualLoop loop) {
         this.loop = loop;
     }
 
--- a/work/src/test/java/org/cornelcove/work/lead/ManualLoop.java
+++ b/work/src/test/java/org/cornelcove/work/lead/ManualLoop.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** A loop on a clock that a test moves. */
-final class ManualLoop implements LoopClock {
+public final class ManualLoop implements LoopClock {
     private static final long TICK_MS = 50;
 
     private record Due(long atMs, long number, Runnable task) {}
