Reading the change once more: one set of kinds, no delegates, no state that follows from other state

- LeaderRouter's two sets of kinds were equal; one is left.
- Conversation passed two calls on to its PaceKeeper beside pace(); callers use pace().
- ActiveRun.over follows from overSinceMs.
- Backlog.chainMs had a second form for step 0; Proposals.Result.surelyNot was not called.
Behaviour is as before.

--- a/model/src/main/java/org/cornelcove/model/error/FailureException.java
+++ b/model/src/main/java/org/cornelcove/model/error/FailureException.java
@@ -32,6 +32,17 @@
         return causeOf(thrown) instanceof FailureException known ? Optional.of(known.failure) : Optional.empty();
     }
 
+    /**
+     * Tells whether an exception carries a failure of a kind.
+     *
+     * @param thrown the exception, wrapped by a future or not
+     * @param kind the kind
+     * @return false for another failure or another exception, and without any
+     */
+    public static boolean carries(Throwable thrown, ErrorKind kind) {
+        return carriedBy(thrown).filter(f -> f.kind() == kind).isPresent();
+    }
+
     /**
      * Returns the failure.
      *
--- a/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
+++ b/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
@@ -21,7 +21,7 @@
  */
 public final class LeaderRouter {
     private static final Set<ErrorKind> NOT_TAKEN = EnumSet.of(ErrorKind.NOT_LEADER, ErrorKind.CALL_NOT_SENT);
-    /** Failures after which a read goes to the next host. */
+    /** Failures after which another host is asked first, and a read goes on to it. */
     private static final Set<ErrorKind> UNANSWERED = EnumSet.of(
             ErrorKind.NOT_LEADER,
             ErrorKind.CALL_NOT_SENT,
@@ -29,14 +29,6 @@
             ErrorKind.PEER_UNREACHABLE,
             ErrorKind.PROPOSAL_OUTCOME_UNKNOWN,
             ErrorKind.NO_QUORUM);
-    /** Failures after which another host is asked first. */
-    private static final Set<ErrorKind> MOVE_ON = EnumSet.of(
-            ErrorKind.NOT_LEADER,
-            ErrorKind.CALL_NOT_SENT,
-            ErrorKind.CALL_TIMEOUT,
-            ErrorKind.PEER_UNREACHABLE,
-            ErrorKind.PROPOSAL_OUTCOME_UNKNOWN,
-            ErrorKind.NO_QUORUM);
 
     private static final long RETRY_PAUSE_MS = 25;
     private static final long READ_ATTEMPTS = 3;
@@ -159,7 +151,7 @@
                     if (!isAmong(NOT_TAKEN, thrown)) {
                         search.taken().ifPresent(taken -> taken.set(true));
                     }
-                    if (isAmong(MOVE_ON, thrown)) {
+                    if (isAmong(UNANSWERED, thrown)) {
                         preferred.compareAndSet(position, position + 1);
                     }
                     return isAmong(search.goOn(), thrown)
--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -46,9 +46,7 @@
     int pacePercent;
 
     long pausedSinceMs;
-    /** Whether a lasting task was over its target at the last look. */
-    boolean over;
-    /** The first look of those on end that showed a lasting task over its target. */
+    /** The first look of those on end that showed a lasting task over its target; 0 when the last one did not. */
     long overSinceMs;
     /** Whether a lasting task stayed over its target while no fill work beside it moved. */
     boolean overByItself;
@@ -65,6 +63,10 @@
         this.progressMs = nowMs;
     }
 
+    boolean over() {
+        return overSinceMs != 0;
+    }
+
     boolean sameStep(TaskKey other) {
         return task.step() == other.step()
                 && task.occurrence() == other.occurrence()
--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -96,21 +96,12 @@
     private static QueueOrder.Waiting orderOf(Job job, TaskKey task, QueueRule queue) {
         long dueMs = job.spec().schedule().dueMs(task.occurrence());
         long sinceMs = Math.max(job.submittedMs(), dueMs);
-        long objectiveMs = (long) (queue.stretch() * chainMs(job.spec().steps())) + queue.targetLatencyMs();
+        long objectiveMs = (long) (queue.stretch() * chainMs(job.spec().steps(), 0)) + queue.targetLatencyMs();
         return new QueueOrder.Waiting(
                 queue.priority(), sinceMs, objectiveMs, chainMs(job.spec().steps(), task.step()));
     }
 
-    /**
-     * Returns the longest chain of estimated work.
-     *
-     * @param steps the steps
-     * @return the longest chain of estimated work
-     */
-    static long chainMs(List<StepSpec> steps) {
-        return chainMs(steps, 0);
-    }
-
+    /** Returns the longest chain of estimated work from a step on. */
     private static long chainMs(List<StepSpec> steps, int first) {
         long[] endMs = new long[steps.size()];
         long longest = 0;
--- a/work/src/main/java/org/cornelcove/work/lead/Conversation.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Conversation.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import org.cornelcove.work.job.RunEnd;
-import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.lead.WorkerDriver.Answer;
 import org.cornelcove.work.lead.WorkerDriver.EndedRow;
 import org.cornelcove.work.lead.WorkerDriver.HoldOrder;
@@ -58,26 +57,10 @@
 
     // Starts
 
-    /** Keeps what was learned. */
-    void keepLearned(long nowMs) {
-        pace.keepLearned(nowMs);
-    }
-
     PaceKeeper pace() {
         return pace;
     }
 
-    /**
-     * Returns how badly a fill task of a step would disturb a worker.
-     *
-     * @param worker the worker
-     * @param step the step
-     * @return how badly a fill task of a step would disturb a worker
-     */
-    double disturbance(Worker worker, StepSpec step) {
-        return pace.cost(worker, step);
-    }
-
     void start(ActiveRun run) {
         if (term.over() || run.endProposed || run.worker.gone) {
             return;
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -137,7 +137,7 @@
         List<PaceControl.Serving> serving = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
             if (hasTarget(run) && run.figure > 0) {
-                serving.add(new PaceControl.Serving(run.step.image(), run.figure / run.step.targetMs(), run.over));
+                serving.add(new PaceControl.Serving(run.step.image(), run.figure / run.step.targetMs(), run.over()));
             }
         }
         return serving;
@@ -250,9 +250,9 @@
     private static void noteOver(Worker worker, long nowMs) {
         boolean stood = worker.fillStoppedMs > 0 && nowMs - worker.fillStoppedMs >= PROOF_MS;
         for (ActiveRun run : worker.runs()) {
-            run.over = hasTarget(run) && run.figure >= run.step.targetMs();
-            run.overSinceMs = !run.over ? 0 : run.overSinceMs == 0 ? nowMs : run.overSinceMs;
-            run.overByItself = run.over && (run.overByItself || stood);
+            boolean over = hasTarget(run) && run.figure >= run.step.targetMs();
+            run.overSinceMs = !over ? 0 : run.over() ? run.overSinceMs : nowMs;
+            run.overByItself = over && (run.overByItself || stood);
         }
     }
 
@@ -263,7 +263,7 @@
     private static boolean mustStop(Worker worker, long nowMs) {
         boolean stop = false;
         for (ActiveRun run : worker.runs()) {
-            stop |= run.over && !run.overByItself && nowMs - run.overSinceMs >= LONGEST_OVER_MS;
+            stop |= run.over() && !run.overByItself && nowMs - run.overSinceMs >= LONGEST_OVER_MS;
         }
         if (!stop) {
             worker.fillStoppedMs = 0;
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -70,7 +70,7 @@
                     && worker.usable(nowMs)
                     && worker.info.get().pool().equals(pool)
                     && worker.hasRoom(run.step)
-                    && term.conversation.disturbance(worker, run.step) < maxCost
+                    && term.conversation.pace().cost(worker, run.step) < maxCost
                     && Placement.fits(run.step, view(worker, run.step, run.task, ""))) {
                 return true;
             }
@@ -330,7 +330,7 @@
                 step.fill() ? term.conversation.pace().openness(worker) : 0,
                 worker.fillCpu,
                 worker.servingCpu,
-                step.fill() ? term.conversation.disturbance(worker, step) : 0,
+                step.fill() ? term.conversation.pace().cost(worker, step) : 0,
                 worker.failedTask(task),
                 worker.health.suspicion());
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Proposals.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -27,16 +27,6 @@
         boolean is(Verdict wanted) {
             return verdict.filter(v -> v == wanted).isPresent();
         }
-
-        /**
-         * Tells whether the command was surely not appended.
-         *
-         * @return whether the command was surely not appended
-         */
-        boolean surelyNot() {
-            return failure.filter(f -> f.kind() == ErrorKind.NOT_LEADER || f.kind() == ErrorKind.NO_QUORUM)
-                    .isPresent();
-        }
     }
 
     /** Entries under way at once; more only add to the queue before the disk. */
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -349,7 +349,7 @@
         }
         placementDue = true;
         placements.copyStragglers(runsByJob.values(), nowMs);
-        conversation.keepLearned(nowMs);
+        conversation.pace().keepLearned(nowMs);
         forgetOldJobs();
     }
 
