--- a/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
+++ b/work/src/main/java/org/cornelcove/work/plan/PaceControl.java
@@ -16,7 +16,7 @@
     /** Full speed. */
     public static final int FULL_PERCENT = 100;
     /** The share of its target that a tail is kept under: figures are rough, and half a second old. */
-    private static final double AIM_SHARE = 0.75;
+    private static final double AIM_SHARE = 0.6;
     /** The part of the way to its target that fill work may take of a task whose own load is above the aim. */
     private static final double REST_SHARE = 0.5;
     /** Harm of a pair below this leaves a task over its target that is there by its own load. */
