--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,15 +29,15 @@
         final int occurrence;
         final int step;
         final Deque<Integer> indices = new ArrayDeque<>();
-        final QueueOrder.Waiting order;
+        private final QueueRule queue;
         /** Since when a task of it waits, on the monotonic clock. */
         long waitingSinceMs;
 
-        private WaitingStep(Job job, int occurrence, int step, QueueOrder.Waiting order) {
+        private WaitingStep(Job job, int occurrence, int step, QueueRule queue) {
             this.job = job;
             this.occurrence = occurrence;
             this.step = step;
-            this.order = order;
+            this.queue = queue;
         }
 
         StepSpec spec() {
@@ -46,6 +47,23 @@
         TaskKey task(int index) {
             return new TaskKey(job.spec().id(), occurrence, step, index);
         }
+
+        private QueueOrder.Waiting order(long nowMs) {
+            List<StepSpec> steps = job.spec().steps();
+            long sinceMs = Math.max(job.submittedMs(), job.spec().schedule().dueMs(occurrence));
+            long objectiveMs = (long) (queue.stretch() * chainMs(steps, 0)) + queue.targetLatencyMs();
+            return new QueueOrder.Waiting(
+                    queue.priority(),
+                    sinceMs,
+                    objectiveMs,
+                    chainMs(steps, step),
+                    spec().lasting(),
+                    hasRun(indices.peekFirst()) ? nowMs - waitingSinceMs : 0);
+        }
+
+        private boolean hasRun(int index) {
+            return job.task(task(index)).orElseThrow().lastRunId() > 0;
+        }
     }
 
     private final Map<StepKey, WaitingStep> waiting = new LinkedHashMap<>();
@@ -83,24 +101,20 @@
      */
     void add(Job job, TaskKey task, QueueRule queue, long nowMs) {
         StepKey key = new StepKey(task.jobId(), task.occurrence(), task.step());
-        WaitingStep step = waiting.computeIfAbsent(
-                key, any -> new WaitingStep(job, task.occurrence(), task.step(), orderOf(job, task, queue)));
+        WaitingStep step =
+                waiting.computeIfAbsent(key, any -> new WaitingStep(job, task.occurrence(), task.step(), queue));
         if (step.indices.isEmpty()) {
             step.waitingSinceMs = nowMs;
         }
         if (!step.indices.contains(task.index())) {
-            step.indices.addLast(task.index());
+            if (step.hasRun(task.index())) {
+                step.indices.addFirst(task.index());
+            } else {
+                step.indices.addLast(task.index());
+            }
         }
     }
 
-    private static QueueOrder.Waiting orderOf(Job job, TaskKey task, QueueRule queue) {
-        long dueMs = job.spec().schedule().dueMs(task.occurrence());
-        long sinceMs = Math.max(job.submittedMs(), dueMs);
-        long objectiveMs = (long) (queue.stretch() * chainMs(job.spec().steps(), 0)) + queue.targetLatencyMs();
-        return new QueueOrder.Waiting(
-                queue.priority(), sinceMs, objectiveMs, chainMs(job.spec().steps(), task.step()));
-    }
-
     /** Returns the longest chain of estimated work from a step on. */
     private static long chainMs(List<StepSpec> steps, int first) {
         long[] endMs = new long[steps.size()];
@@ -131,12 +145,15 @@
      * Returns the steps that have waiting tasks, the most urgent first.
      *
      * @param wallMs the Unix time
+     * @param nowMs the time on a monotonic clock
      * @return the steps that have waiting tasks, the most urgent first
      */
-    List<WaitingStep> inOrder(long wallMs) {
+    List<WaitingStep> inOrder(long wallMs, long nowMs) {
         waiting.values().removeIf(step -> step.indices.isEmpty());
-        List<WaitingStep> steps = new ArrayList<>(waiting.values());
-        steps.sort(Comparator.comparing(step -> step.order, QueueOrder.at(wallMs)));
+        Map<WaitingStep, QueueOrder.Waiting> order = new HashMap<>();
+        waiting.values().forEach(step -> order.put(step, step.order(nowMs)));
+        List<WaitingStep> steps = new ArrayList<>(order.keySet());
+        steps.sort(Comparator.comparing(order::get, QueueOrder.at(wallMs)));
         return steps;
     }
 }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -155,6 +155,7 @@
 
     void untrack(ActiveRun run) {
         run.worker.remove(run);
+        placementDue = true;
         Set<ActiveRun> runs = runsByJob.get(run.task.jobId());
         if (runs != null && runs.remove(run) && runs.isEmpty()) {
             runsByJob.remove(run.task.jobId());
@@ -372,7 +373,7 @@
         long nowMs = clock.nowMs();
         if (placementDue && nowMs >= placeAgainMs && clock.leased()) {
             placementDue = false;
-            placements.place(backlog.inOrder(clock.wallMs()), nowMs);
+            placements.place(backlog.inOrder(clock.wallMs(), nowMs), nowMs);
             long tookMs = clock.nowMs() - nowMs;
             placeAgainMs = nowMs + Math.max(PLACE_EVERY_MS, PLACE_PART * tookMs);
             Metrics.took("place", tookMs);
--- a/work/src/test/java/org/cornelcove/work/plan/OrderAndHealthTest.java
+++ b/work/src/test/java/org/cornelcove/work/plan/OrderAndHealthTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -11,15 +13,28 @@
 class OrderAndHealthTest {
     @Test
     void atACrestUrgentWorkComesFirstAndHopelessWorkLast() {
-        QueueOrder.Waiting hopeless = new QueueOrder.Waiting(0, 0, 1000, 500);
-        QueueOrder.Waiting later = new QueueOrder.Waiting(0, 9500, 2000, 500);
-        QueueOrder.Waiting sooner = new QueueOrder.Waiting(0, 9600, 500, 50);
-        QueueOrder.Waiting bulk = new QueueOrder.Waiting(2, 8000, 2500, 400);
+        QueueOrder.Waiting hopeless = new QueueOrder.Waiting(0, 0, 1000, 500, false, 0);
+        QueueOrder.Waiting later = new QueueOrder.Waiting(0, 9500, 2000, 500, false, 0);
+        QueueOrder.Waiting sooner = new QueueOrder.Waiting(0, 9600, 500, 50, false, 0);
+        QueueOrder.Waiting bulk = new QueueOrder.Waiting(2, 8000, 2500, 400, false, 0);
         List<QueueOrder.Waiting> order = new ArrayList<>(List.of(hopeless, bulk, later, sooner));
         order.sort(QueueOrder.at(10_000));
         assertThat(order, is(List.of(sooner, later, bulk, hopeless)));
     }
 
+    /** The load pattern: a fleet full of short work, in which lasting tasks of jobs that came long ago fail. */
+    @ParameterizedTest
+    @CsvSource({"0, 3", "4000, 3", "5000, 0", "60000, 0"})
+    void aStoppedLastingTaskWaitsOnlyForAWhile(long stoppedMs, int place) {
+        QueueOrder.Waiting inTime = new QueueOrder.Waiting(0, 99_500, 2000, 500, false, 0);
+        QueueOrder.Waiting late = new QueueOrder.Waiting(0, 97_500, 2000, 500, false, 0);
+        QueueOrder.Waiting hopeless = new QueueOrder.Waiting(0, 50_000, 2000, 500, false, 0);
+        QueueOrder.Waiting stopped = new QueueOrder.Waiting(0, 0, 3000, 300, true, stoppedMs);
+        List<QueueOrder.Waiting> order = new ArrayList<>(List.of(hopeless, late, stopped, inTime));
+        order.sort(QueueOrder.at(100_000));
+        assertThat(order.indexOf(stopped), is(place));
+    }
+
     @Test
     void aJobThatCanNeverBeDoneSpoilsNoWorker() {
         WorkerHealth health = new WorkerHealth();
