A worker is kept free for a short task that found no processor; step.waits tells processor from memory

Cause: on a full pool small tasks take each piece that becomes free, and tasks of 5 cores waited 20 s while 20 to 77 cores were free in pieces of 2 to 6. One worker in 33 at most is kept free, for a task that will fit once the short tasks there end. On 33 workers none is kept free.

--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -32,6 +32,9 @@
     /** The share of a pool's processor above which the platform lets tasks wait; half, and a margin. */
     private static final double BUSY_SHARE = 0.55;
 
+    /** The share of a pool that may be kept free for tasks which wait for room in one piece. */
+    private static final double MAX_HELD_SHARE = 0.03;
+
     /** How long a step waits before the log may tell why. */
     private static final long TELL_WAITING_AFTER_MS = 1000;
     /** How often that is told, of one step each time; it costs a look at all workers. */
@@ -149,6 +152,7 @@
         }
         Map<String, Boolean> busy = new HashMap<>();
         NoRoom noRoom = new NoRoom();
+        Map<String, Held> held = new HashMap<>();
         for (Backlog.WaitingStep step : steps) {
             if (step.job.phase().ended()) {
                 step.indices.clear();
@@ -160,7 +164,37 @@
                 placeGang(step, pool);
             } else {
                 placeTasks(step, pool, name, busy.computeIfAbsent(name, any -> isBusy(pool)), noRoom);
+                held.computeIfAbsent(name, any -> new Held(pool)).hold(step);
+            }
+        }
+    }
+
+    /**
+     * The workers of a pool that are kept free in this pass, each for one step that found none. A held worker leaves the
+     * pool, so that what is less urgent does not see it.
+     */
+    private final class Held {
+        private final List<Worker> pool;
+        private int left;
+
+        Held(List<Worker> pool) {
+            this.pool = pool;
+            left = (int) (MAX_HELD_SHARE * pool.size());
+        }
+
+        /** Keeps a worker free for the next task of a step that still waits. */
+        void hold(Backlog.WaitingStep step) {
+            StepSpec spec = step.spec();
+            if (left == 0 || step.indices.isEmpty() || spec.fill() || spec.lasting()) {
+                return;
             }
+            left--;
+            TaskKey next = step.task(step.indices.peekFirst());
+            List<Worker> able =
+                    pool.stream().filter(worker -> worker.willHaveRoom(spec)).toList();
+            List<HostView> views =
+                    able.stream().map(worker -> view(worker, spec, next, "")).toList();
+            Placement.hold(spec, views).ifPresent(best -> pool.remove(able.get(best)));
         }
     }
 
@@ -260,8 +294,10 @@
                 pool.size(),
                 "mismatch",
                 why.mismatch(),
-                "full",
-                why.full(),
+                "noProcessor",
+                why.noProcessor(),
+                "noMemory",
+                why.noMemory(),
                 "disturbed",
                 why.disturbed(),
                 "crowded",
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -148,6 +148,14 @@
                 && step.accelerators() <= held.accelerators() - acceleratorsUsed;
     }
 
+    /** Tells whether a task will fit by size alone once all but the lasting tasks have ended; cheap too. */
+    boolean willHaveRoom(StepSpec step) {
+        WorkerInfo held = info.orElseThrow();
+        return step.cpuMillis() <= held.cpuMillis() - servingCpu
+                && step.memoryMb() <= held.memoryMb() - memoryUsed
+                && step.accelerators() <= held.accelerators() - acceleratorsUsed;
+    }
+
     boolean failedTask(TaskKey task) {
         return failedTasks.contains(task);
     }
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -73,13 +73,45 @@
      * @return whether a task fits on a worker
      */
     public static boolean fits(StepSpec step, HostView host) {
+        return hasProcessor(step, host) && fitsBeside(step, host);
+    }
+
+    private static boolean hasProcessor(StepSpec step, HostView host) {
+        return step.fill() || step.cpuMillis() <= host.cpuFreeMillis();
+    }
+
+    private static boolean fitsBeside(StepSpec step, HostView host) {
         return host.matchesLabel()
-                && (step.fill() || step.cpuMillis() <= host.cpuFreeMillis())
                 && step.memoryMb() <= host.memoryFreeMb()
                 && step.accelerators() <= host.acceleratorsFree()
                 && (step.maxPerWorker() == 0 || host.runsOfStep() < step.maxPerWorker());
     }
 
+    /**
+     * Chooses the worker to keep free for a task that found no processor: one on which enough becomes free when the tasks
+     * that are soon done have ended, among these the one that lacks the least now.
+     *
+     * <p>Load pattern: a full pool in which small tasks end and begin all the time. Each piece that became free was taken
+     * by the next small task, so that larger ones waited until the crest was over, and a lasting task that had failed
+     * never came back.
+     *
+     * @param step the step
+     * @param hosts the workers to choose from
+     * @return the place in the list of the worker to keep free, empty when waiting would not help on any
+     */
+    public static OptionalInt hold(StepSpec step, List<HostView> hosts) {
+        int best = -1;
+        for (int i = 0; i < hosts.size(); i++) {
+            HostView host = hosts.get(i);
+            int passingMillis = host.cpuMillis() - host.cpuFreeMillis() - host.servingCpuMillis();
+            boolean willFit = step.cpuMillis() <= host.cpuFreeMillis() + passingMillis && fitsBeside(step, host);
+            if (willFit && (best < 0 || host.cpuFreeMillis() > hosts.get(best).cpuFreeMillis())) {
+                best = i;
+            }
+        }
+        return best < 0 ? OptionalInt.empty() : OptionalInt.of(best);
+    }
+
     /**
      * Tells whether fill work would do more than stand still on a worker. Elsewhere it is better off in the queue, from
      * which it can still go to the first worker that becomes free.
@@ -97,12 +129,14 @@
      * Why a task found no worker: how many workers each reason ruled out, the first that applies.
      *
      * @param mismatch another label, or enough tasks of the step there
-     * @param full no room for what the task reserves
+     * @param noProcessor no processor left of what the task reserves
+     * @param noMemory processor, but no memory or accelerator left
      * @param disturbed the task would take a lasting task over its target
      * @param crowded other fill work takes what is left
      * @param leastDisturbance the lowest disturbance among workers with room
      */
-    public record Refusals(int mismatch, int full, int disturbed, int crowded, double leastDisturbance) {}
+    public record Refusals(
+            int mismatch, int noProcessor, int noMemory, int disturbed, int crowded, double leastDisturbance) {}
 
     /**
      * Counts why a patient task finds no worker.
@@ -113,7 +147,8 @@
      */
     public static Refusals refusals(StepSpec step, List<HostView> hosts) {
         int mismatch = 0;
-        int full = 0;
+        int noProcessor = 0;
+        int noMemory = 0;
         int disturbed = 0;
         int crowded = 0;
         double least = Double.MAX_VALUE;
@@ -121,15 +156,17 @@
             boolean tooMany = step.maxPerWorker() > 0 && host.runsOfStep() >= step.maxPerWorker();
             if (!host.matchesLabel() || tooMany) {
                 mismatch++;
+            } else if (!hasProcessor(step, host)) {
+                noProcessor++;
             } else if (!fits(step, host)) {
-                full++;
+                noMemory++;
             } else {
                 least = Math.min(least, host.disturbance());
                 disturbed += host.disturbance() > 1 ? 1 : 0;
                 crowded += host.disturbance() <= 1 && !worthwhile(step, host) ? 1 : 0;
             }
         }
-        return new Refusals(mismatch, full, disturbed, crowded, least);
+        return new Refusals(mismatch, noProcessor, noMemory, disturbed, crowded, least);
     }
 
     private static double cost(StepSpec step, HostView host) {
--- a/work/src/test/java/org/cornelcove/work/Steps.java
+++ b/work/src/test/java/org/cornelcove/work/Steps.java
@@ -39,6 +39,11 @@
                 0);
     }
 
+    public static StepSpec reserving(int cpuMillis) {
+        return new StepSpec(
+                1, cpuMillis, 100, 0, 500, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
+    }
+
     public static StepSpec copies(int count) {
         return new StepSpec(
                 count, 1000, 100, 0, 500, List.of(), false, false, false, "", "", 0, true, false, "", 0, false, 0);
--- a/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
+++ b/work/src/test/java/org/cornelcove/work/plan/PlacementTest.java
@@ -12,6 +12,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 class PlacementTest {
     private static HostView host(int cpuFree, int fillCpu, double disturbance) {
@@ -132,10 +133,41 @@
         assertThat(Placement.choose(Steps.fill("f", 2000), List.of(open, closed), true), is(OptionalInt.of(1)));
     }
 
+    /**
+     * The load pattern: two workers full of small tasks, of which one ends each second and another takes its place at once,
+     * while a large task waits. Without a held worker it would wait for ever.
+     */
+    @Test
+    void aLargeTaskGetsRoomWhileSmallOnesComeAndGo() {
+        int[] cpuFree = {0, 0};
+        StepSpec large = Steps.reserving(5000);
+        int seconds = 0;
+        while (place(large, views(cpuFree)).isEmpty()) {
+            cpuFree[seconds++ % 2] += 2000;
+            int held = Placement.hold(large, views(cpuFree)).orElseThrow();
+            cpuFree[1 - held] = 0;
+        }
+        assertThat(seconds, is(lessThan(8)));
+    }
+
+    @Test
+    void noWorkerIsHeldWhereOnlyLastingTasksStandInTheWay() {
+        HostView lasting = new HostView(4000, 8000, 0, 32_000, true, true, true, 0, 4, 0, 0, 0, 28_000, 0, false, 0);
+        assertThat(Placement.hold(Steps.reserving(5000), List.of(lasting)), is(OptionalInt.empty()));
+    }
+
+    private static OptionalInt place(StepSpec step, List<HostView> hosts) {
+        return Placement.choose(step, hosts, true);
+    }
+
+    private static List<HostView> views(int[] cpuFree) {
+        return Arrays.stream(cpuFree).mapToObj(free -> host(free, 0, 0)).toList();
+    }
+
     @Test
     void tellsWhyATaskFindsNoWorker() {
         HostView full = new HostView(9000, 10, 0, 32_000, true, true, true, 0, 3, 0, 1, 0, 12_000, 0, false, 0);
         List<HostView> hosts = List.of(full, host(2000, 2000, 1.5), host(0, 8000, 0), host(0, 8000, 0));
-        assertThat(Placement.refusals(Steps.fill("f", 4000), hosts), is(new Placement.Refusals(0, 1, 1, 2, 0)));
+        assertThat(Placement.refusals(Steps.fill("f", 4000), hosts), is(new Placement.Refusals(0, 0, 1, 1, 2, 0)));
     }
 }
