--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -281,6 +281,26 @@
         assertThat("works again", comesToPass(6000, () -> workers.paces.get(fill) > 0));
     }
 
+    @Test
+    void aLastingTaskThatStoppedComesBackThoughShortWorkKeepsComing() {
+        FakeWorkers.Life life = workers.add("w1", 1);
+        TaskKey lasting = new TaskKey("s", 0, 0, 0);
+        workers.taskMs = 60_000;
+        submit(Steps.job("s", Steps.lasting("serving", 3000, 0)));
+        loop.run(100);
+        workers.taskMs = 500;
+        for (int tenth = 0; tenth < 90; tenth++) {
+            submit(Steps.job("short" + tenth, Steps.plain(8)));
+            if (tenth == 10) {
+                life.running.remove(lasting);
+            }
+            workers.beat(loop.nowMs());
+            loop.run(100);
+        }
+        assertThat("starts within 8 s", workers.starts.get(lasting), is(2));
+        assertThat(workers.faults, empty());
+    }
+
     private boolean comesToPass(long withinMs, BooleanSupplier what) {
         for (long passedMs = 0; passedMs < withinMs && !what.getAsBoolean(); passedMs += 100) {
             loop.run(100);
