A gang that is not taken whole is given up at once; tests of gangs and occurrences

The test aGangThatIsNotTakenWhole... was red before (a member still waited after a second). occurrencesStartWhenTheyAreDueAndMayOverlap was green at once.

--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -239,6 +239,18 @@
             }
         } else if (task.runs().isEmpty()) {
             backlog.add(job, run.task, state.queueOf(job), clock.nowMs());
+            if (run.step.gang()) {
+                stopRestOfGang(run);
+            }
+        }
+    }
+
+    /** The members of a gang begin together or not at all; one alone would hold its room and do nothing. */
+    private void stopRestOfGang(ActiveRun ended) {
+        for (ActiveRun other : List.copyOf(runsOf(ended.task.jobId()))) {
+            if (other.sameStep(ended.task) && other.runId == ended.runId) {
+                conversation.wantStop(other);
+            }
         }
     }
 
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -40,6 +40,8 @@
         long lateStartMs;
 
         boolean fails;
+        /** Whether it says that it has no room. */
+        boolean full;
         /** What a look tells of a running task: a tail or the processor in use. */
         ToDoubleFunction<TaskKey> figure = task -> -1;
 
@@ -153,6 +155,9 @@
         if (order.deadlineMs() < loop.nowMs()) {
             return Reply.LATE;
         }
+        if (life.full) {
+            return Reply.NO_ROOM;
+        }
         check(order);
         life.leaseMs = Math.max(life.leaseMs, order.deadlineMs());
         life.running.put(order.task(), order.runId());
--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -1,12 +1,15 @@
 package org.cornelcove.work.lead;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.JobSpec;
+import org.cornelcove.work.job.Schedule;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.plan.Interference;
 import org.cornelcove.work.state.CommandCodec;
@@ -301,6 +304,51 @@
         assertThat(workers.faults, empty());
     }
 
+    @Test
+    void aGangThatIsNotTakenWholeDoesNotWaitForItsOtherMembers() {
+        workers.taskMs = 60_000;
+        FakeWorkers.Life taking = workers.add("w1", 1);
+        FakeWorkers.Life full = workers.add("w2", 1);
+        submit(Steps.job("s", Steps.lasting("serving", 7000, 0)));
+        submit(Steps.job("t", Steps.lasting("serving", 7000, 0)));
+        loop.run(200);
+        full.full = true;
+        submit(Steps.job("g", Steps.gang(2)));
+        loop.run(1000);
+        assertThat("nothing waits alone", runsOf("g", taking), empty());
+        full.full = false;
+        runWithBeats(3000);
+        assertThat(runsOf("g", taking).size(), is(1));
+        assertThat("the same run", runsOf("g", taking), is(runsOf("g", full)));
+        assertThat(workers.faults, empty());
+    }
+
+    private static List<Integer> runsOf(String job, FakeWorkers.Life life) {
+        return life.running.entrySet().stream()
+                .filter(run -> run.getKey().jobId().equals(job))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
+    @Test
+    void occurrencesStartWhenTheyAreDueAndMayOverlap() {
+        workers.add("w1", 1);
+        workers.taskMs = 1500;
+        long firstMs = loop.wallMs() + 2000;
+        JobSpec once = Steps.job("j", Steps.plain(1));
+        submit(new JobSpec(
+                "j", once.host(), once.pathPrefix(), once.taskText(), once.steps(), new Schedule(firstMs, 1000, 3)));
+        List<Integer> startedBy = new ArrayList<>();
+        for (int second = 0; second < 5; second++) {
+            runWithBeats(1000);
+            startedBy.add(workers.starts.size());
+        }
+        assertThat(startedBy, is(List.of(0, 0, 1, 2, 3)));
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
     private boolean comesToPass(long withinMs, BooleanSupplier what) {
         for (long passedMs = 0; passedMs < withinMs && !what.getAsBoolean(); passedMs += 100) {
             loop.run(100);
