--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -92,8 +92,7 @@
      * that are soon done have ended, among these the one that lacks the least now.
      *
      * <p>Load pattern: a full pool in which small tasks end and begin all the time. Each piece that became free was taken
-     * by the next small task, so that larger ones waited until the crest was over, and a lasting task that had failed
-     * never came back.
+     * by the next small task, so that larger ones waited until the crest was over.
      *
      * @param step the step
      * @param hosts the workers to choose from
