--- a/policy/src/main/java/org/cornelcove/policy/place/Placer.java
+++ b/policy/src/main/java/org/cornelcove/policy/place/Placer.java
@@ -7,16 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 
-import org.cornelcove.model.error.ErrorKind;
-import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.HostId;
 import org.cornelcove.model.id.JobId;
 import org.cornelcove.model.job.AttemptEnd;
-import org.cornelcove.model.job.JobKind;
 import org.cornelcove.model.job.JobSpec;
 import org.cornelcove.model.resource.Resources;
 import org.cornelcove.model.rule.RuleSet;
@@ -34,8 +30,8 @@
  * The leader's placement: which waiting jobs start, and where.
  *
  * <p>Urgent jobs and services go first, then batch work; each time the team with the smallest dominant share for its
- * weight. Within a team the oldest job goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass. A shape (kind, amount) that
- * fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. For a
+ * weight. Within a team the oldest job goes first, but one that fits nowhere lets up to {@code LOOK_AHEAD} younger ones pass, see
+ * {@link DecisionRound}. A shape (kind, amount) that fitted nowhere is not tried again in the same round, so that a queue of a thousand equal jobs costs one search. For a
  * job that waited long a host is kept free of other batch work until the job fits there, on a bounded number of hosts.
  *
  * <p>A job is not placed again on a worker that it failed on, as long as another that takes work could hold it.
@@ -45,20 +41,17 @@
  * that it refuses is taken back with {@code ended} and submitted again. Not thread-safe.
  */
 public final class Placer {
-    private static final String ANY_TASK = "";
-
-    private static final int LOOK_AHEAD = 16;
-    private static final long HOLD_AFTER_MS = 120_000;
+    /** How many hosts there are to each one that is kept free, which bounds what stands idle. */
     private static final int HOSTS_TO_A_HELD_ONE = 50;
 
     private final InterferenceModel interference = InterferenceModel.create();
     private final PlacementHistory history = PlacementHistory.create();
-    private final KindTrial trials = KindTrial.create();
-    private final StartPace pace = StartPace.create();
-    private final PendingJobs pending = new PendingJobs();
+    final KindTrial trials = KindTrial.create();
+    final StartPace pace = StartPace.create();
+    final PendingJobs pending = new PendingJobs();
     private final Map<HostId, Resources> capacities = new HashMap<>();
-    private final HostTable hosts;
-    private final TeamQuotas quotas;
+    final HostTable hosts;
+    final TeamQuotas quotas;
     private final RunningJobs running;
     private final WorkerHealth health;
     private final RoomMaker roomMaker;
@@ -66,12 +59,12 @@
     private final Map<JobId, HostId> held = new HashMap<>();
 
     /** Jobs that go first and found no host in the last round. */
-    private final Map<JobId, PendingJob> withoutRoom = new LinkedHashMap<>();
+    final Map<JobId, PendingJob> withoutRoom = new LinkedHashMap<>();
 
     private RuleSet rules;
     private long nextRank;
     private Set<HostId> limited = Set.of();
-    private Resources cluster = Resources.NONE;
+    Resources cluster = Resources.NONE;
 
     private Placer(RuleSet rules) {
         this.rules = rules;
@@ -324,7 +317,7 @@
             return decisions;
         }
         refreshLimits(nowMs);
-        Round round = new Round(nowMs, most, decisions);
+        DecisionRound round = new DecisionRound(this, nowMs, most, decisions);
         round.run(true);
         round.run(false);
         return decisions;
@@ -386,7 +379,7 @@
         return roomMaker.relieve(mayLeave, nowMs);
     }
 
-    private Set<HostId> avoid(PendingJob waiting) {
+    Set<HostId> avoid(PendingJob waiting) {
         Set<HostId> avoid = new HashSet<>(health.workersFailedOn(waiting.spec().id()));
         avoid.addAll(waiting.failedOn());
         return avoid.isEmpty() || hosts.fitsOpenHostBut(waiting.spec(), avoid) ? avoid : Set.of();
@@ -438,7 +431,7 @@
     }
 
     /** Keeps a host free for a job that others overtook for long, so that room for it gathers there. */
-    private void hold(JobSpec job) {
+    void hold(JobSpec job) {
         if (!held.containsKey(job.id()) && held.size() <= hosts.size() / HOSTS_TO_A_HELD_ONE) {
             hosts.hold(job).ifPresent(host -> held.put(job.id(), host));
         }
@@ -449,112 +442,9 @@
         Optional.ofNullable(held.remove(job)).ifPresent(hosts::unhold);
     }
 
-    private void take(JobSpec job, HostId host, long nowMs) {
+    void take(JobSpec job, HostId host, long nowMs) {
         unhold(job.id());
         running.take(job, host, nowMs);
         trials.started(job.task());
     }
-
-    private record TeamTurn(String team, double dominantShare) implements Comparable<TeamTurn> {
-        @Override
-        public int compareTo(TeamTurn other) {
-            int order = Double.compare(dominantShare, other.dominantShare);
-            return order != 0 ? order : team.compareTo(other.team);
-        }
-    }
-
-    /** What a search depends on; one that found nothing is not repeated within a round. */
-    private record Shape(JobKind kind, String task, Resources resources, boolean urgent) {}
-
-    /** One round of decisions. */
-    private final class Round {
-        private final long nowMs;
-        private final int most;
-        private final List<PlacementDecision> decisions;
-        private final Set<Shape> unfit = new HashSet<>();
-        /** Whether the pace allows no further start. */
-        private boolean paced;
-
-        Round(long nowMs, int most, List<PlacementDecision> decisions) {
-            this.nowMs = nowMs;
-            this.most = most;
-            this.decisions = decisions;
-        }
-
-        void run(boolean goingFirst) {
-            PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
-            for (String team : pending.teams(goingFirst)) {
-                turns.add(turnOf(team));
-            }
-            paced = false;
-            while (!turns.isEmpty() && decisions.size() < most && !paced) {
-                String team = turns.poll().team;
-                if (decideForTeam(team, goingFirst)) {
-                    turns.add(turnOf(team));
-                }
-            }
-        }
-
-        private TeamTurn turnOf(String team) {
-            return new TeamTurn(team, quotas.dominantShare(team, cluster));
-        }
-
-        /** Decides on one job of the team; false when none of its first jobs can start now. */
-        private boolean decideForTeam(String team, boolean goingFirst) {
-            for (PendingJob job : pending.first(team, goingFirst, LOOK_AHEAD)) {
-                Optional<PlacementDecision> decision = decideFor(job);
-                if (decision.isPresent()) {
-                    pending.remove(job.spec().id());
-                    decisions.add(decision.get());
-                    return true;
-                }
-                if (paced) {
-                    return false;
-                }
-                if (nowMs - job.sinceMs() > HOLD_AFTER_MS) {
-                    hold(job.spec());
-                }
-            }
-            return false;
-        }
-
-        private Optional<PlacementDecision> decideFor(PendingJob waiting) {
-            JobSpec job = waiting.spec();
-            boolean mayStart = job.urgent() || trials.mayStart(job.task());
-            if (!mayStart || !quotas.allows(job.team(), job.resources())) {
-                return Optional.empty();
-            }
-            Shape shape = new Shape(job.kind(), job.task(), job.resources(), job.urgent());
-            Shape ofAnyTask = new Shape(job.kind(), ANY_TASK, job.resources(), job.urgent());
-            if (unfit.contains(ofAnyTask) || unfit.contains(shape)) {
-                noteWithoutRoom(waiting);
-                return Optional.empty();
-            }
-            Set<HostId> avoid = avoid(waiting);
-            Optional<HostId> host = hosts.choose(job, avoid);
-            if (host.isEmpty()) {
-                if (hosts.size() > 0 && !hosts.fitsAnyHost(job)) {
-                    return Optional.of(
-                            new PlacementDecision.GiveUp(job, Failure.of(ErrorKind.JOB_NEVER_FITS, job.id())));
-                }
-                if (avoid.isEmpty()) {
-                    unfit.add(hosts.hasRoom(job) ? shape : ofAnyTask);
-                }
-                noteWithoutRoom(waiting);
-                return Optional.empty();
-            }
-            if (!pace.tryStart(job.urgent(), nowMs)) {
-                paced = true;
-                return Optional.empty();
-            }
-            take(job, host.get(), nowMs);
-            return Optional.of(new PlacementDecision.Start(job, host.get()));
-        }
-
-        private void noteWithoutRoom(PendingJob waiting) {
-            if (PendingJobs.goesFirst(waiting.spec())) {
-                withoutRoom.put(waiting.spec().id(), waiting);
-            }
-        }
-    }
 }
