Worker: one check of room for now and for once short tasks have ended

hasRoom and willHaveRoom shared three lines and differed in what counts as reserved. Behaviour as before: fill work, which the shared check exempts from processor, is never asked about in willHaveRoom.

--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -142,16 +142,17 @@
 
     /** Tells whether a task fits by size alone; cheap, so that only the few workers with room are looked at closely. */
     boolean hasRoom(StepSpec step) {
-        WorkerInfo held = info.orElseThrow();
-        return (step.fill() || step.cpuMillis() <= held.cpuMillis() - cpuUsed)
-                && step.memoryMb() <= held.memoryMb() - memoryUsed
-                && step.accelerators() <= held.accelerators() - acceleratorsUsed;
+        return hasRoomBeside(step, cpuUsed);
     }
 
     /** Tells whether a task will fit by size alone once all but the lasting tasks have ended; cheap too. */
     boolean willHaveRoom(StepSpec step) {
+        return hasRoomBeside(step, servingCpu);
+    }
+
+    private boolean hasRoomBeside(StepSpec step, int reservedMillis) {
         WorkerInfo held = info.orElseThrow();
-        return step.cpuMillis() <= held.cpuMillis() - servingCpu
+        return (step.fill() || step.cpuMillis() <= held.cpuMillis() - reservedMillis)
                 && step.memoryMb() <= held.memoryMb() - memoryUsed
                 && step.accelerators() <= held.accelerators() - acceleratorsUsed;
     }
