--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,6 +48,9 @@
     /** How long the done tasks of steps that may run in copies took, by the step of one occurrence. */
     private final Map<String, List<Long>> doneMs = new HashMap<>();
 
+    /** The steps of one occurrence of which the log told that a worker is kept free for them. */
+    private final Set<String> toldHeld = new HashSet<>();
+
     private long toldWaitingMs;
     /** Fill work that found no calm place of late. */
     private NoRoom noCalmPlace = new NoRoom();
@@ -91,6 +95,7 @@
 
     void forget(String jobId) {
         doneMs.keySet().removeIf(step -> step.startsWith(jobId));
+        toldHeld.removeIf(step -> step.startsWith(jobId));
     }
 
     private static String stepName(TaskKey task) {
@@ -194,7 +199,27 @@
                     pool.stream().filter(worker -> worker.willHaveRoom(spec)).toList();
             List<HostView> views =
                     able.stream().map(worker -> view(worker, spec, next, "")).toList();
-            Placement.hold(spec, views).ifPresent(best -> pool.remove(able.get(best)));
+            Placement.hold(spec, views).ifPresent(best -> {
+                tellHeld(step, next, able.get(best));
+                pool.remove(able.get(best));
+            });
+        }
+    }
+
+    /** Counts each pass in which a worker is kept free, and tells the first one of each step. */
+    private void tellHeld(Backlog.WaitingStep step, TaskKey next, Worker worker) {
+        Metrics.count("placement.held");
+        if (toldHeld.add(stepName(next))) {
+            EventLog.event(
+                    "worker.held",
+                    "task",
+                    next.text(),
+                    "waitedMs",
+                    term.clock.nowMs() - step.waitingSinceMs,
+                    "cpuMillis",
+                    step.spec().cpuMillis(),
+                    "worker",
+                    worker.id);
         }
     }
 
@@ -303,7 +328,7 @@
                 "crowded",
                 why.crowded(),
                 "leastDisturbance",
-                why.leastDisturbance());
+                why.leastDisturbance().isPresent() ? why.leastDisturbance().getAsDouble() : "");
     }
 
     private void placeGang(Backlog.WaitingStep step, List<Worker> pool) {
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -1,6 +1,7 @@
 package org.cornelcove.work.plan;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 import org.cornelcove.work.job.StepSpec;
@@ -132,10 +133,10 @@
      * @param noMemory processor, but no memory or accelerator left
      * @param disturbed the task would take a lasting task over its target
      * @param crowded other fill work takes what is left
-     * @param leastDisturbance the lowest disturbance among workers with room
+     * @param leastDisturbance the lowest disturbance among workers with room, empty when none has room
      */
     public record Refusals(
-            int mismatch, int noProcessor, int noMemory, int disturbed, int crowded, double leastDisturbance) {}
+            int mismatch, int noProcessor, int noMemory, int disturbed, int crowded, OptionalDouble leastDisturbance) {}
 
     /**
      * Counts why a patient task finds no worker.
@@ -165,7 +166,14 @@
                 crowded += host.disturbance() <= 1 && !worthwhile(step, host) ? 1 : 0;
             }
         }
-        return new Refusals(mismatch, noProcessor, noMemory, disturbed, crowded, least);
+        boolean room = least < Double.MAX_VALUE;
+        return new Refusals(
+                mismatch,
+                noProcessor,
+                noMemory,
+                disturbed,
+                crowded,
+                room ? OptionalDouble.of(least) : OptionalDouble.empty());
     }
 
     private static double cost(StepSpec step, HostView host) {
