--- a/replication/src/main/java/org/cornelcove/replication/MemberProgress.java
+++ b/replication/src/main/java/org/cornelcove/replication/MemberProgress.java
@@ -1,5 +1,7 @@
 package org.cornelcove.replication;
 
+import org.cornelcove.replication.core.FollowerView;
+
 /**
  * How far another member follows, as its leader knows.
  *
@@ -8,4 +10,12 @@
  * @param unansweredMs the age of the newest request that it answered; since the leader's election where it answered none
  * @param behindEntries how many committed entries are not known to be durable there
  */
-public record MemberProgress(long id, boolean silent, long unansweredMs, long behindEntries) {}
+public record MemberProgress(long id, boolean silent, long unansweredMs, long behindEntries) {
+    static MemberProgress of(FollowerView follower, long commitIndex) {
+        return new MemberProgress(
+                follower.id(),
+                !follower.active(),
+                follower.unansweredMs(),
+                Math.max(0, commitIndex - follower.matchIndex()));
+    }
+}
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,9 +23,6 @@
 import org.cornelcove.model.error.FailureException;
 import org.cornelcove.replication.core.CoreEvent;
 import org.cornelcove.replication.core.Envelope;
-import org.cornelcove.replication.core.FollowerView;
-import org.cornelcove.replication.core.MemberRecord;
-import org.cornelcove.replication.core.Membership;
 import org.cornelcove.replication.core.MessageCodec;
 import org.cornelcove.replication.core.Outgoing;
 import org.cornelcove.replication.core.Ready;
@@ -87,8 +83,8 @@
         this.transport = transport;
         this.listener = listener;
         this.nowMs = nowMs;
-        this.core =
-                ReplicaCore.start(settings.coreOptions(), storage.stored(), membershipOf(settings), nowMs.getAsLong());
+        this.core = ReplicaCore.start(
+                settings.coreOptions(), storage.stored(), settings.firstMembership(), nowMs.getAsLong());
         String name = "replica-" + settings.selfId();
         this.disk = new DiskWorker(storage, settings.maxBatch(), new DiskReports(), name + "-disk");
         this.hangs = new HangWatch(settings.tickMs());
@@ -96,7 +92,7 @@
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
         thread.setUncaughtExceptionHandler((t, cause) -> stop(Optional.of(Failure.of(ErrorKind.INTERNAL, cause))));
-        this.status = currentStatus(nowMs.getAsLong());
+        this.status = ReplicaStatus.of(settings.selfId(), core, nowMs.getAsLong());
     }
 
     /**
@@ -306,7 +302,7 @@
                     tickDueMs = now + settings.tickMs();
                 }
                 Ready ready = core.drain(now);
-                status = currentStatus(now);
+                status = ReplicaStatus.of(settings.selfId(), core, now);
                 leaseEndMs = core.leaseEndMs(now);
                 carryOut(ready);
             }
@@ -367,29 +363,6 @@
         }
     }
 
-    private ReplicaStatus currentStatus(long now) {
-        return new ReplicaStatus(
-                settings.selfId(),
-                core.leaderId() == 0 ? Optional.empty() : Optional.of(core.leaderId()),
-                core.role() == ReplicaCore.Role.LEADER,
-                core.term(),
-                core.commitIndex(),
-                core.appliedIndex(),
-                core.snapshot().index(),
-                core.membership().members().stream()
-                        .map(m -> new Member(m.id(), m.address(), m.voting()))
-                        .toList(),
-                core.followers(now).stream().map(this::progressOf).toList());
-    }
-
-    private MemberProgress progressOf(FollowerView follower) {
-        return new MemberProgress(
-                follower.id(),
-                !follower.active(),
-                follower.unansweredMs(),
-                Math.max(0, core.commitIndex() - follower.matchIndex()));
-    }
-
     // Requests
 
     private CompletableFuture<Long> request(LongConsumer ask) {
@@ -470,14 +443,6 @@
         folder.close();
     }
 
-    private static Membership membershipOf(ReplicaSettings settings) {
-        List<MemberRecord> members = settings.initialMembers().stream()
-                .sorted((a, b) -> Long.compare(a.id(), b.id()))
-                .map(m -> new MemberRecord(m.id(), m.address(), m.voting(), MemberRecord.UNBOUND))
-                .toList();
-        return new Membership(members, new TreeSet<>());
-    }
-
     private final class DiskReports implements DiskWorker.Listener {
         @Override
         public void written(long id) {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaSettings.java
@@ -1,8 +1,12 @@
 package org.cornelcove.replication;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.TreeSet;
 
 import org.cornelcove.replication.core.CoreOptions;
+import org.cornelcove.replication.core.MemberRecord;
+import org.cornelcove.replication.core.Membership;
 
 /**
  * The settings of a member.
@@ -119,6 +123,15 @@
                 seed);
     }
 
+    /** The members of a group that starts for the first time, none of them bound to a disk yet. */
+    Membership firstMembership() {
+        List<MemberRecord> members = initialMembers.stream()
+                .sorted(Comparator.comparingLong(Member::id))
+                .map(m -> new MemberRecord(m.id(), m.address(), m.voting(), MemberRecord.UNBOUND))
+                .toList();
+        return new Membership(members, new TreeSet<>());
+    }
+
     CoreOptions coreOptions() {
         return new CoreOptions(
                 selfId,
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cornelcove.replication.core.ReplicaCore;
+
 /**
  * A member's view of the group.
  *
@@ -30,4 +32,21 @@
     public ReplicaStatus {
         progress = progress == null ? List.of() : progress;
     }
+
+    static ReplicaStatus of(long self, ReplicaCore core, long nowMs) {
+        return new ReplicaStatus(
+                self,
+                core.leaderId() == 0 ? Optional.empty() : Optional.of(core.leaderId()),
+                core.role() == ReplicaCore.Role.LEADER,
+                core.term(),
+                core.commitIndex(),
+                core.appliedIndex(),
+                core.snapshot().index(),
+                core.membership().members().stream()
+                        .map(m -> new Member(m.id(), m.address(), m.voting()))
+                        .toList(),
+                core.followers(nowMs).stream()
+                        .map(follower -> MemberProgress.of(follower, core.commitIndex()))
+                        .toList());
+    }
 }
