Workers on which scarce fill work may run are left to it; a move asks whether the other place takes the work; run.pace says why

Work was stopped to be moved to a place that then did not take it (48 s in the queue after it). Change: openness weighs each image of fill work by how few workers bear it (Interference.scarcity); hasCalmPlace asks worthwhile() too; run.pace carries its reason.

--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -41,6 +41,9 @@
     /** How often what was learned is kept; a few kilobytes each time. */
     private static final long KEEP_EVERY_MS = 3000;
 
+    /** How often the places for each image of fill work are counted; lasting tasks move seldom. */
+    private static final long COUNT_EVERY_MS = 1000;
+
     /** What a look at a worker showed. */
     private record Sample(long atMs, Map<String, Double> use, Map<ActiveRun, Double> tails) {}
 
@@ -49,6 +52,8 @@
     private final Interference interference = new Interference();
     private final Map<Worker, Sample> samples = new HashMap<>();
     private long keptMs;
+    private Map<String, Double> scarcity = Map.of();
+    private long countedMs = -COUNT_EVERY_MS;
 
     PaceKeeper(Term term, WorkerDriver driver) {
         this.term = term;
@@ -97,7 +102,7 @@
             int percent =
                     PaceControl.next(serving(run.worker), fills(run.worker, runs), interference)[runs.indexOf(run)];
             if (percent < run.pacePercent) {
-                set(run, percent);
+                set(run, percent, "known harm");
             }
         }
     }
@@ -178,24 +183,36 @@
     }
 
     /**
-     * Returns which share of all fill work the worker's lasting tasks bear.
+     * Returns which share of the fill work that is hard to place the worker's lasting tasks bear.
      *
      * @param worker the worker
      * @return 1 when they bear everything
      */
     double openness(Worker worker) {
+        long nowMs = term.clock.nowMs();
+        if (nowMs - countedMs >= COUNT_EVERY_MS) {
+            countedMs = nowMs;
+            scarcity = interference.scarcity(term.workers().stream()
+                    .filter(w -> w.usable(nowMs) && w.serving > 0)
+                    .map(PaceKeeper::servingImages)
+                    .toList());
+        }
         if (worker.openness < 0) {
-            Set<String> images = new HashSet<>();
-            for (ActiveRun run : worker.runs()) {
-                if (hasTarget(run)) {
-                    images.add(run.step.image());
-                }
-            }
-            worker.openness = interference.openness(images);
+            worker.openness = interference.openness(servingImages(worker), scarcity);
         }
         return worker.openness;
     }
 
+    private static Set<String> servingImages(Worker worker) {
+        Set<String> images = new HashSet<>();
+        for (ActiveRun run : worker.runs()) {
+            if (hasTarget(run)) {
+                images.add(run.step.image());
+            }
+        }
+        return images;
+    }
+
     private static List<ActiveRun> fillRuns(Worker worker) {
         List<ActiveRun> runs = new ArrayList<>();
         if (worker.fills > 0) {
@@ -223,14 +240,15 @@
         List<PaceControl.Fill> fills = fills(worker, runs);
         int[] percents = PaceControl.next(serving(worker), fills, interference);
         noteOver(worker, nowMs);
-        if (mustStop(worker, nowMs)) {
+        boolean stop = mustStop(worker, nowMs);
+        if (stop) {
             Arrays.fill(percents, 0);
         }
         List<ActiveRun> moving = new ArrayList<>();
         for (int i = 0; i < percents.length; i++) {
             ActiveRun run = runs.get(i);
             if (percents[i] != run.pacePercent && run.stage == ActiveRun.Stage.CONFIRMED) {
-                set(run, percents[i]);
+                set(run, percents[i], stop ? "a lasting task is over its target for too long" : "known harm");
             }
             if (percents[i] > NEARLY_STILL_PERCENT) {
                 run.pausedSinceMs = 0;
@@ -273,11 +291,21 @@
         return stop;
     }
 
-    private void set(ActiveRun run, int percent) {
+    private void set(ActiveRun run, int percent, String why) {
         int before = run.pacePercent;
         run.pacePercent = percent;
         EventLog.event(
-                "run.pace", "task", run.task.text(), "run", run.runId, "worker", run.worker.id, "percent", percent);
+                "run.pace",
+                "task",
+                run.task.text(),
+                "run",
+                run.runId,
+                "worker",
+                run.worker.id,
+                "percent",
+                percent,
+                "why",
+                why);
         driver.pace(run.worker.info.orElseThrow(), run.task, run.runId, percent, term.fence)
                 .whenComplete((answer, thrown) -> term.clock.execute(() -> {
                     if (answer.reply() != Reply.OK) {
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -78,7 +78,7 @@
                     && worker.info.get().pool().equals(pool)
                     && worker.hasRoom(run.step)
                     && term.conversation.pace().cost(worker, run.step) < maxCost
-                    && Placement.fits(run.step, view(worker, run.step, run.task, ""))) {
+                    && canTake(worker, run)) {
                 return true;
             }
         }
@@ -86,6 +86,12 @@
         return false;
     }
 
+    /** Work that finds a place taken once it was stopped for the sake of it has lost the place that it had. */
+    private boolean canTake(Worker worker, ActiveRun run) {
+        HostView host = view(worker, run.step, run.task, "");
+        return Placement.fits(run.step, host) && Placement.worthwhile(run.step, host);
+    }
+
     void noteDone(ActiveRun run) {
         if (run.step.copies() && run.confirmedMs > 0) {
             doneMs.computeIfAbsent(stepName(run.task), any -> new ArrayList<>())
--- a/work/src/main/java/org/cornelcove/work/plan/Interference.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Interference.java
@@ -154,23 +154,47 @@
         return fills.isEmpty() ? 1 : sum / fills.size();
     }
 
+    private double borne(Collection<String> serving, String fill) {
+        double worst = 0;
+        for (String image : serving) {
+            worst = Math.max(worst, excluded(image, fill));
+        }
+        return 1 - worst;
+    }
+
     /**
-     * Returns which share of the known images of fill work could run beside some lasting tasks.
+     * Returns how scarce places for each known image of fill work are.
+     *
+     * @param workers the images of the lasting tasks of each worker
+     * @return by image of fill work: 1 when one worker at most bears it, less the more do
+     */
+    public Map<String, Double> scarcity(Collection<? extends Collection<String>> workers) {
+        Map<String, Double> scarcity = new HashMap<>();
+        for (String fill : fillImages()) {
+            double places = 0;
+            for (Collection<String> serving : workers) {
+                places += borne(serving, fill);
+            }
+            scarcity.put(fill, 1 / Math.max(1, places));
+        }
+        return scarcity;
+    }
+
+    /**
+     * Returns which share of the fill work that is hard to place could run beside some lasting tasks.
      *
      * @param serving the images of the lasting tasks
+     * @param scarcity how scarce places for each image of fill work are
      * @return 1 when they bear all fill work
      */
-    public double openness(Collection<String> serving) {
-        Set<String> fills = fillImages();
+    public double openness(Collection<String> serving, Map<String, Double> scarcity) {
         double open = 0;
-        for (String fill : fills) {
-            double worst = 0;
-            for (String image : serving) {
-                worst = Math.max(worst, excluded(image, fill));
-            }
-            open += 1 - worst;
+        double all = 0;
+        for (Map.Entry<String, Double> fill : scarcity.entrySet()) {
+            open += fill.getValue() * borne(serving, fill.getKey());
+            all += fill.getValue();
         }
-        return fills.isEmpty() ? 1 : open / fills.size();
+        return all == 0 ? 1 : open / all;
     }
 
     /**
