--- /dev/null
+++ b/daemon/src/test/java/org/cornelcove/daemon/api/ApiServerTest.java
@@ -0,0 +1,76 @@
+package org.cornelcove.daemon.api;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class ApiServerTest {
+    private static final int CALLERS = 4;
+    private static final int CALLS = 300;
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    /** Callers keep their connection, and send each body after its head, as usual clients do. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 3000})
+    void aConnectionIsReadAgainAfterEachAnswer(long longestDelayUs) throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            address = (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+        ScheduledExecutorService later = Executors.newScheduledThreadPool(2);
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        Route route = Route.of("POST", "/late", request -> {
+            CompletableFuture<ApiAnswer> answer = new CompletableFuture<>();
+            long delayUs = ThreadLocalRandom.current().nextLong(longestDelayUs);
+            later.schedule(() -> answer.complete(ApiAnswer.empty()), delayUs, TimeUnit.MICROSECONDS);
+            return answer;
+        });
+        try (ApiServer server = ApiServer.open(address, List.of(route))) {
+            List<Future<Integer>> answered = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                answered.add(callers.submit(() -> callInTurn(address)));
+            }
+            for (Future<Integer> calls : answered) {
+                assertThat(calls.get(), is(CALLS));
+            }
+        } finally {
+            later.shutdownNow();
+            callers.shutdownNow();
+        }
+    }
+
+    private static int callInTurn(InetSocketAddress address) throws Exception {
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + "/late"))
+                .timeout(TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString("body"))
+                .build();
+        int answered = 0;
+        while (answered < CALLS
+                && client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 204) {
+            answered++;
+        }
+        return answered;
+    }
+}
