ApiServer and EntryServer listen once their handlers are in place

Test: ApiServerTest.nothingIsAnsweredBeforeTheRoutesAreInPlace, red before (a status other than 204 in the first of ten openings). EntryServer has no such test of its own; all tests of entry are green.

--- a/daemon/src/main/java/org/cornelcove/daemon/api/ApiServer.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/api/ApiServer.java
@@ -40,12 +40,16 @@
         NetworkListener listener = new NetworkListener("api", address.getHostString(), address.getPort());
         listener.getTransport().setReuseAddress(true);
         HttpServer server = new HttpServer();
-        server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new RouteHandler(routes), "/");
         server.getServerConfiguration().setHttpServerName("cornelcove");
         server.getServerConfiguration().setJmxEnabled(false);
         try {
+            // The server answers 404 by itself until its handlers are in place, so it listens after that.
             server.start();
+            server.addListener(listener);
+            if (!listener.isStarted()) {
+                throw new IOException("the listener did not start");
+            }
         } catch (IOException e) {
             server.shutdownNow();
             throw Failure.of(ErrorKind.PORT_UNAVAILABLE, address, e.getMessage())
--- a/daemon/src/test/java/org/cornelcove/daemon/api/ApiServerTest.java
+++ b/daemon/src/test/java/org/cornelcove/daemon/api/ApiServerTest.java
@@ -1,5 +1,7 @@
 package org.cornelcove.daemon.api;
 
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -18,6 +20,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -27,16 +30,14 @@
 class ApiServerTest {
     private static final int CALLERS = 4;
     private static final int CALLS = 300;
+    private static final int OPENINGS = 10;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     /** Callers keep their connection, and send each body after its head, as usual clients do. */
     @ParameterizedTest
     @ValueSource(longs = {100, 3000})
     void aConnectionIsReadAgainAfterEachAnswer(long longestDelayUs) throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            address = (InetSocketAddress) socket.getLocalSocketAddress();
-        }
+        InetSocketAddress address = freeAddress();
         ScheduledExecutorService later = Executors.newScheduledThreadPool(2);
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         Route route = Route.of("POST", "/late", request -> {
@@ -59,13 +60,58 @@
         }
     }
 
-    private static int callInTurn(InetSocketAddress address) throws Exception {
-        HttpClient client =
-                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + "/late"))
+    /** Calls pour in while the server opens; nobody may be told that a route isn't there. */
+    @Test
+    void nothingIsAnsweredBeforeTheRoutesAreInPlace() throws Exception {
+        Route route = Route.of("POST", "/late", request -> CompletableFuture.completedFuture(ApiAnswer.empty()));
+        for (int round = 0; round < OPENINGS; round++) {
+            InetSocketAddress address = freeAddress();
+            ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+            List<Future<Integer>> first = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                first.add(callers.submit(() -> firstStatus(address)));
+            }
+            try (ApiServer server = ApiServer.open(address, List.of(route))) {
+                for (Future<Integer> status : first) {
+                    assertThat(status.get(), is(204));
+                }
+            } finally {
+                callers.shutdownNow();
+            }
+        }
+    }
+
+    private static int firstStatus(InetSocketAddress address) throws Exception {
+        while (true) {
+            try {
+                return HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .build()
+                        .send(request(address), HttpResponse.BodyHandlers.discarding())
+                        .statusCode();
+            } catch (ConnectException e) {
+                // It does not listen yet.
+            }
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private static HttpRequest request(InetSocketAddress address) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + "/late"))
                 .timeout(TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString("body"))
                 .build();
+    }
+
+    private static int callInTurn(InetSocketAddress address) throws Exception {
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        HttpRequest request = request(address);
         int answered = 0;
         while (answered < CALLS
                 && client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 204) {
--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -44,6 +44,7 @@
     private final RecentRequests recent = new RecentRequests();
     private final Refusals refusals;
     private final HttpServer http;
+    private final NetworkListener listener;
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.SERVING);
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
@@ -86,8 +87,8 @@
                 new ExclusiveKeys(parts, dispatcher),
                 new OnceRequests(parts, dispatcher, control, settler),
                 recent);
-        http = httpServer(
-                new CallerHandler(parts, new HeadReader(settings), flow, this::whyUnready, this::whyClosed), threads);
+        http = httpServer(new CallerHandler(parts, new HeadReader(settings), flow, this::whyUnready, this::whyClosed));
+        listener = callers(threads);
     }
 
     /**
@@ -107,7 +108,13 @@
             throws IOException {
         EntryServer server = new EntryServer(settings, control, peers, clock);
         try {
+            // The server answers 404 by itself until its handler is in place, so it listens after that.
             server.http.start();
+            server.http.addListener(server.listener);
+            if (!server.listener.isStarted()) {
+                throw new IOException(
+                        "can't listen for callers on " + settings.callerHost() + ":" + settings.callerPort());
+            }
         } catch (IOException e) {
             server.close();
             throw e;
@@ -116,25 +123,28 @@
         return server;
     }
 
-    private HttpServer httpServer(CallerHandler handler, int threads) {
-        NetworkListener listener =
-                new NetworkListener("callers", settings.callerHost(), Math.max(0, settings.callerPort()));
-        listener.setMaxRequestHeaders(MAX_HEADERS);
-        listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
-        listener.setMaxPendingBytes(-1);
-        listener.getFileCache().setEnabled(false);
-        listener.getKeepAlive().setMaxRequestsCount(-1);
-        TCPNIOTransport transport = listener.getTransport();
-        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
-        transport.setSelectorRunnersCount(threads);
-        transport.setTcpNoDelay(true);
+    private static HttpServer httpServer(CallerHandler handler) {
         HttpServer server = new HttpServer();
-        server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(handler, "/");
         server.getServerConfiguration().setAllowPayloadForUndefinedHttpMethods(true);
         return server;
     }
 
+    private NetworkListener callers(int threads) {
+        NetworkListener callers =
+                new NetworkListener("callers", settings.callerHost(), Math.max(0, settings.callerPort()));
+        callers.setMaxRequestHeaders(MAX_HEADERS);
+        callers.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
+        callers.setMaxPendingBytes(-1);
+        callers.getFileCache().setEnabled(false);
+        callers.getKeepAlive().setMaxRequestsCount(-1);
+        TCPNIOTransport transport = callers.getTransport();
+        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
+        transport.setSelectorRunnersCount(threads);
+        transport.setTcpNoDelay(true);
+        return callers;
+    }
+
     /**
      * Returns the port for callers.
      *
