Fault clusters freeze a worker only when its evictions are told too

Trace (worker.history): attempt 3 of long-0 evicted on worker-3 at checkpoint 10422, the worker's process frozen before it told (its next line is 10.2 s later), attempt 4 began on worker-1 at 10401, the newest that the leader knew. freezeWorkerWithNothingUntold promises an instant at which all that ended is acknowledged, and looked at finished tasks only. Ruled out: the check (it asks that what was told is resumed).

--- a/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
+++ b/testkit/src/test/java/org/cornelcove/testkit/fault/Cluster.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -40,6 +41,9 @@
  * workers, callers and an operator in this process. One history takes everything that is seen.
  */
 final class Cluster implements AutoCloseable {
+    /** What a worker writes when an attempt has ended and its leader does not know yet. */
+    private static final Set<String> ENDS = Set.of("finished", "evicted");
+
     private static final int MEMBERS = 3;
     private static final int WORKERS = 3;
     private static final int LONG_JOBS = 8;
@@ -197,7 +201,7 @@
 
     private boolean everyEndTold() throws IOException {
         List<AttemptEvent> events = History.read(folder.resolve("worker.history"), AttemptEvent.class);
-        return events.stream().filter(event -> event.what().equals("finished")).allMatch(end -> events.stream()
+        return events.stream().filter(event -> ENDS.contains(event.what())).allMatch(end -> events.stream()
                 .anyMatch(event -> event.what().equals("forgotten")
                         && event.job().equals(end.job())
                         && event.attempt() == end.attempt()));
