Backlog: the objective and the chain of a waiting step are worked out once, not twice in each pass

Each pass over the backlog walked the estimates of every waiting step two times; nothing in them changes while it waits. Only how long a stopped task has waited is new in each pass.

--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -29,7 +29,10 @@
         final int occurrence;
         final int step;
         final Deque<Integer> indices = new ArrayDeque<>();
-        private final QueueRule queue;
+        private final int priority;
+        private final long sinceMs;
+        private final long objectiveMs;
+        private final long remainingMs;
         /** Since when a task of it waits, on the monotonic clock. */
         long waitingSinceMs;
 
@@ -37,7 +40,11 @@
             this.job = job;
             this.occurrence = occurrence;
             this.step = step;
-            this.queue = queue;
+            List<StepSpec> steps = job.spec().steps();
+            priority = queue.priority();
+            sinceMs = Math.max(job.submittedMs(), job.spec().schedule().dueMs(occurrence));
+            objectiveMs = (long) (queue.stretch() * chainMs(steps, 0)) + queue.targetLatencyMs();
+            remainingMs = chainMs(steps, step);
         }
 
         StepSpec spec() {
@@ -49,14 +56,11 @@
         }
 
         private QueueOrder.Waiting order(long nowMs) {
-            List<StepSpec> steps = job.spec().steps();
-            long sinceMs = Math.max(job.submittedMs(), job.spec().schedule().dueMs(occurrence));
-            long objectiveMs = (long) (queue.stretch() * chainMs(steps, 0)) + queue.targetLatencyMs();
             return new QueueOrder.Waiting(
-                    queue.priority(),
+                    priority,
                     sinceMs,
                     objectiveMs,
-                    chainMs(steps, step),
+                    remainingMs,
                     spec().lasting(),
                     hasRun(indices.peekFirst()) ? nowMs - waitingSinceMs : 0);
         }
