Once and safe requests: a lost answer of a leader or an entry that stops is asked for again

Cause, by the code and the logs kept in the issue: a claim whose answer was lost was released at once. Where another entry held the key (the request was sent a second time while its first entry stopped), the release is refused as not held, and the caller got 504 unknown although the key had a recorded answer. A safe request whose forward broke was answered 502 without a second try. Change: a claim is repeated with its number until the deadline leaves just the time to release it; the ledger grants the same number again. The error says what was waited for and how long. A lost forward of a safe request is retried within the budget.

--- a/control/src/main/java/org/cornelcove/control/state/ClaimLedger.java
+++ b/control/src/main/java/org/cornelcove/control/state/ClaimLedger.java
@@ -74,10 +74,16 @@
             return refused.get();
         }
         Claim existing = claims.get(command.key());
+        boolean repeated = existing != null
+                && isSameClaim(existing, command.entry(), command.incarnation(), command.claimNumber());
+        if (repeated && existing.state() == ClaimState.OPEN && existing.digest().equals(command.digest())) {
+            // The entry lost the first answer, and has dispatched nothing under this claim.
+            return new ClaimGranted(logIndex);
+        }
         if (existing != null && existing.state() != ClaimState.RELEASED) {
             return outcomeOfExisting(existing, command);
         }
-        if (existing != null && isSameClaim(existing, command.entry(), command.incarnation(), command.claimNumber())) {
+        if (repeated) {
             return notHeld(command.key(), command.entry());
         }
         Claim claim = Claim.open(command);
--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.id.TargetId;
 import org.cornelcove.model.message.PeerEntry;
+import org.cornelcove.model.request.RequestClass;
 import org.cornelcove.model.rule.TenantRule;
 import org.cornelcove.policy.admission.Verdict;
 import org.cornelcove.policy.learn.RunTimes;
@@ -211,12 +212,20 @@
             request.trace().add(nowNs(), "entry answered", answer.run());
             if (answer.run() == RunState.NOT_RUN && hasOwnTargets && run.requeue(null)) {
                 enqueue(run, line, view.get(), true);
+            } else if (isLostSafeRequest(request, answer) && line.mayRetry(run, nowNs()) && run.requeue(null)) {
+                metrics.retried.inc();
+                enqueue(run, line, view.get(), hasUsableTargets(line.service(), view.get()));
             } else {
                 run.endStarted(answer);
             }
         });
     }
 
+    /** Whether an entry took a request and gave no answer of it, which may run again since it is safe. */
+    private static boolean isLostSafeRequest(ServiceRequest request, Answer answer) {
+        return answer.run() == RunState.UNKNOWN && request.requestClass() == RequestClass.SAFE;
+    }
+
     private void enqueue(Run run, ServiceLine line, EntryView now, boolean hasOwnTargets) {
         ServiceRequest request = run.request();
         if (!hasOwnTargets) {
--- a/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
+++ b/entry/src/main/java/org/cornelcove/entry/OnceRequests.java
@@ -43,8 +43,9 @@
  *   <li>anything else is recorded as unknown, and the key never runs again.
  * </ul>
  *
- * <p>If the answer to a claim is lost, the claim may or may not be in the ledger. Nothing has been or will be
- * dispatched under it, but the caller gets "not run" only once the release is committed, and "unknown" otherwise.
+ * <p>If the answer to a claim is lost, the claim may or may not be in the ledger, and nothing has been dispatched under
+ * it. The claim is repeated with its number, which the ledger grants again, while the deadline leaves time to release
+ * it. After that the caller gets "not run" only once the release is committed, and "unknown" otherwise.
  *
  * <p>Answering before recording would save a commit on the return path. It was rejected because, after a crash in
  * between, a caller that already has its answer would get "unknown" for the same key.
@@ -53,6 +54,7 @@
     private static final long NANOS_PER_MS = 1_000_000;
     private static final long IN_PROGRESS_WAIT_MS = 1_000;
     private static final long RELEASE_WAIT_MS = 1_000;
+    private static final long REPEAT_PAUSE_MS = 50;
     private static final Set<ErrorKind> WITHOUT_EFFECT =
             Set.of(ErrorKind.CALL_NOT_SENT, ErrorKind.NOT_LEADER, ErrorKind.NO_QUORUM);
 
@@ -88,14 +90,57 @@
         request.trace().add(clock.nowNs().getAsLong(), "claims key", key);
         ClaimOnce claim = new ClaimOnce(
                 key, digestOf(request), settings.entry(), settings.incarnation(), lastClaim.incrementAndGet());
-        return execute(request, claim)
+        return claim(request, claim, false)
                 .handle((outcome, error) ->
                         error == null ? onClaimOutcome(request, claim, outcome) : onClaimFailed(request, claim, error))
                 .thenCompose(answer -> answer);
     }
 
-    private CompletableFuture<Outcome> execute(ServiceRequest request, ClaimOnce claim) {
-        return control.execute(claim).copy().orTimeout(remainingMs(request), TimeUnit.MILLISECONDS);
+    /**
+     * Sends a claim until its outcome is known.
+     *
+     * @param request the request
+     * @param claim the claim, the same in each attempt
+     * @param perhapsGranted whether an earlier attempt ended without an answer
+     * @return the outcome; fails with the last attempt
+     */
+    private CompletableFuture<Outcome> claim(ServiceRequest request, ClaimOnce claim, boolean perhapsGranted) {
+        return control.execute(claim)
+                .copy()
+                .orTimeout(remainingMs(request), TimeUnit.MILLISECONDS)
+                .handle((outcome, error) -> {
+                    if (error == null) {
+                        return CompletableFuture.completedFuture(outcome);
+                    }
+                    boolean unknown = perhapsGranted || !isWithoutEffect(error);
+                    if (!unknown || remainingMs(request) <= RELEASE_WAIT_MS) {
+                        return CompletableFuture.<Outcome>failedFuture(
+                                unknown ? lostAnswer(request, error) : FailureException.causeOf(error));
+                    }
+                    request.trace().add(clock.nowNs().getAsLong(), "repeats the claim:", reason(error));
+                    return CompletableFuture.supplyAsync(
+                                    () -> claim(request, claim, true),
+                                    CompletableFuture.delayedExecutor(REPEAT_PAUSE_MS, TimeUnit.MILLISECONDS))
+                            .thenCompose(next -> next);
+                })
+                .thenCompose(next -> next);
+    }
+
+    private static boolean isWithoutEffect(Throwable error) {
+        return FailureException.carriedBy(error)
+                .filter(failure -> WITHOUT_EFFECT.contains(failure.kind()))
+                .isPresent();
+    }
+
+    private RuntimeException lostAnswer(ServiceRequest request, Throwable last) {
+        long waitedMs = (clock.nowNs().getAsLong() - request.arrivedNs()) / NANOS_PER_MS;
+        return Failure.of(
+                        ErrorKind.CALL_TIMEOUT, "the control hosts for a claim (last: " + reason(last) + ")", waitedMs)
+                .asException();
+    }
+
+    private static String reason(Throwable error) {
+        return String.valueOf(FailureException.causeOf(error).getMessage());
     }
 
     private long remainingMs(ServiceRequest request) {
@@ -150,21 +195,20 @@
     // Claims that failed without an outcome
 
     private CompletableFuture<Answer> onClaimFailed(ServiceRequest request, ClaimOnce claim, Throwable error) {
-        Throwable cause = error.getCause() == null ? error : error.getCause();
-        if (cause instanceof FailureException failed
-                && WITHOUT_EFFECT.contains(failed.failure().kind())) {
+        if (isWithoutEffect(error)) {
             openKeys.remove(claim.key());
-            return done(refusals.keyUnchecked(failed.failure().message()));
+            return done(refusals.keyUnchecked(reason(error)));
         }
-        request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", cause.getMessage());
+        Failure lost = FailureException.carriedBy(error)
+                .orElseGet(() -> Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request)));
+        request.trace().add(clock.nowNs().getAsLong(), "the claim's answer was lost:", lost.message());
         return settler.settle(release(claim))
                 .whenComplete((outcome, failure) -> openKeys.remove(claim.key()))
                 .copy()
                 .orTimeout(RELEASE_WAIT_MS, TimeUnit.MILLISECONDS)
                 .handle((outcome, failure) -> outcome instanceof Done
                         ? refusals.notRun("its claim could not be confirmed and was released")
-                        : refusals.unknown(
-                                Failure.of(ErrorKind.CALL_TIMEOUT, "the control hosts", remainingMs(request))));
+                        : refusals.unknown(lost));
     }
 
     // Settling
--- a/entry/src/test/java/org/cornelcove/entry/FakeControl.java
+++ b/entry/src/test/java/org/cornelcove/entry/FakeControl.java
@@ -129,6 +129,9 @@
         if (!claim.claim.digest().equals(wanted.digest())) {
             return new Refused(Failure.of(ErrorKind.KEY_REUSED, wanted.key()));
         }
+        if (claim.claim.equals(wanted) && claim.answer.isEmpty() && !claim.unknown) {
+            return new ClaimGranted(index);
+        }
         if (claim.unknown) {
             return new ClaimUnknown(index);
         }
