Lasting tasks leave whole workers to short and fill work

Free processor is then in blocks too small for quotes of 11 cores and more, which wait for tens of seconds.

--- a/work/src/main/java/org/cornelcove/work/lead/NoRoom.java
+++ b/work/src/main/java/org/cornelcove/work/lead/NoRoom.java
@@ -13,7 +13,14 @@
  * workers instead of hundreds.
  */
 final class NoRoom {
-    private record Kind(String pool, boolean fill, boolean patient, String image, String label, int accelerators) {}
+    private record Kind(
+            String pool,
+            boolean fill,
+            boolean lasting,
+            boolean patient,
+            String image,
+            String label,
+            int accelerators) {}
 
     private record Size(int cpuMillis, int memoryMb) {}
 
@@ -39,6 +46,6 @@
     private static Kind kindOf(String pool, StepSpec step, boolean canWait) {
         // Only for fill work the choice of workers depends on the image.
         String image = step.fill() ? step.image() : "";
-        return new Kind(pool, step.fill(), canWait, image, step.requiredLabel(), step.accelerators());
+        return new Kind(pool, step.fill(), step.lasting(), canWait, image, step.requiredLabel(), step.accelerators());
     }
 }
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -28,8 +28,11 @@
  * leader's loop only.
  */
 final class Placements {
-    /** How long fill work waits for a worker on which it would make progress; the platform allows three seconds. */
-    private static final long MAX_FILL_WAIT_MS = 1500;
+    /**
+     * How long fill work waits for a worker on which it would make progress, and a lasting task for one that is not left
+     * open for short work, in a pool that is not busy; the platform allows three seconds.
+     */
+    private static final long MAX_IDLE_WAIT_MS = 1500;
     /** Share of reserved processor above which the platform lets tasks of a pool wait; half, and a margin. */
     private static final double BUSY_SHARE = 0.55;
 
@@ -51,6 +54,7 @@
     /** The steps of one occurrence for which a kept-free worker was logged. */
     private final Set<String> loggedHeld = new HashSet<>();
 
+    private final PoolRooms rooms;
     private long lastWaitingLogMs;
     /** Fill work for which no suitable worker was found recently. */
     private NoRoom noMoveTarget = new NoRoom();
@@ -59,6 +63,7 @@
 
     Placements(Term term) {
         this.term = term;
+        rooms = new PoolRooms(term);
     }
 
     /** Checks whether paused fill work would make progress on another worker. */
@@ -161,6 +166,7 @@
                         .add(worker);
             }
         }
+        rooms.observe(steps, usable, nowMs);
         Map<String, Boolean> busy = new HashMap<>();
         NoRoom noRoom = new NoRoom();
         Map<String, Held> held = new HashMap<>();
@@ -241,7 +247,7 @@
     }
 
     private void placeTasks(Backlog.WaitingStep step, List<Worker> pool, String poolName, boolean busy, NoRoom noRoom) {
-        boolean canWait = busy || term.clock.nowMs() - step.waitingSinceMs < MAX_FILL_WAIT_MS;
+        boolean canWait = busy || term.clock.nowMs() - step.waitingSinceMs < MAX_IDLE_WAIT_MS;
         Optional<Candidates> shared = Optional.empty();
         while (!step.indices.isEmpty()) {
             TaskKey key = step.task(step.indices.peekFirst());
@@ -255,7 +261,9 @@
             }
             // Tasks of a step share candidates unless they failed before or have to run in the same rack.
             boolean alike = task.failures() == 0 && !step.spec().sameRack();
-            Candidates candidates = alike && shared.isPresent() ? shared.get() : new Candidates(step.spec(), key, pool);
+            Candidates candidates = alike && shared.isPresent()
+                    ? shared.get()
+                    : new Candidates(step.spec(), key, canWait ? rooms.allowed(step.spec(), pool, poolName) : pool);
             if (alike) {
                 shared = Optional.of(candidates);
             }
