A leader acts on a lease from before a suspension only after its renewal

Cause: the lease ends on the monotonic clock, which does not count a suspension, so a leader that slept through its lease still held it valid for up to a second after it woke, and could send starts and polls. Fences at workers refuse most of these; where no newer leader had spoken yet nothing did. Change: LeaseCheck compares the time of day with the monotonic clock at the moment of sending; where the first ran ahead, only a lease renewed since counts.

--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -16,6 +16,7 @@
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
+import org.cornelcove.work.plan.LeaseCheck;
 import org.cornelcove.work.state.Job;
 import org.cornelcove.work.state.Verdict;
 import org.cornelcove.work.state.WorkCommand;
@@ -45,6 +46,7 @@
     private final Clock clock = new Clock();
     private volatile Replica replica;
     private volatile LongSupplier leasedUntilMs = () -> 0;
+    private final LeaseCheck leaseCheck = new LeaseCheck();
     private Optional<Term> term = Optional.empty();
     private boolean settleDue;
 
@@ -325,7 +327,7 @@
 
         @Override
         public boolean leased() {
-            return nowMs() < leasedUntilMs.getAsLong();
+            return leaseCheck.isValid(leasedUntilMs.getAsLong(), nowMs(), wallMs());
         }
 
         @Override
