Lasting tasks that need a label or accelerators may use reserved workers

Cause: the workers with the fewest lasting tasks are reserved; where only these have a label, a lasting task that needs it found none while the pool was busy. TermTest.aLastingTaskThatNeedsALabelStartsOnAReservedWorker: red before, green after.

--- a/work/src/main/java/org/cornelcove/work/lead/PoolRooms.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PoolRooms.java
@@ -98,7 +98,8 @@
     }
 
     /**
-     * Returns the workers on which a step may start while it can wait: for a lasting step, those that are not reserved.
+     * Returns the workers on which a step may start while it can wait: for a lasting step, those that are not reserved. A
+     * step that needs a label or accelerators may use all: the few workers that have them could all be reserved.
      *
      * @param step the step
      * @param pool the usable workers of its pool
@@ -106,7 +107,8 @@
      * @return a list that is not modified
      */
     List<Worker> allowed(StepSpec step, List<Worker> pool, String poolName) {
-        if (!step.lasting() || step.fill() || pool.isEmpty()) {
+        boolean needsFewWorkers = !step.requiredLabel().isEmpty() || step.accelerators() > 0;
+        if (!step.lasting() || step.fill() || needsFewWorkers || pool.isEmpty()) {
             return pool;
         }
         Set<Worker> closed = reserved.computeIfAbsent(poolName, any -> choose(pool, rooms.get(poolName)));
--- a/work/src/test/java/org/cornelcove/work/Steps.java
+++ b/work/src/test/java/org/cornelcove/work/Steps.java
@@ -65,6 +65,12 @@
                 false, 0);
     }
 
+    public static StepSpec lastingOn(String label, int cpuMillis) {
+        return new StepSpec(
+                1, cpuMillis, 100, 0, 500, List.of(), false, false, false, label, "", 0, false, true, "image", 50,
+                false, 0);
+    }
+
     public static StepSpec needing(String label, String rack, int maxPerWorker) {
         return new StepSpec(
                 1,
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -22,6 +22,9 @@
  */
 public final class FakeWorkers implements WorkerDriver {
     static final long TASK_MS = 500;
+    /** The label of a worker by its id, "a" if it has none here. */
+    final Map<String, String> labels = new HashMap<>();
+
     private static final long CALL_MS = 2;
     private static final long SILENCE_MS = 500;
 
@@ -93,7 +96,7 @@
                 8000,
                 16_000,
                 0,
-                List.of("a", "r1"),
+                List.of(labels.getOrDefault(id, "a"), "r1"),
                 loop.nowMs(),
                 sequence);
     }
--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -284,6 +284,23 @@
         assertThat("resumed", occursWithin(6000, () -> workers.paces.get(fill) > 0));
     }
 
+    /** Load pattern: a busy pool in which lasting tasks need the label of the worker that is left to short work. */
+    @Test
+    void aLastingTaskThatNeedsALabelStartsOnAReservedWorker() {
+        workers.labels.put("w0", "special");
+        for (int i = 0; i < 13; i++) {
+            workers.add("w" + i, 1);
+        }
+        workers.taskMs = 60_000;
+        for (int i = 0; i < 14; i++) {
+            submit(Steps.job("lasting" + i, Steps.lastingOn("a", 8000)));
+        }
+        runWithBeats(3000);
+        submit(Steps.job("special", Steps.lastingOn("special", 8000)));
+        runWithBeats(3000);
+        assertThat(phase("special"), is(JobPhase.RUNNING));
+    }
+
     private long lastingAtWork() {
         return workers.incarnations.values().stream()
                 .filter(incarnation -> !incarnation.running.isEmpty())
