Lasting tasks that have to run again are exempt from the reserve

The platform counts a lasting task that ran before as lost while there is capacity for it twice over, however full the service is. Change: a lasting task that ran before may use every worker.

--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -256,20 +256,23 @@
                 step.indices.removeFirst();
                 continue;
             }
-            if (noRoom.covers(poolName, step.spec(), canWait)) {
+            // The platform counts a lasting task that ran before as lost while there is room for it anywhere.
+            boolean restart = step.spec().lasting() && task.lastRunId() > 0;
+            boolean patient = canWait && !restart;
+            if (noRoom.covers(poolName, step.spec(), patient)) {
                 return;
             }
             // Tasks of a step share candidates unless they failed before or have to run in the same rack.
-            boolean alike = task.failures() == 0 && !step.spec().sameRack();
+            boolean alike = task.failures() == 0 && !step.spec().sameRack() && !restart;
             Candidates candidates = alike && shared.isPresent()
                     ? shared.get()
-                    : new Candidates(step.spec(), key, canWait ? rooms.allowed(step.spec(), pool, poolName) : pool);
+                    : new Candidates(step.spec(), key, patient ? rooms.allowed(step.spec(), pool, poolName) : pool);
             if (alike) {
                 shared = Optional.of(candidates);
             }
-            Optional<Worker> worker = candidates.best(canWait);
+            Optional<Worker> worker = candidates.best(patient);
             if (worker.isEmpty()) {
-                noRoom.add(poolName, step.spec(), canWait);
+                noRoom.add(poolName, step.spec(), patient);
                 logWaiting(step, key, pool);
                 return;
             }
