--- a/work/src/main/java/org/cornelcove/work/plan/ShortWorkRoom.java
+++ b/work/src/main/java/org/cornelcove/work/plan/ShortWorkRoom.java
@@ -13,8 +13,7 @@
  * two peaks each of them found room, until no worker had room for a wide task; those waited for tens of seconds. The same
  * lasting tasks, spread over all workers, left no worker on which sensitive ones did not exclude the fill work. Free
  * processor in small blocks does not help; so whole workers are reserved, as many as the latest peak needed. Reserved are
- * the workers with the fewest lasting tasks, which become free as these end. Stopping lasting tasks at a peak was rejected:
- * it takes longer than the peak, and the tasks lose their time at work.
+ * the workers with the fewest lasting tasks, which become free as these end.
  *
  * <p>One instance serves one pool; it is used by one thread.
  */
