Jobs are logged and counted by their size, as they are served

No decision changes: chainMs and the objective move from Backlog to JobSpec and QueueRule as they are.

--- a/work/src/main/java/org/cornelcove/work/job/JobSpec.java
+++ b/work/src/main/java/org/cornelcove/work/job/JobSpec.java
@@ -13,4 +13,37 @@
  * @param schedule when the steps run
  */
 public record JobSpec(
-        String id, String host, String pathPrefix, String taskText, List<StepSpec> steps, Schedule schedule) {}
+        String id, String host, String pathPrefix, String taskText, List<StepSpec> steps, Schedule schedule) {
+    /**
+     * Returns the estimated time of the longest chain of dependent steps that begins with a step or a later one.
+     *
+     * @param first the first step that counts, from 0
+     * @return the time in milliseconds if no task waits for room
+     */
+    public long chainMs(int first) {
+        long[] endMs = new long[steps.size()];
+        long longest = 0;
+        for (int i = first; i < endMs.length; i++) {
+            long startMs = 0;
+            for (int after : steps.get(i).after()) {
+                startMs = Math.max(startMs, endMs[after]);
+            }
+            endMs[i] = startMs + steps.get(i).estimateMs();
+            longest = Math.max(longest, endMs[i]);
+        }
+        return longest;
+    }
+
+    /**
+     * Returns the estimated processor time of all tasks of one occurrence.
+     *
+     * @return thousandths of a core times milliseconds
+     */
+    public long work() {
+        long work = 0;
+        for (StepSpec step : steps) {
+            work += (long) step.count() * step.cpuMillis() * step.estimateMs();
+        }
+        return work;
+    }
+}
--- a/work/src/main/java/org/cornelcove/work/job/QueueRule.java
+++ b/work/src/main/java/org/cornelcove/work/job/QueueRule.java
@@ -20,4 +20,14 @@
         int priority,
         int attempts,
         double stretch,
-        long targetLatencyMs) {}
+        long targetLatencyMs) {
+    /**
+     * Returns the time within which a job of the queue has to be complete.
+     *
+     * @param job the job
+     * @return milliseconds from its acceptance, or from the due time of an occurrence
+     */
+    public long objectiveMs(JobSpec job) {
+        return (long) (stretch * job.chainMs(0)) + targetLatencyMs;
+    }
+}
--- a/work/src/main/java/org/cornelcove/work/lead/Backlog.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Backlog.java
@@ -40,11 +40,10 @@
             this.job = job;
             this.occurrence = occurrence;
             this.step = step;
-            List<StepSpec> steps = job.spec().steps();
             priority = queue.priority();
             sinceMs = Math.max(job.submittedMs(), job.spec().schedule().dueMs(occurrence));
-            objectiveMs = (long) (queue.stretch() * chainMs(steps, 0)) + queue.targetLatencyMs();
-            remainingMs = chainMs(steps, step);
+            objectiveMs = queue.objectiveMs(job.spec());
+            remainingMs = job.spec().chainMs(step);
         }
 
         StepSpec spec() {
@@ -119,22 +118,6 @@
         }
     }
 
-    /** Returns the estimated time of the longest chain of steps, starting at a step. */
-    private static long chainMs(List<StepSpec> steps, int first) {
-        long[] endMs = new long[steps.size()];
-        long longest = 0;
-        for (int i = first; i < endMs.length; i++) {
-            StepSpec step = steps.get(i);
-            long startMs = 0;
-            for (int after : step.after()) {
-                startMs = Math.max(startMs, endMs[after]);
-            }
-            endMs[i] = startMs + step.estimateMs();
-            longest = Math.max(longest, endMs[i]);
-        }
-        return longest;
-    }
-
     /**
      * Removes all tasks of a job.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -56,6 +56,7 @@
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
     private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
     private final Backlog backlog = new Backlog();
+    private final ServedJobs served = new ServedJobs();
 
     private final long gainedMs;
     private boolean placementDue = true;
@@ -173,6 +174,7 @@
         if (job.phase().ended()) {
             return;
         }
+        served.accepted(job, state.queueOf(job));
         if (job.spec().schedule().repeatCount() == 0) {
             backlog.open(job, 0, state.queueOf(job), clock.nowMs());
         } else {
@@ -205,6 +207,7 @@
      * @param jobId the job
      */
     void jobEnded(String jobId) {
+        state.job(jobId).ifPresent(job -> served.ended(job, state.queueOf(job), ""));
         backlog.drop(jobId);
         placements.forget(jobId);
         List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(calls::requestStop);
@@ -226,7 +229,7 @@
             placements.recordDone(run);
         }
         if (job.phase().ended()) {
-            EventLog.event("job.ended", "job", run.task.jobId(), "phase", job.phase(), "task", run.task.text());
+            served.ended(job, state.queueOf(job), run.task.text());
             jobEnded(run.task.jobId());
             return;
         }
