--- a/work/src/main/java/org/cornelcove/work/lead/ServedJobs.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ServedJobs.java
@@ -11,12 +11,15 @@
 import org.cornelcove.work.plan.JobSizes;
 import org.cornelcove.work.state.Job;
 
-/** Measures how jobs are served by queue and size. Used on the leader's loop only. */
+/** Measures how the jobs of a term are served by queue and size. Used on the leader's loop only. */
 final class ServedJobs {
     /** Multiple of its objective after which the result of a job has no value to its caller. */
     private static final int WORTHLESS_FACTOR = 3;
+    /** Interval of the summaries; single lines may be dropped under load, a later summary holds the same counts. */
+    private static final long SUMMARY_INTERVAL_MS = 2000;
 
-    private enum Outcome {
+    private enum Count {
+        ACCEPTED,
         IN_TIME,
         LATE,
         TOO_LATE,
@@ -24,27 +27,47 @@
         CANCELLED
     }
 
-    private final Map<String, JobSizes> sizes = new HashMap<>();
+    /** The sizes and the counts of one queue. */
+    private static final class Queue {
+        private final JobSizes sizes = new JobSizes();
+        private final int[][] counts = new int[JobSizes.Rank.values().length][Count.values().length];
+    }
+
+    private record OpenJob(QueueRule queue, JobSizes.Rank size) {}
+
+    private final Map<String, Queue> queues = new HashMap<>();
     /** Jobs that have not ended, by id. */
-    private final Map<String, Job> open = new HashMap<>();
+    private final Map<String, OpenJob> open = new HashMap<>();
+
+    private long summaryDueMs;
 
-    void accepted(Job job, QueueRule queue) {
-        if (open.put(job.spec().id(), job) == null) {
-            sizes.computeIfAbsent(queue.name(), any -> new JobSizes())
-                    .observe(job.spec().work());
+    void accepted(Job job, QueueRule rule) {
+        if (!open.containsKey(job.spec().id())) {
+            Queue queue = queues.computeIfAbsent(rule.name(), any -> new Queue());
+            queue.sizes.observe(job.spec().work());
+            OpenJob added = new OpenJob(rule, queue.sizes.rank(job.spec().work()));
+            open.put(job.spec().id(), added);
+            count(added, Count.ACCEPTED);
         }
     }
 
+    private void count(OpenJob job, Count what) {
+        queues.get(job.queue.name()).counts[job.size.ordinal()][what.ordinal()]++;
+        Metrics.count(String.join(".", "served", job.queue.name(), lower(job.size), lower(what)));
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
     /** Counts and logs the first end of a job; later calls for the same job have no effect. */
-    void ended(Job job, QueueRule queue, String decidedBy) {
-        if (open.remove(job.spec().id()) == null) {
+    void ended(Job job, String decidedBy) {
+        OpenJob ended = open.remove(job.spec().id());
+        if (ended == null) {
             return;
         }
-        JobSizes.Rank size = sizes.get(queue.name()) == null
-                ? JobSizes.Rank.OTHER
-                : sizes.get(queue.name()).rank(job.spec().work());
-        Outcome outcome = outcome(job, queue);
-        Metrics.count(String.join(".", "served", queue.name(), lower(size), lower(outcome)));
+        long objectiveMs = ended.queue.objectiveMs(job.spec());
+        count(ended, outcome(job, objectiveMs));
         EventLog.event(
                 "job.ended",
                 "job",
@@ -54,26 +77,24 @@
                 "task",
                 decidedBy,
                 "queue",
-                queue.name(),
+                ended.queue.name(),
                 "size",
-                size,
+                ended.size,
                 "work",
                 job.spec().work(),
                 "tookMs",
                 tookMs(job),
                 "objectiveMs",
-                queue.objectiveMs(job.spec()));
+                objectiveMs);
     }
 
-    private static Outcome outcome(Job job, QueueRule queue) {
+    private static Count outcome(Job job, long objectiveMs) {
         if (job.phase() != JobPhase.COMPLETED) {
-            return job.phase() == JobPhase.FAILED ? Outcome.FAILED : Outcome.CANCELLED;
+            return job.phase() == JobPhase.FAILED ? Count.FAILED : Count.CANCELLED;
+        } else if (tookMs(job) <= objectiveMs) {
+            return Count.IN_TIME;
         }
-        long objectiveMs = queue.objectiveMs(job.spec());
-        if (tookMs(job) <= objectiveMs) {
-            return Outcome.IN_TIME;
-        }
-        return tookMs(job) <= WORTHLESS_FACTOR * objectiveMs ? Outcome.LATE : Outcome.TOO_LATE;
+        return tookMs(job) <= WORTHLESS_FACTOR * objectiveMs ? Count.LATE : Count.TOO_LATE;
     }
 
     private static long tookMs(Job job) {
@@ -81,7 +102,34 @@
         return job.endedMs() - Math.max(job.submittedMs(), job.spec().schedule().dueMs(lastOccurrence));
     }
 
-    private static String lower(Enum<?> value) {
-        return value.name().toLowerCase(Locale.ROOT);
+    /** Logs the counts of all queues if that is due. */
+    void summarize(long nowMs) {
+        if (nowMs < summaryDueMs) {
+            return;
+        }
+        summaryDueMs = nowMs + SUMMARY_INTERVAL_MS;
+        queues.forEach((name, queue) -> {
+            for (JobSizes.Rank size : JobSizes.Rank.values()) {
+                int[] counts = queue.counts[size.ordinal()];
+                EventLog.event(
+                        "queue.served",
+                        "queue",
+                        name,
+                        "size",
+                        size,
+                        "accepted",
+                        counts[Count.ACCEPTED.ordinal()],
+                        "inTime",
+                        counts[Count.IN_TIME.ordinal()],
+                        "late",
+                        counts[Count.LATE.ordinal()],
+                        "tooLate",
+                        counts[Count.TOO_LATE.ordinal()],
+                        "failed",
+                        counts[Count.FAILED.ordinal()],
+                        "cancelled",
+                        counts[Count.CANCELLED.ordinal()]);
+            }
+        });
     }
 }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -207,7 +207,7 @@
      * @param jobId the job
      */
     void jobEnded(String jobId) {
-        state.job(jobId).ifPresent(job -> served.ended(job, state.queueOf(job), ""));
+        state.job(jobId).ifPresent(job -> served.ended(job, ""));
         backlog.drop(jobId);
         placements.forget(jobId);
         List.copyOf(runsByJob.getOrDefault(jobId, Set.of())).forEach(calls::requestStop);
@@ -229,7 +229,7 @@
             placements.recordDone(run);
         }
         if (job.phase().ended()) {
-            served.ended(job, state.queueOf(job), run.task.text());
+            served.ended(job, run.task.text());
             jobEnded(run.task.jobId());
             return;
         }
@@ -376,6 +376,7 @@
         placementDue = true;
         placements.copyStragglers(runsByJob.values(), nowMs);
         calls.pace().storeInterference(nowMs);
+        served.summarize(nowMs);
         forgetOldJobs();
     }
 
