A task that crashes workers is blamed, started apart, and given up after three crashes

Cause: a run lost with its worker ended as LOST, and nothing counted it. Class of fault: a retry without a bound, since the failure is attributed to the place and not to the work.

Change: a crash is proved by a newer process in the worker's place. CrashBlame (pure) blames the newest runs, and of these the ones blamed before; RecordCrash counts in the replicated state and fails the job at the third. Blamed tasks start apart from each other on stable workers with few runs, and get no copies.

A rack that crashes nine times costs no job.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -1,5 +1,7 @@
 package org.cornelcove.work.lead;
 
+import java.util.OptionalLong;
+
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.plan.PaceControl;
@@ -31,6 +33,10 @@
     Stage stage;
     /** Start orders that got no answer and may still be carried out. */
     int unanswered;
+    /** Since when the worker is known to have it, on the monotonic clock; empty before. */
+    OptionalLong runningSinceMs = OptionalLong.empty();
+    /** How often the task was blamed for the crash of a worker before this run. */
+    final int crashes;
     /** When the worker last confirmed it: a poll sent after this time must list it. */
     long confirmedMs;
 
@@ -61,9 +67,26 @@
         this.stage = stage;
         this.pacePercent = stage == Stage.INHERITED ? UNKNOWN_PACE : PaceControl.FULL_PERCENT;
         this.createdMs = nowMs;
+        this.crashes = job.task(task).orElseThrow().crashes();
         this.progressMs = nowMs;
     }
 
+    void recordRunning(long nowMs) {
+        if (runningSinceMs.isEmpty()) {
+            runningSinceMs = OptionalLong.of(nowMs);
+        }
+    }
+
+    /**
+     * Returns for how long the worker was heard from after it had the run.
+     *
+     * @param heardMs when it was last heard from, on the monotonic clock
+     * @return milliseconds, 0 before the worker has confirmed the run
+     */
+    long aliveMs(long heardMs) {
+        return runningSinceMs.isPresent() ? Math.max(0, heardMs - runningSinceMs.getAsLong()) : 0;
+    }
+
     boolean over() {
         return overSinceMs != 0;
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -15,6 +15,7 @@
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
+import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.HostView;
 import org.cornelcove.work.plan.Placement;
 import org.cornelcove.work.plan.Stragglers;
@@ -138,7 +139,7 @@
 
     private void copy(ActiveRun late) {
         Task task = late.job.task(late.task).orElseThrow();
-        if (task.done() || task.runs().size() > 1 || task.lastRunId() != late.runId) {
+        if (task.done() || task.crashes() > 0 || task.runs().size() > 1 || task.lastRunId() != late.runId) {
             return;
         }
         String pool = term.state.queueOf(late.job).pool();
@@ -148,7 +149,7 @@
                         && w.usable(nowMs)
                         && w.info.get().pool().equals(pool))
                 .toList();
-        choose(late.step, late.task, others, false).ifPresent(worker -> {
+        choose(late.step, late.task, others, false, false).ifPresent(worker -> {
             EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
             begin(late.job, late.task, late.runId + 1, worker);
         });
@@ -263,14 +264,15 @@
                 return;
             }
             // Tasks of a step share candidates unless they failed before or have to run in the same rack.
-            boolean alike = task.failures() == 0 && !step.spec().sameRack() && !restart;
+            boolean suspect = task.crashes() > 0;
+            boolean alike = task.failures() == 0 && !suspect && !step.spec().sameRack() && !restart;
             Candidates candidates = alike && shared.isPresent()
                     ? shared.get()
                     : new Candidates(step.spec(), key, patient ? rooms.allowed(step.spec(), pool, poolName) : pool);
             if (alike) {
                 shared = Optional.of(candidates);
             }
-            Optional<Worker> worker = candidates.best(patient);
+            Optional<Worker> worker = suspect ? candidates.safest(patient) : candidates.best(patient);
             if (worker.isEmpty()) {
                 noRoom.add(poolName, step.spec(), patient);
                 logWaiting(step, key, pool);
@@ -304,6 +306,20 @@
             return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
         }
 
+        /** Chooses the worker for a task that may crash it. */
+        Optional<Worker> safest(boolean canWait) {
+            List<CrashBlame.Room> choices = new ArrayList<>();
+            for (int i = 0; i < workers.size(); i++) {
+                Worker worker = workers.get(i);
+                boolean eligible =
+                        Placement.fits(step, views.get(i)) && (!canWait || Placement.canProgress(step, views.get(i)));
+                long upMs = term.clock.wallMs() - worker.processStartMs;
+                choices.add(new CrashBlame.Room(eligible, worker.suspects, upMs, worker.runCount()));
+            }
+            OptionalInt best = CrashBlame.choose(choices);
+            return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
+        }
+
         void refresh(Worker worker, TaskKey task) {
             int index = workers.indexOf(worker);
             if (index >= 0) {
@@ -360,7 +376,8 @@
                     runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
         }
         for (int index = 0; index < size; index++) {
-            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false);
+            boolean suspect = step.job.task(step.task(index)).orElseThrow().crashes() > 0;
+            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false, suspect);
             if (worker.isEmpty()) {
                 members.forEach(term::untrack);
                 return;
@@ -379,8 +396,9 @@
         members.forEach(this::commitStart);
     }
 
-    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean canWait) {
-        return new Candidates(step, task, pool).best(canWait);
+    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean canWait, boolean suspect) {
+        Candidates candidates = new Candidates(step, task, pool);
+        return suspect ? candidates.safest(canWait) : candidates.best(canWait);
     }
 
     private String rackOfStep(TaskKey task) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -52,6 +52,7 @@
     final LoopClock clock;
     final WorkerCalls calls;
     private final Placements placements;
+    private final Crashes crashes = new Crashes(this);
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
     private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
@@ -136,6 +137,7 @@
         }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
         active.stopWanted = job.phase().ended();
+        active.recordRunning(gainedMs - Math.max(0, clock.wallMs() - run.startedMs()));
         if (worker.processStartMs == run.workerStartMs()) {
             track(active);
         } else {
@@ -201,6 +203,12 @@
         });
     }
 
+    /** Stops the other active runs of a job that a run has ended. */
+    void jobEnded(ActiveRun run) {
+        served.ended(run.job, run.task.text());
+        jobEnded(run.task.jobId());
+    }
+
     /**
      * Stops the active runs of an ended job.
      *
@@ -229,8 +237,7 @@
             placements.recordDone(run);
         }
         if (job.phase().ended()) {
-            served.ended(job, run.task.text());
-            jobEnded(run.task.jobId());
+            jobEnded(run);
             return;
         }
         Occurrence occurrence = job.occurrence(run.task.occurrence());
@@ -359,6 +366,11 @@
                 worker.runCount(),
                 "why",
                 why);
+        boolean announcedEnd =
+                worker.leaving || worker.info.filter(WorkerInfo::draining).isPresent();
+        if (!announcedEnd) {
+            crashes.record(worker);
+        }
         List<ActiveRun> lost = new ArrayList<>();
         worker.runs().forEach(lost::add);
         lost.forEach(run -> calls.proposeEnd(run, RunEnd.LOST, "", why));
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -11,6 +12,7 @@
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.WorkerHealth;
 
 /**
@@ -78,6 +80,10 @@
 
     boolean leaving;
     boolean incarnationEnded;
+    /** The runs that it had when its leases last expired; whether it had crashed under them shows only later. */
+    List<ActiveRun> lapsedRuns = List.of();
+    /** Number of runs whose task was blamed for a crash before. */
+    int suspects;
 
     Worker(String id, long processStartMs) {
         this.id = id;
@@ -98,11 +104,13 @@
 
     void add(ActiveRun run) {
         runs.put(new RunKey(run.task, run.runId), run);
+        suspects += run.crashes > 0 ? 1 : 0;
         use(run.step, 1);
     }
 
     void remove(ActiveRun run) {
         if (runs.remove(new RunKey(run.task, run.runId)) != null) {
+            suspects -= run.crashes > 0 ? 1 : 0;
             use(run.step, -1);
         }
     }
@@ -220,9 +228,20 @@
                 && holdFailures == 0
                 && nowMs >= avoidUntilMs
                 && !health.quarantined(nowMs)
+                && !(suspects > 0 && isolates())
                 && !(health.onProbation() && runCount() > 0);
     }
 
+    /** Checks whether it runs a task that gets a worker to itself, because it is likely to crash it. */
+    private boolean isolates() {
+        for (ActiveRun run : runs.values()) {
+            if (run.crashes >= CrashBlame.ISOLATED_CRASHES && run.aliveMs(lastContactMs) < CrashBlame.SUSPECT_MS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Checks whether the leader has to poll it.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -129,6 +129,7 @@
         run.stage = ActiveRun.Stage.CONFIRMED;
         run.confirmedMs = nowMs;
         run.progressMs = nowMs;
+        run.recordRunning(nowMs);
         run.unanswered = 0;
         run.worker.holdDueMs = Math.min(run.worker.holdDueMs, nowMs);
         if (run.stopWanted) {
@@ -293,6 +294,7 @@
     private void leasesExpired(Worker worker) {
         List<ActiveRun> lapsed = new ArrayList<>();
         worker.runs().forEach(lapsed::add);
+        worker.lapsedRuns = List.copyOf(lapsed);
         lapsed.forEach(run -> proposeEnd(run, RunEnd.LOST, "", "its lease expired"));
         if (worker.info.isEmpty()) {
             worker.incarnationEnded = true;
@@ -366,6 +368,7 @@
             return found;
         }
         ActiveRun run = found.get();
+        run.recordRunning(nowMs);
         if (run.stage == ActiveRun.Stage.INHERITED) {
             run.stage = ActiveRun.Stage.CONFIRMED;
             run.confirmedMs = nowMs;
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -28,6 +28,7 @@
     private static final int RECORD_WORKER = 7;
     private static final int DROP_WORKER = 8;
     private static final int RECORD_INTERFERENCE = 9;
+    private static final int RECORD_CRASH = 10;
 
     private CommandCodec() {}
 
@@ -84,6 +85,10 @@
                     .packInt(end.how().ordinal())
                     .packString(end.checkpoint())
                     .packLong(end.atMs());
+        } else if (command instanceof WorkCommand.RecordCrash crash) {
+            packer.packInt(RECORD_CRASH);
+            write(packer, crash.task());
+            packer.packInt(crash.runId()).packLong(crash.atMs());
         } else if (command instanceof WorkCommand.Submit submit) {
             packer.packInt(SUBMIT);
             SpecCodec.writeJob(packer, submit.spec());
@@ -114,6 +119,7 @@
                     readTask(in), in.unpackInt(), in.unpackString(), in.unpackLong(), in.unpackLong());
             case END -> new WorkCommand.End(
                     readTask(in), in.unpackInt(), RunEnd.values()[in.unpackInt()], in.unpackString(), in.unpackLong());
+            case RECORD_CRASH -> new WorkCommand.RecordCrash(readTask(in), in.unpackInt(), in.unpackLong());
             case SUBMIT -> new WorkCommand.Submit(SpecCodec.readJob(in), SpecCodec.readQueue(in), in.unpackLong());
             case CANCEL -> new WorkCommand.Cancel(in.unpackString(), in.unpackLong());
             case CONFIGURE -> new WorkCommand.Configure(SpecCodec.readRules(in));
--- a/work/src/main/java/org/cornelcove/work/state/StateCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.plan.Interference;
@@ -37,6 +39,7 @@
             for (Job job : jobs) {
                 writeJob(out, job);
             }
+            writeCrashes(out, jobs);
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to memory failed", e);
@@ -61,6 +64,7 @@
                 Job job = readJob(in);
                 jobs.put(job.spec.id(), job);
             }
+            readCrashes(in, jobs);
             return rules;
         } catch (IOException | MessagePackException e) {
             throw Failure.of(ErrorKind.FRAME_MALFORMED, String.valueOf(e.getMessage()))
@@ -104,6 +108,40 @@
         return job;
     }
 
+    /** Writes the tasks that were blamed for crashes; they are few, so they follow the jobs instead of widening each task. */
+    private static void writeCrashes(MessagePacker out, Collection<Job> jobs) throws IOException {
+        Map<TaskKey, Task> blamed = new LinkedHashMap<>();
+        for (Job job : jobs) {
+            job.occurrences.forEach((number, occurrence) -> {
+                for (int step = 0; step < occurrence.tasks.length; step++) {
+                    for (int index = 0; index < occurrence.tasks[step].length; index++) {
+                        if (occurrence.tasks[step][index].crashes > 0) {
+                            blamed.put(new TaskKey(job.spec.id(), number, step, index), occurrence.tasks[step][index]);
+                        }
+                    }
+                }
+            });
+        }
+        out.packArrayHeader(blamed.size());
+        for (Map.Entry<TaskKey, Task> entry : blamed.entrySet()) {
+            CommandCodec.write(out, entry.getKey());
+            Task task = entry.getValue();
+            out.packInt(task.crashes).packInt(task.lastCrashedRunId).packLong(task.lastCrashMs);
+        }
+    }
+
+    private static void readCrashes(MessageUnpacker in, Map<String, Job> jobs) throws IOException {
+        // Snapshots of versions that did not count crashes end here.
+        int count = in.hasNext() ? in.unpackArrayHeader() : 0;
+        for (int i = 0; i < count; i++) {
+            TaskKey key = CommandCodec.readTask(in);
+            Task task = jobs.get(key.jobId()).task(key).orElseThrow();
+            task.crashes = in.unpackInt();
+            task.lastCrashedRunId = in.unpackInt();
+            task.lastCrashMs = in.unpackLong();
+        }
+    }
+
     private static void writeTask(MessagePacker out, Task task) throws IOException {
         out.packInt(task.lastRunId)
                 .packInt(task.failures)
--- a/work/src/main/java/org/cornelcove/work/state/Task.java
+++ b/work/src/main/java/org/cornelcove/work/state/Task.java
@@ -10,6 +10,9 @@
     int failures;
     boolean done;
     String checkpoint = "";
+    int crashes;
+    int lastCrashedRunId;
+    long lastCrashMs;
     final List<Run> runs = new ArrayList<>(1);
 
     Task() {}
@@ -32,6 +35,15 @@
         return failures;
     }
 
+    /**
+     * Returns how many crashes of workers the task was blamed for.
+     *
+     * @return the count; it begins anew when the latest crash was long ago
+     */
+    public int crashes() {
+        return crashes;
+    }
+
     /**
      * Returns whether the task is done.
      *
--- a/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkCommand.java
@@ -58,6 +58,16 @@
      */
     record End(TaskKey task, int runId, RunEnd how, String checkpoint, long atMs) implements WorkCommand {}
 
+    /**
+     * Records that a task is blamed for the crash of the worker that ran it. A task that crashed several workers fails its
+     * job.
+     *
+     * @param task the task
+     * @param runId the number of the run that the worker had
+     * @param atMs when, in Unix milliseconds by the leader's clock
+     */
+    record RecordCrash(TaskKey task, int runId, long atMs) implements WorkCommand {}
+
     /**
      * Records a started or restarted worker, so that the next leader can call it before its first heartbeat.
      *
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -13,6 +13,7 @@
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
+import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.Interference;
 
 /**
@@ -26,6 +27,9 @@
  * <p>Guarded by its own monitor. The log applier modifies the state; the leader reads it under the same monitor.
  */
 public final class WorkState implements StateMachine {
+    /** Time without a crash after which earlier ones no longer count. */
+    private static final long CRASH_MEMORY_MS = 600_000;
+
     private WorkRules rules = WorkRules.NONE;
     private List<Interference.Pair> interference = List.of();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -106,6 +110,8 @@
             return start(start);
         } else if (command instanceof WorkCommand.End end) {
             return end(end);
+        } else if (command instanceof WorkCommand.RecordCrash crash) {
+            return recordCrash(crash);
         } else if (command instanceof WorkCommand.Submit submit) {
             Job job = new Job(submit.spec(), submit.queue(), submit.atMs());
             return jobs.putIfAbsent(submit.spec().id(), job) == null ? Verdict.DONE : Verdict.UNCHANGED;
@@ -215,6 +221,29 @@
         return Verdict.DONE;
     }
 
+    private Verdict recordCrash(WorkCommand.RecordCrash crash) {
+        Job job = jobs.get(crash.task().jobId());
+        if (job == null) {
+            return Verdict.UNKNOWN;
+        }
+        Optional<Task> found = job.task(crash.task());
+        if (found.isEmpty()
+                || job.phase.ended()
+                || found.get().done
+                || crash.runId() <= found.get().lastCrashedRunId
+                || crash.runId() > found.get().lastRunId) {
+            return Verdict.UNCHANGED;
+        }
+        Task task = found.get();
+        task.crashes = crash.atMs() - task.lastCrashMs > CRASH_MEMORY_MS ? 1 : task.crashes + 1;
+        task.lastCrashedRunId = crash.runId();
+        task.lastCrashMs = crash.atMs();
+        if (task.crashes >= CrashBlame.MAX_CRASHES) {
+            finish(job, JobPhase.FAILED, crash.atMs());
+        }
+        return Verdict.DONE;
+    }
+
     private void recordDone(Job job, WorkCommand.End end, StepSpec step) {
         Occurrence occurrence = job.occurrence(end.task().occurrence());
         Task[] tasks = occurrence.tasks[end.task().step()];
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/lead/CrashTest.java
@@ -0,0 +1,106 @@
+package org.cornelcove.work.lead;
+
+import java.util.List;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.StepSpec;
+import org.cornelcove.work.job.TaskKey;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class CrashTest extends TermRig {
+    private static final int WORKERS = 8;
+    private static final int DAY_S = 60;
+    /** Three crashes, and two more starts that may be under way. */
+    private static final int MAX_STARTS = 5;
+
+    private static final TaskKey DEADLY = new TaskKey("deadly", 0, 0, 0);
+
+    private enum Kind {
+        PLAIN(Steps.plain(3)),
+        COPIES(Steps.copies(3)),
+        GANG(Steps.gang(2)),
+        LASTING(Steps.lasting("image", 1000, 0)),
+        FILL(Steps.fill("image", 1000));
+
+        private final StepSpec step;
+
+        Kind(StepSpec step) {
+            this.step = step;
+        }
+    }
+
+    private void addWorkers() {
+        for (int i = 0; i < WORKERS; i++) {
+            workers.add("w" + i, 1);
+        }
+    }
+
+    /** Runs for a minute with a job of two steps each second; returns how many of these were submitted. */
+    private int runADay(int leaderChangeS) {
+        for (int second = 0; second < DAY_S; second++) {
+            submit(Steps.job("j" + second, Steps.plain(6), Steps.plain(3, 0)));
+            runWithBeats(1000);
+            if (leaderChangeS > 0 && second % leaderChangeS == leaderChangeS - 1) {
+                lead();
+            }
+        }
+        runWithBeats(20_000);
+        return DAY_S;
+    }
+
+    private void assertCompleted(int jobs) {
+        for (int job = 0; job < jobs; job++) {
+            assertThat("j" + job, phase("j" + job), is(JobPhase.COMPLETED));
+        }
+        assertThat(workers.faults, is(List.of()));
+    }
+
+    /** Regression test for BUDGET: a task that crashed each worker it started on was started without end. */
+    @ParameterizedTest
+    @EnumSource
+    void aTaskThatCrashesWorkerAfterWorkerIsGivenUp(Kind kind) {
+        addWorkers();
+        for (int index = 0; index < (kind == Kind.GANG ? kind.step.count() : 1); index++) {
+            workers.deadly.add(new TaskKey("deadly", 0, 0, index));
+        }
+        submit(Steps.job("deadly", kind.step));
+        int others = runADay(0);
+        assertThat(workers.starts.get(DEADLY), lessThanOrEqualTo(MAX_STARTS));
+        assertThat(phase("deadly"), is(JobPhase.FAILED));
+        assertCompleted(others);
+    }
+
+    /** The count of crashes outlasts leaders, and leases that expire before the worker is back. */
+    @ParameterizedTest
+    @CsvSource({"3000, 4", "3000, 10", "9000, 0", "9000, 20"})
+    void aTaskThatCrashesWorkersIsGivenUpByTheNextLeader(long returnMs, int leaderChangeS) {
+        addWorkers();
+        workers.returnMs = returnMs;
+        workers.deadly.add(DEADLY);
+        submit(Steps.job("deadly", Steps.plain(3)));
+        int others = runADay(leaderChangeS);
+        assertThat(workers.starts.get(DEADLY), lessThanOrEqualTo(MAX_STARTS));
+        assertThat(phase("deadly"), is(JobPhase.FAILED));
+        assertCompleted(others);
+    }
+
+    /** Load pattern: a rack loses power again and again, and each time with tasks that have just started. */
+    @Test
+    void noJobIsGivenUpForCrashesThatItDidNotCause() {
+        addWorkers();
+        for (int i = 1; i <= 9; i++) {
+            loop.later(i * 4000L, () -> List.copyOf(workers.incarnations.values()).stream()
+                    .filter(worker -> worker.up && worker.info.address().compareTo("10.0.0.1:1003") < 0)
+                    .forEach(workers::crashAndReturn));
+        }
+        assertCompleted(runADay(0));
+    }
+}
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -27,6 +27,8 @@
 
     private static final long CALL_MS = 2;
     private static final long SILENCE_MS = 500;
+    /** Time from the start of a deadly task to the crash of its worker. */
+    private static final long CRASH_MS = 12;
 
     /** One incarnation of a worker. */
     final class Incarnation {
@@ -65,6 +67,10 @@
     final Map<TaskKey, Integer> paces = new HashMap<>();
     /** Run time of a task. */
     long taskMs = TASK_MS;
+    /** Tasks that crash each worker on which they start. */
+    final Set<TaskKey> deadly = new HashSet<>();
+    /** Time after which another worker takes the address of one that a task crashed. */
+    long returnMs = 3000;
 
     private final Set<TaskKey> acknowledged = new HashSet<>();
 
@@ -171,9 +177,20 @@
         incarnation.highest.put(order.task(), order.runId());
         starts.merge(order.task(), 1, Integer::sum);
         loop.later(taskMs, () -> finish(incarnation, order));
+        if (deadly.contains(order.task())) {
+            loop.later(CRASH_MS, () -> crashAndReturn(incarnation));
+        }
         return Reply.OK;
     }
 
+    void crashAndReturn(Incarnation incarnation) {
+        if (incarnation.up) {
+            incarnation.crash();
+            WorkerInfo info = incarnation.info;
+            loop.later(returnMs, () -> add(info.id() + "'", info.processStartMs() + 1, info.address()));
+        }
+    }
+
     private void check(StartOrder order) {
         incarnations.values().stream()
                 .filter(other -> other.up && other.running.containsKey(order.task()) && loop.nowMs() <= other.leaseMs)
--- a/work/src/test/java/org/cornelcove/work/lead/TermTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermTest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 import org.cornelcove.work.Steps;
@@ -12,10 +11,7 @@
 import org.cornelcove.work.job.Schedule;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.plan.Interference;
-import org.cornelcove.work.state.CommandCodec;
 import org.cornelcove.work.state.WorkCommand;
-import org.cornelcove.work.state.WorkState;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -26,67 +22,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
-class TermTest {
-    private static final LeadSettings SETTINGS = new LeadSettings(5000, 200, 120_000);
-
-    private final WorkState state = new WorkState();
-    private final ManualLoop loop = new ManualLoop();
-    private final FakeWorkers workers = new FakeWorkers(loop);
-    private long index;
-    private long fence;
-
-    @BeforeEach
-    void begin() {
-        apply(new WorkCommand.Configure(Steps.RULES));
-        lead();
-    }
-
-    private byte[] apply(WorkCommand command) {
-        return state.apply(++index, CommandCodec.encode(List.of(command)));
-    }
-
-    private void lead() {
-        if (loop.term != null) {
-            loop.term.end();
-        }
-        Proposals proposals = new Proposals(
-                entry -> {
-                    CompletableFuture<byte[]> done = new CompletableFuture<>();
-                    loop.later(10, () -> done.complete(state.apply(++index, entry)));
-                    return done;
-                },
-                loop::execute);
-        loop.term = new Term(++fence, SETTINGS, state, proposals, workers, loop);
-    }
-
-    private void submit(JobSpec spec) {
-        apply(new WorkCommand.Submit(spec, Steps.QUEUE, loop.wallMs()));
-        loop.term.openJob(state.job(spec.id()).orElseThrow());
-    }
-
-    private void cancel(String job) {
-        apply(new WorkCommand.Cancel(job, loop.wallMs()));
-        loop.term.jobEnded(job);
-    }
-
-    private JobPhase phase(String job) {
-        return state.job(job).orElseThrow().phase();
-    }
-
-    private void runWithBeats(long ms) {
-        for (long passedMs = 0; passedMs < ms; passedMs += 1000) {
-            workers.beat(loop.nowMs());
-            loop.run(1000);
-        }
-    }
-
-    private FakeWorkers.Incarnation busy() {
-        return workers.incarnations.values().stream()
-                .filter(incarnation -> !incarnation.running.isEmpty())
-                .findFirst()
-                .orElseThrow();
-    }
-
+class TermTest extends TermRig {
     @Test
     void eachTaskOfAJobRunsOnce() {
         workers.add("w1", 1);
--- a/work/src/test/java/org/cornelcove/work/state/NaiveJobs.java
+++ b/work/src/test/java/org/cornelcove/work/state/NaiveJobs.java
@@ -10,6 +10,7 @@
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.plan.CrashBlame;
 
 /**
  * Reference model of the job state: scans the list of accepted commands for each query, and so keeps no state to
@@ -68,6 +69,10 @@
                 .size();
     }
 
+    private long crashes(TaskKey task) {
+        return all(WorkCommand.RecordCrash.class, c -> c.task().equals(task)).size();
+    }
+
     private boolean stepDone(String id, int occurrence, int step) {
         for (int index = 0; index < job(id).orElseThrow().steps().get(step).count(); index++) {
             if (!done(new TaskKey(id, occurrence, step, index))) {
@@ -96,6 +101,10 @@
             } else if (command instanceof WorkCommand.Start start
                     && start.task().jobId().equals(id)) {
                 phase = JobPhase.RUNNING;
+            } else if (command instanceof WorkCommand.RecordCrash crash
+                    && crash.task().jobId().equals(id)
+                    && replayed.crashes(crash.task()) >= CrashBlame.MAX_CRASHES) {
+                return JobPhase.FAILED;
             } else if (command instanceof WorkCommand.End end
                     && end.task().jobId().equals(id)) {
                 if (end.how() == RunEnd.FAILED
@@ -147,10 +156,30 @@
             }
             boolean runs = known(end.task()) && runs(end.task()).stream().anyMatch(s -> s.runId() == end.runId());
             return runs ? Verdict.DONE : Verdict.UNCHANGED;
+        } else if (command instanceof WorkCommand.RecordCrash crash) {
+            return crash(crash);
         }
         throw new IllegalArgumentException("not covered: " + command);
     }
 
+    private Verdict crash(WorkCommand.RecordCrash crash) {
+        if (job(crash.task().jobId()).isEmpty()) {
+            return Verdict.UNKNOWN;
+        }
+        boolean started = !all(
+                        WorkCommand.Start.class, s -> s.task().equals(crash.task()) && s.runId() >= crash.runId())
+                .isEmpty();
+        boolean counted = !all(
+                        WorkCommand.RecordCrash.class, c -> c.task().equals(crash.task()) && c.runId() >= crash.runId())
+                .isEmpty();
+        boolean counts = known(crash.task())
+                && started
+                && !counted
+                && !done(crash.task())
+                && !phase(crash.task().jobId()).ended();
+        return counts ? Verdict.DONE : Verdict.UNCHANGED;
+    }
+
     private Verdict start(WorkCommand.Start start) {
         TaskKey task = start.task();
         if (job(task.jobId()).isEmpty()) {
--- a/work/src/test/java/org/cornelcove/work/state/WorkStateDifferentialTest.java
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateDifferentialTest.java
@@ -59,6 +59,9 @@
             return new WorkCommand.End(task(random), random.nextInt(nextRun), how, "", 2000);
         }
         WorkCommand.Start start = started.get(random.nextInt(started.size()));
+        if (random.nextInt(6) == 0) {
+            return new WorkCommand.RecordCrash(start.task(), start.runId(), 2000);
+        }
         return new WorkCommand.End(start.task(), start.runId(), how, "", 2000);
     }
 
--- a/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
@@ -8,6 +8,7 @@
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkRules;
+import org.cornelcove.work.plan.CrashBlame;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -139,6 +140,48 @@
         assertThat(state.rules().source(), equalTo(new byte[] {1}));
     }
 
+    private Verdict crash(TaskKey task, int runId, long atMs) {
+        return apply(new WorkCommand.RecordCrash(task, runId, atMs));
+    }
+
+    @Test
+    void aTaskThatCrashedThreeWorkersFailsItsJobAlsoAfterARestore() {
+        submit(Steps.job("j", Steps.plain(2)));
+        for (int runId = 1; runId <= CrashBlame.MAX_CRASHES; runId++) {
+            assertThat(phase("j"), is(runId == 1 ? JobPhase.QUEUED : JobPhase.RUNNING));
+            start(task(0, 0), runId);
+            assertThat(crash(task(0, 0), runId, 1000L * runId), is(Verdict.DONE));
+            assertThat("repeated", crash(task(0, 0), runId, 1000L * runId), is(Verdict.UNCHANGED));
+            end(task(0, 0), runId, RunEnd.LOST);
+            state.restore(state.snapshot());
+        }
+        assertThat(phase("j"), is(JobPhase.FAILED));
+        assertThat(start(task(0, 0), 9), is(Verdict.REFUSED));
+    }
+
+    @Test
+    void crashesLongAgoDoNotCount() {
+        submit(Steps.job("j", Steps.lasting("i", 10, 50)));
+        for (int runId = 1; runId <= 2 * CrashBlame.MAX_CRASHES; runId++) {
+            start(task(0, 0), runId);
+            crash(task(0, 0), runId, 700_000L * runId);
+            end(task(0, 0), runId, RunEnd.LOST);
+        }
+        assertThat(phase("j"), is(JobPhase.RUNNING));
+    }
+
+    @Test
+    void aCrashOfARunThatNeverWasOrOfAnEndedJobChangesNothing() {
+        submit(Steps.job("j", Steps.plain(1)));
+        start(task(0, 0), 1);
+        assertThat(crash(task(0, 0), 2, 1000), is(Verdict.UNCHANGED));
+        assertThat(crash(task(0, 7), 1, 1000), is(Verdict.UNCHANGED));
+        assertThat(crash(new TaskKey("other", 0, 0, 0), 1, 1000), is(Verdict.UNKNOWN));
+        end(task(0, 0), 1, RunEnd.DONE);
+        assertThat(crash(task(0, 0), 1, 1000), is(Verdict.UNCHANGED));
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
     @Test
     void aSnapshotHoldsEverything() {
         apply(new WorkCommand.Configure(Steps.RULES));
@@ -149,12 +192,14 @@
         start(task(0, 0), 2);
         start(task(0, 1), 1);
         end(task(0, 1), 1, RunEnd.DONE);
+        crash(task(0, 0), 2, 3000);
         WorkState copy = new WorkState();
         copy.restore(state.snapshot());
         assertThat(copy.snapshot(), equalTo(state.snapshot()));
         Task task = copy.job("j").orElseThrow().task(task(0, 0)).orElseThrow();
         assertThat(task.checkpoint(), is("saved"));
         assertThat(task.failures(), is(1));
+        assertThat(task.crashes(), is(1));
         assertThat(task.runs().get(0).runId(), is(2));
         assertThat(copy.rules().queues(), is(Steps.RULES.queues()));
     }
