One-task jobs that crash worker after worker are given up too

WorkerBoard now asks CrashBlame which of the attempts are to blame; these end as FAILED and count against maxAttempts. An attempt that was reported for 3 s before, or whose worker said that it leaves, is not blamed. CrashBlame moves to policy, which both schedulers use; work depends on policy for it.

OrdersTest: 'a job that crashed its worker in all its attempts is given up' failed before with RUN b#5. Requests were looked at: RetryDecision sends again only where the target proved that it did not run, and three times at most. Not covered: workers that are back only after their leases have expired (docs/decisions/bad-actors.md).

--- a/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/WorkerBoard.java
@@ -1,6 +1,7 @@
 package org.cornelcove.control.leader;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +27,7 @@
 import org.cornelcove.model.message.AttemptReport;
 import org.cornelcove.model.message.WorkerHeartbeat;
 import org.cornelcove.model.message.WorkerOrders;
+import org.cornelcove.policy.quarantine.CrashBlame;
 
 /**
  * Tracks the workers that sent heartbeats to this leader and the leases of their attempts, and builds their orders.
@@ -72,7 +74,7 @@
             reported.add(report.attempt());
             held(report.attempt(), heartbeat.host(), tables).ifPresent(job -> record(report, job, nowMs, commands));
         }
-        endUnreported(heartbeat, reported, tables, nowMs, commands);
+        endUnreported(heartbeat, before, reported, tables, nowMs, commands);
         return commands;
     }
 
@@ -102,18 +104,54 @@
 
     /** Ends the attempts of earlier incarnations that this incarnation does not report. */
     private void endUnreported(
-            WorkerHeartbeat heartbeat, Set<AttemptId> reported, Tables tables, long nowMs, List<Command> commands) {
+            WorkerHeartbeat heartbeat,
+            LiveWorker before,
+            Set<AttemptId> reported,
+            Tables tables,
+            long nowMs,
+            List<Command> commands) {
+        List<Job> lost = new ArrayList<>();
         for (JobId id : tables.jobs().jobsOn(heartbeat.host())) {
             Job job = tables.jobs().find(id).orElseThrow();
             if (job.hostIncarnation() < heartbeat.incarnation() && !reported.contains(job.attemptId())) {
-                commands.add(endAsLost(job, "worker restarted", nowMs));
+                lost.add(job);
             }
         }
+        boolean heardBefore = before != null && before.incarnation() < heartbeat.incarnation();
+        BitSet blamed = heardBefore && !before.leaving() ? blamed(lost, before, nowMs) : new BitSet();
+        for (int i = 0; i < lost.size(); i++) {
+            commands.add(
+                    blamed.get(i)
+                            ? end(lost.get(i), AttemptEnd.FAILED, "its worker crashed", nowMs)
+                            : endAsLost(lost.get(i), "worker restarted", nowMs));
+        }
+    }
+
+    /**
+     * Decides which attempts of a worker that restarted count as failed, so that no job crashes worker after worker.
+     *
+     * @param lost the attempts that the restarted worker does not report
+     * @param before what this leader heard of the worker before it restarted
+     * @param nowMs the time of this leader
+     * @return the indices of the blamed attempts
+     */
+    private BitSet blamed(List<Job> lost, LiveWorker before, long nowMs) {
+        return CrashBlame.blamed(lost.stream()
+                .map(job -> {
+                    RunningAttempt attempt = attempt(job, nowMs);
+                    long aliveMs = attempt.reported() ? Math.max(0, before.heardMs() - attempt.sinceMs()) : 0;
+                    return new CrashBlame.Run(job.failures(), aliveMs);
+                })
+                .toList());
     }
 
     private EndAttempt endAsLost(Job job, String detail, long nowMs) {
+        return end(job, AttemptEnd.LOST, detail, nowMs);
+    }
+
+    private EndAttempt end(Job job, AttemptEnd how, String detail, long nowMs) {
         attempts.put(job.attemptId(), attempt(job, nowMs).declaredExpired());
-        return new EndAttempt(job.attemptId(), AttemptEnd.LOST, Optional.empty(), detail);
+        return new EndAttempt(job.attemptId(), how, Optional.empty(), detail);
     }
 
     /** Builds the orders for a worker of the registered incarnation from the durable state. */
--- a/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
@@ -24,6 +24,7 @@
 import org.cornelcove.model.message.WorkerHeartbeat;
 import org.cornelcove.model.message.WorkerOrders;
 import org.cornelcove.model.resource.Resources;
+import org.cornelcove.model.rule.BatchRule;
 import org.cornelcove.wire.Codec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -83,6 +84,22 @@
         return heartbeat(1, 2_000, false, reports);
     }
 
+    /** Runs the job on each of a number of incarnations of the worker, which then restarts without a word. */
+    private static Consumer<Cluster> crashes(String job, int incarnations, long aliveMs) {
+        return cluster -> {
+            for (int incarnation = 1; incarnation <= incarnations; incarnation++) {
+                AttemptReport running = runningReport(job, incarnation, 0);
+                heartbeat(incarnation, 2_000, false).accept(cluster);
+                heartbeat(incarnation, 2_000, false, running).accept(cluster);
+                cluster.nowMs += aliveMs;
+                heartbeat(incarnation, 2_000, false, running).accept(cluster);
+                heartbeat(incarnation + 1, 2_000, false).accept(cluster);
+                advance(100).accept(cluster);
+            }
+            heartbeat(incarnations + 1, 2_000, false).accept(cluster);
+        };
+    }
+
     private static Consumer<Cluster> submit(String job, JobKind kind) {
         JobSpec spec = new JobSpec(JobId.of(job), "red", kind, "t", Resources.of(800, 1, 0), 1, false, "");
         return cluster -> cluster.leader.execute(new SubmitJob(spec)).join();
@@ -120,6 +137,23 @@
         return arguments(name, expected, actions);
     }
 
+    static Stream<Arguments> crashCases() {
+        Consumer<Cluster> batch = submit("b", JobKind.BATCH);
+        return Stream.of(
+                testCase(
+                        "a job that crashed its worker is tried again",
+                        "RUN b#3 with spec",
+                        List.of(heartbeat(), batch, advance(50), crashes("b", 2, 500))),
+                testCase(
+                        "a job that crashed its worker in all its attempts is given up",
+                        "",
+                        List.of(heartbeat(), batch, advance(50), crashes("b", BatchRule.DEFAULT.maxAttempts(), 500))),
+                testCase(
+                        "a job that ran for long before each crash is not to blame",
+                        "RUN b#5 with spec",
+                        List.of(heartbeat(), batch, advance(50), crashes("b", 4, 5_000))));
+    }
+
     static Stream<Arguments> cases() {
         Consumer<Cluster> batch = submit("b", JobKind.BATCH);
         Consumer<Cluster> nextTick = advance(100);
@@ -266,7 +300,7 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @MethodSource("cases")
+    @MethodSource({"cases", "crashCases"})
     void workerReceivesOrders(String name, String expected, List<Consumer<Cluster>> actions) {
         Cluster cluster = new Cluster();
         actions.forEach(action -> action.accept(cluster));
--- a/work/src/main/java/org/cornelcove/work/plan/CrashBlame.java
+++ b/policy/src/main/java/org/cornelcove/policy/quarantine/CrashBlame.java
@@ -1,4 +1,4 @@
-package org.cornelcove.work.plan;
+package org.cornelcove.policy.quarantine;
 
 import java.util.BitSet;
 import java.util.Comparator;
--- a/work/src/main/java/org/cornelcove/work/lead/Crashes.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Crashes.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
-import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.state.WorkCommand;
 
 /**
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -10,12 +10,12 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
-import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.HostView;
 import org.cornelcove.work.plan.Placement;
 import org.cornelcove.work.plan.Stragglers;
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -9,10 +9,10 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkerInfo;
-import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.WorkerHealth;
 
 /**
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.replication.StateMachine;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.QueueRule;
@@ -13,7 +14,6 @@
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
-import org.cornelcove.work.plan.CrashBlame;
 import org.cornelcove.work.plan.Interference;
 
 /**
--- a/work/src/test/java/org/cornelcove/work/state/NaiveJobs.java
+++ b/work/src/test/java/org/cornelcove/work/state/NaiveJobs.java
@@ -5,12 +5,12 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
-import org.cornelcove.work.plan.CrashBlame;
 
 /**
  * Reference model of the job state: scans the list of accepted commands for each query, and so keeps no state to
--- a/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 
+import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.job.WorkRules;
-import org.cornelcove.work.plan.CrashBlame;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
