--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -25,6 +25,10 @@
     /** The label of a worker by its id, "a" if it has none here. */
     final Map<String, String> labels = new HashMap<>();
 
+    /** The processor of a worker by its id, in thousandths of a core; {@link #CPU_MILLIS} if it has none here. */
+    final Map<String, Integer> cpuMillis = new HashMap<>();
+
+    static final int CPU_MILLIS = 8000;
     private static final long CALL_MS = 2;
     private static final long SILENCE_MS = 500;
     /** Time from the start of a deadly task to the crash of its worker. */
@@ -44,6 +48,9 @@
         /** Delay after which the next starts are carried out, without an answer; 0 for none. */
         long lateStartMs;
 
+        /** The number of runs beyond which a start overloads it. */
+        int maxRuns = Integer.MAX_VALUE;
+
         boolean fails;
         /** Whether it refuses starts for lack of room. */
         boolean full;
@@ -99,7 +106,7 @@
                 draining,
                 OptionalLong.empty(),
                 0,
-                8000,
+                cpuMillis.getOrDefault(id, CPU_MILLIS),
                 16_000,
                 0,
                 List.of(labels.getOrDefault(id, "a"), "r1"),
@@ -176,6 +183,9 @@
         incarnation.running.put(order.task(), order.runId());
         incarnation.highest.put(order.task(), order.runId());
         starts.merge(order.task(), 1, Integer::sum);
+        if (incarnation.running.size() > incarnation.maxRuns) {
+            faults.add(order.task().text() + " overloads its worker");
+        }
         loop.later(taskMs, () -> finish(incarnation, order));
         if (deadly.contains(order.task())) {
             loop.later(CRASH_MS, () -> crashAndReturn(incarnation));
