Crash handling and served jobs after a second reading: names with units, one eligibility check

JobSpec.workCoreUs and its log field carry the unit; QueueOrder's factor of worthless results is no longer written twice; Placement.isEligible is the one check of whether a task may start; Placements.choose takes the job instead of two flags.

--- a/policy/src/main/java/org/cornelcove/policy/quarantine/CrashBlame.java
+++ b/policy/src/main/java/org/cornelcove/policy/quarantine/CrashBlame.java
@@ -12,8 +12,7 @@
  * <p>Load pattern: one task of a batch crashes each worker on which it starts, within milliseconds, while ten other tasks
  * run there; the worker is back after some seconds, empty, and would get the same task again. Blaming all tasks of the
  * worker was rejected: it fails jobs that could be done. So a run is suspected only while the worker was not heard from for
- * long enough after the run's start, and among several suspects only those that were blamed most often before: the others
- * had bad company. A suspect starts again where it can do the least harm and where another crash tells most: apart from
+ * long enough after the run's start, and among several suspects only those that were blamed most often before. A suspect starts again where it can do the least harm and where another crash tells most: apart from
  * other suspects, on a worker that was stable, with few runs.
  */
 public final class CrashBlame {
--- a/work/src/main/java/org/cornelcove/work/job/JobSpec.java
+++ b/work/src/main/java/org/cornelcove/work/job/JobSpec.java
@@ -37,11 +37,12 @@
     /**
      * Returns the estimated processor time of all tasks of one occurrence.
      *
-     * @return thousandths of a core times milliseconds
+     * @return the sum in microseconds of one core
      */
-    public long work() {
+    public long workCoreUs() {
         long work = 0;
         for (StepSpec step : steps) {
+            // Thousandths of a core times milliseconds.
             work += (long) step.count() * step.cpuMillis() * step.estimateMs();
         }
         return work;
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -95,7 +95,7 @@
     /** Checks whether a worker passes all tests of a placement, so that a run is not stopped for a place it cannot use. */
     private boolean canTake(Worker worker, ActiveRun run) {
         HostView host = view(worker, run.step, run.task, "");
-        return Placement.fits(run.step, host) && Placement.canProgress(run.step, host);
+        return Placement.isEligible(run.step, host, true);
     }
 
     void recordDone(ActiveRun run) {
@@ -149,7 +149,7 @@
                         && w.usable(nowMs)
                         && w.info.get().pool().equals(pool))
                 .toList();
-        choose(late.step, late.task, others, false, false).ifPresent(worker -> {
+        choose(late.job, late.task, others).ifPresent(worker -> {
             EventLog.event("run.copy", "task", late.task.text(), "run", late.runId, "worker", late.worker.id);
             begin(late.job, late.task, late.runId + 1, worker);
         });
@@ -264,7 +264,7 @@
                 return;
             }
             // Tasks of a step share candidates unless they failed before or have to run in the same rack.
-            boolean suspect = task.crashes() > 0;
+            boolean suspect = isSuspect(step.job, key);
             boolean alike = task.failures() == 0 && !suspect && !step.spec().sameRack() && !restart;
             Candidates candidates = alike && shared.isPresent()
                     ? shared.get()
@@ -376,8 +376,7 @@
                     runId, step.job.task(step.task(index)).orElseThrow().lastRunId());
         }
         for (int index = 0; index < size; index++) {
-            boolean suspect = step.job.task(step.task(index)).orElseThrow().crashes() > 0;
-            Optional<Worker> worker = choose(step.spec(), step.task(index), pool, false, suspect);
+            Optional<Worker> worker = choose(step.job, step.task(index), pool);
             if (worker.isEmpty()) {
                 members.forEach(term::untrack);
                 return;
@@ -396,9 +395,14 @@
         members.forEach(this::commitStart);
     }
 
-    private Optional<Worker> choose(StepSpec step, TaskKey task, List<Worker> pool, boolean canWait, boolean suspect) {
-        Candidates candidates = new Candidates(step, task, pool);
-        return suspect ? candidates.safest(canWait) : candidates.best(canWait);
+    private Optional<Worker> choose(Job job, TaskKey task, List<Worker> pool) {
+        Candidates candidates = new Candidates(job.spec().steps().get(task.step()), task, pool);
+        return isSuspect(job, task) ? candidates.safest(false) : candidates.best(false);
+    }
+
+    /** Checks whether a task was blamed for the crash of a worker. */
+    private static boolean isSuspect(Job job, TaskKey task) {
+        return job.task(task).orElseThrow().crashes() > 0;
     }
 
     private String rackOfStep(TaskKey task) {
--- a/work/src/main/java/org/cornelcove/work/lead/ServedJobs.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ServedJobs.java
@@ -9,12 +9,11 @@
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.plan.JobSizes;
+import org.cornelcove.work.plan.QueueOrder;
 import org.cornelcove.work.state.Job;
 
 /** Measures how the jobs of a term are served by queue and size. Used on the leader's loop only. */
 final class ServedJobs {
-    /** Multiple of its objective after which the result of a job has no value to its caller. */
-    private static final int WORTHLESS_FACTOR = 3;
     /** Interval of the summaries; single lines may be dropped under load, a later summary holds the same counts. */
     private static final long SUMMARY_INTERVAL_MS = 2000;
 
@@ -44,8 +43,8 @@
     void accepted(Job job, QueueRule rule) {
         if (!open.containsKey(job.spec().id())) {
             Queue queue = queues.computeIfAbsent(rule.name(), any -> new Queue());
-            queue.sizes.observe(job.spec().work());
-            OpenJob added = new OpenJob(rule, queue.sizes.rank(job.spec().work()));
+            queue.sizes.observe(job.spec().workCoreUs());
+            OpenJob added = new OpenJob(rule, queue.sizes.rank(job.spec().workCoreUs()));
             open.put(job.spec().id(), added);
             count(added, Count.ACCEPTED);
         }
@@ -80,8 +79,8 @@
                 ended.queue.name(),
                 "size",
                 ended.size,
-                "work",
-                job.spec().work(),
+                "workCoreUs",
+                job.spec().workCoreUs(),
                 "tookMs",
                 tookMs(job),
                 "objectiveMs",
@@ -94,7 +93,7 @@
         } else if (tookMs(job) <= objectiveMs) {
             return Count.IN_TIME;
         }
-        return tookMs(job) <= WORTHLESS_FACTOR * objectiveMs ? Count.LATE : Count.TOO_LATE;
+        return tookMs(job) <= QueueOrder.HOPELESS_FACTOR * objectiveMs ? Count.LATE : Count.TOO_LATE;
     }
 
     private static long tookMs(Job job) {
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -137,6 +137,7 @@
         }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
         active.stopWanted = job.phase().ended();
+        // The worker had it, at the latest, soon after the start was committed.
         active.recordRunning(gainedMs - Math.max(0, clock.wallMs() - run.startedMs()));
         if (worker.processStartMs == run.workerStartMs()) {
             track(active);
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -193,8 +193,8 @@
                         queue.get().name(),
                         "rules",
                         rules.version(),
-                        "work",
-                        spec.work(),
+                        "workCoreUs",
+                        spec.workCoreUs(),
                         "again",
                         result.is(Verdict.UNCHANGED));
                 leading.state.job(id).ifPresent(leading::openJob);
--- a/work/src/main/java/org/cornelcove/work/plan/Placement.java
+++ b/work/src/main/java/org/cornelcove/work/plan/Placement.java
@@ -55,7 +55,7 @@
         double bestCost = Double.MAX_VALUE;
         for (int i = 0; i < hosts.size(); i++) {
             HostView host = hosts.get(i);
-            if (!fits(step, host) || canWait && !canProgress(step, host)) {
+            if (!isEligible(step, host, canWait)) {
                 continue;
             }
             double cost = cost(step, host);
@@ -67,6 +67,18 @@
         return best < 0 ? OptionalInt.empty() : OptionalInt.of(best);
     }
 
+    /**
+     * Checks whether a task may start on a worker.
+     *
+     * @param step the step
+     * @param host the worker
+     * @param canWait whether the task can wait for a worker on which it would make progress
+     * @return false if the task does not fit, or is better kept in the queue
+     */
+    public static boolean isEligible(StepSpec step, HostView host, boolean canWait) {
+        return fits(step, host) && (!canWait || canProgress(step, host));
+    }
+
     /**
      * Checks whether a task fits on a worker.
      *
--- a/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
+++ b/work/src/main/java/org/cornelcove/work/plan/QueueOrder.java
@@ -16,7 +16,7 @@
  */
 public final class QueueOrder {
     /** Multiple of its objective beyond which the result of a job has no value to its caller. */
-    private static final int HOPELESS_FACTOR = 3;
+    public static final int HOPELESS_FACTOR = 3;
     /** How long a stopped lasting task waits behind other work; the platform counts it as lost after 6 s. */
     private static final long STOPPED_WAITS_MS = 5000;
 
