--- a/work/src/main/java/org/cornelcove/work/job/StepSpec.java
+++ b/work/src/main/java/org/cornelcove/work/job/StepSpec.java
@@ -42,4 +42,7 @@
         String image,
         long targetMs,
         boolean fill,
-        int maxUnavailable) {}
+        int maxUnavailable) {
+    /** Upper bound of {@link #count}. */
+    public static final int MAX_TASKS = 10_000;
+}
--- a/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/CommandCodec.java
@@ -118,7 +118,11 @@
             case START -> new WorkCommand.Start(
                     readTask(in), in.unpackInt(), in.unpackString(), in.unpackLong(), in.unpackLong());
             case END -> new WorkCommand.End(
-                    readTask(in), in.unpackInt(), RunEnd.values()[in.unpackInt()], in.unpackString(), in.unpackLong());
+                    readTask(in),
+                    in.unpackInt(),
+                    SpecCodec.readEnum(in, RunEnd.values()),
+                    in.unpackString(),
+                    in.unpackLong());
             case RECORD_CRASH -> new WorkCommand.RecordCrash(readTask(in), in.unpackInt(), in.unpackLong());
             case SUBMIT -> new WorkCommand.Submit(SpecCodec.readJob(in), SpecCodec.readQueue(in), in.unpackLong());
             case CANCEL -> new WorkCommand.Cancel(in.unpackString(), in.unpackLong());
--- a/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/SpecCodec.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 
+import org.cornelcove.model.error.ErrorKind;
+import org.cornelcove.model.error.Failure;
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.PoolRule;
 import org.cornelcove.work.job.QueueRule;
@@ -34,6 +36,19 @@
                 .packInt(spec.schedule().repeatCount());
     }
 
+    /** Throws a failure of kind {@code FRAME_MALFORMED} unless a value is in its range. */
+    static void require(boolean inRange, String what, Object value) {
+        if (!inRange) {
+            throw Failure.of(ErrorKind.FRAME_MALFORMED, what + ' ' + value).asException();
+        }
+    }
+
+    static <T extends Enum<T>> T readEnum(MessageUnpacker in, T[] values) throws IOException {
+        int ordinal = in.unpackInt();
+        require(ordinal >= 0 && ordinal < values.length, "ordinal", ordinal);
+        return values[ordinal];
+    }
+
     static JobSpec readJob(MessageUnpacker in) throws IOException {
         String id = in.unpackString();
         String host = in.unpackString();
@@ -42,7 +57,7 @@
         int count = in.unpackArrayHeader();
         List<StepSpec> steps = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            steps.add(readStep(in));
+            steps.add(readStep(in, i));
         }
         Schedule schedule = new Schedule(in.unpackLong(), in.unpackLong(), in.unpackInt());
         return new JobSpec(id, host, pathPrefix, taskText, List.copyOf(steps), schedule);
@@ -72,8 +87,9 @@
                 .packInt(step.maxUnavailable());
     }
 
-    private static StepSpec readStep(MessageUnpacker in) throws IOException {
+    private static StepSpec readStep(MessageUnpacker in, int number) throws IOException {
         int count = in.unpackInt();
+        require(count >= 1 && count <= StepSpec.MAX_TASKS, "number of tasks", count);
         int cpuMillis = in.unpackInt();
         int memoryMb = in.unpackInt();
         int accelerators = in.unpackInt();
@@ -81,7 +97,9 @@
         int afterCount = in.unpackArrayHeader();
         List<Integer> after = new ArrayList<>();
         for (int i = 0; i < afterCount; i++) {
-            after.add(in.unpackInt());
+            int earlier = in.unpackInt();
+            require(earlier >= 0 && earlier < number, "earlier step", earlier);
+            after.add(earlier);
         }
         return new StepSpec(
                 count,
--- a/work/src/main/java/org/cornelcove/work/state/StateCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -92,7 +93,7 @@
 
     private static Job readJob(MessageUnpacker in) throws IOException {
         Job job = new Job(SpecCodec.readJob(in), SpecCodec.readQueue(in), in.unpackLong());
-        job.phase = JobPhase.values()[in.unpackInt()];
+        job.phase = SpecCodec.readEnum(in, JobPhase.values());
         job.endedMs = in.unpackLong();
         job.doneOccurrences = in.unpackInt();
         int count = in.unpackArrayHeader();
@@ -135,7 +136,9 @@
         int count = in.hasNext() ? in.unpackArrayHeader() : 0;
         for (int i = 0; i < count; i++) {
             TaskKey key = CommandCodec.readTask(in);
-            Task task = jobs.get(key.jobId()).task(key).orElseThrow();
+            Optional<Task> known = Optional.ofNullable(jobs.get(key.jobId())).flatMap(job -> job.task(key));
+            SpecCodec.require(known.isPresent(), "task", key);
+            Task task = known.get();
             task.crashes = in.unpackInt();
             task.lastCrashedRunId = in.unpackInt();
             task.lastCrashMs = in.unpackLong();
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -288,10 +288,15 @@
 
     @Override
     public synchronized void restore(byte[] snapshot) {
+        Map<String, Job> newJobs = new LinkedHashMap<>();
+        Map<String, WorkerInfo> newWorkers = new LinkedHashMap<>();
+        List<Interference.Pair> pairs = new ArrayList<>();
+        // A malformed snapshot throws here and leaves the state as it is.
+        rules = StateCodec.decode(snapshot, pairs, newWorkers, newJobs);
         jobs.clear();
+        jobs.putAll(newJobs);
         workers.clear();
-        List<Interference.Pair> pairs = new ArrayList<>();
-        rules = StateCodec.decode(snapshot, pairs, workers, jobs);
+        workers.putAll(newWorkers);
         interference = pairs;
     }
 }
