A leading host that is asked to stop hands its leadership over before it drains

Cause: PlannedStop drained the entry and then closed the daemon, and only the close of the control role transferred leadership, right before the member and the call server ended; calls that the leader had taken in that moment were lost.

Now Daemon.drain transfers leadership first; the old leader answers what it has taken for as long as the entry drains. The close still transfers it if the host was elected again. PlannedStopTest failed before (no other leader within half of the drain).

--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -135,6 +135,18 @@
         return openedNode.thenCompose(ReplicaNode::stopped);
     }
 
+    /**
+     * Transfers leadership to another member, if this one leads, and goes on answering calls as a follower.
+     *
+     * @return completes once another member has been asked to lead; fails if none is up to date
+     */
+    CompletableFuture<Void> handOver() {
+        return openedNode.thenCompose(
+                node -> node.status().leading() && node.status().members().size() > 1
+                        ? node.transferLeadership()
+                        : CompletableFuture.completedFuture(null));
+    }
+
     private CompletableFuture<Outcome> propose(Command command) {
         return openedNode
                 .thenCompose(node -> node.propose(Codec.encode(command)))
--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -24,6 +24,7 @@
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.model.view.ExplainView;
+import org.cornelcove.replication.ReplicaStatus;
 import org.cornelcove.wire.Addresses;
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
@@ -37,6 +38,7 @@
 public final class Daemon implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long DRAIN_LIMIT_MS = 120_000;
+    private static final long HAND_OVER_LIMIT_MS = 1_000;
     private static final long FORWARD_SLACK_MS = 500;
 
     private final Settings settings;
@@ -154,19 +156,32 @@
     }
 
     /**
-     * Drains the entry before a planned stop: it reports unready, admits no new work and completes in-flight requests.
-     * {@link #close()} then hands leadership over.
+     * Prepares a planned stop. The control role hands its leadership over first, so that calls to the leader go elsewhere
+     * while this host still answers those it has taken. Then the entry reports unready, admits no new work and completes
+     * in-flight requests.
      */
     public void drain() {
-        entry.ifPresent(server -> {
-            try {
-                server.drain().get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
-            } catch (ExecutionException | TimeoutException e) {
-                LOG.log(System.Logger.Level.WARNING, "the drain did not complete within {0} ms", DRAIN_LIMIT_MS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        control.ifPresent(host -> await("the transfer of leadership", host.handOver(), HAND_OVER_LIMIT_MS));
+        entry.ifPresent(server -> await("the drain", server.drain(), DRAIN_LIMIT_MS));
+    }
+
+    private static void await(String what, CompletableFuture<Void> future, long limitMs) {
+        try {
+            future.get(limitMs, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(System.Logger.Level.WARNING, "{0} did not complete within {1} ms", what, limitMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Returns whether the control role of this daemon leads.
+     *
+     * @return false also without the control role
+     */
+    boolean leads() {
+        return control.flatMap(ControlHost::status).map(ReplicaStatus::leading).orElse(false);
     }
 
     @Override
