--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -30,6 +30,7 @@
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
 import org.cornelcove.wire.Codec;
+import org.cornelcove.wire.PeriodicTask;
 
 /** The control role of a daemon: the group member, the state to which the log is applied, and the leader's services. */
 final class ControlHost implements AutoCloseable {
@@ -75,7 +76,7 @@
                 (to, message) -> client.send(to, Calls.REPLICATE, message),
                 state,
                 new LeadershipForwarder()));
-        ticker.scheduleWithFixedDelay(leader::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.schedule(ticker, "tick", leader::tick, TICK_MS, TICK_MS);
     }
 
     private DataFolder openFolder() {
--- a/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/call/ControlAddresses.java
@@ -5,13 +5,13 @@
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import org.cornelcove.replication.Member;
 import org.cornelcove.replication.ReplicaStatus;
 import org.cornelcove.wire.LeaderRouter;
+import org.cornelcove.wire.PeriodicTask;
 
 /**
  * The rpc addresses of the control hosts: the members most recently reported by a control host, then the configured
@@ -52,11 +52,12 @@
      * @param router calls any of the control hosts known so far
      */
     public void startRefresh(LeaderRouter router) {
-        timer.scheduleWithFixedDelay(
+        PeriodicTask.schedule(
+                timer,
+                "refresh of the members",
                 () -> router.call(Calls.GROUP, Empty.INSTANCE, TIMEOUT_MS).thenAccept(this::updateMembers),
                 0,
-                REFRESH_MS,
-                TimeUnit.MILLISECONDS);
+                REFRESH_MS);
     }
 
     void updateMembers(ReplicaStatus group) {
--- a/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
+++ b/entry/src/main/java/org/cornelcove/entry/LeaseKeeper.java
@@ -21,6 +21,7 @@
 import org.cornelcove.model.message.TargetAnnouncement;
 import org.cornelcove.model.message.TargetGrant;
 import org.cornelcove.model.rule.RuleSet;
+import org.cornelcove.wire.PeriodicTask;
 
 /**
  * Renews the entry's lease and keeps the {@link EntryView} current.
@@ -80,7 +81,7 @@
 
     void start(String callerAddress) {
         httpAddress = callerAddress;
-        heartbeatTimer.scheduleWithFixedDelay(this::heartbeatTick, 0, settings.heartbeatMs(), TimeUnit.MILLISECONDS);
+        PeriodicTask.schedule(heartbeatTimer, "heartbeat", this::heartbeatTick, 0, settings.heartbeatMs());
     }
 
     EntryView view() {
--- a/wire/src/main/java/org/cornelcove/wire/CallClient.java
+++ b/wire/src/main/java/org/cornelcove/wire/CallClient.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -53,11 +52,8 @@
             return thread;
         });
         CallClient client = new CallClient(transport, timer);
-        timer.scheduleWithFixedDelay(
-                () -> client.peers.values().forEach(Peer::ping),
-                Peer.PING_EVERY_MS,
-                Peer.PING_EVERY_MS,
-                TimeUnit.MILLISECONDS);
+        PeriodicTask.schedule(
+                timer, "ping", () -> client.peers.values().forEach(Peer::ping), Peer.PING_EVERY_MS, Peer.PING_EVERY_MS);
         return client;
     }
 
--- a/work/src/main/java/org/cornelcove/work/group/ControlNode.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlNode.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -24,6 +23,7 @@
 import org.cornelcove.replication.storage.DiskFolder;
 import org.cornelcove.wire.CallClient;
 import org.cornelcove.wire.CallHandlers;
+import org.cornelcove.wire.PeriodicTask;
 import org.cornelcove.work.lead.WorkLeader;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.state.WorkState;
@@ -76,8 +76,7 @@
      */
     public static ControlNode open(GroupSettings settings, CallClient client, WorkLeader leader) {
         ControlNode control = new ControlNode(settings, client, leader);
-        control.maintenance.scheduleWithFixedDelay(
-                control::maintain, 0, MAINTENANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.schedule(control.maintenance, "maintenance", control::maintain, 0, MAINTENANCE_INTERVAL_MS);
         return control;
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -11,6 +11,7 @@
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.replication.Replica;
+import org.cornelcove.wire.PeriodicTask;
 import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.WorkRules;
@@ -49,6 +50,7 @@
     private final LeaseCheck leaseCheck = new LeaseCheck();
     private Optional<Term> term = Optional.empty();
     private boolean settleDue;
+    private final CompletableFuture<Error> failed = new CompletableFuture<>();
 
     private WorkLeader(LeadSettings settings, WorkerDriver driver) {
         this.settings = settings;
@@ -64,7 +66,7 @@
      */
     public static WorkLeader create(LeadSettings settings, WorkerDriver driver) {
         WorkLeader leader = new WorkLeader(settings, driver);
-        leader.executor.scheduleWithFixedDelay(leader::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.schedule(leader.executor, "tick", leader::tick, TICK_MS, TICK_MS);
         return leader;
     }
 
@@ -95,6 +97,16 @@
         });
     }
 
+    /**
+     * Returns a future that completes when an error has left this leader unable to work, such as a lack of memory. It has
+     * stopped leading by then; the process should end.
+     *
+     * @return the error; never completes otherwise
+     */
+    public CompletableFuture<Error> failed() {
+        return failed;
+    }
+
     // Calls
 
     /**
@@ -297,7 +309,7 @@
         guarded("settle", () -> term.ifPresent(Term::settle));
     }
 
-    private static void guarded(String what, Runnable task) {
+    private void guarded(String what, Runnable task) {
         long startNs = System.nanoTime();
         try {
             task.run();
@@ -308,6 +320,10 @@
         } catch (RuntimeException e) {
             StackTraceElement[] stack = e.getStackTrace();
             EventLog.event("lead.fault", "cause", e, "where", stack.length == 0 ? "" : stack[0]);
+        } catch (Error e) {
+            term.ifPresent(Term::end);
+            term = Optional.empty();
+            failed.complete(e);
         }
     }
 
