A stopping entry stays until its peers know, and leadership moves after its drain

Cause: an entry counted as drained as soon as it owned nothing, while its peers learn that only with their next heartbeats. A request that they forwarded in between met the closing of the call server, and what was cut off is unknown. With leadership moved first the new leader, which collects announcements for 1.2 s, told the peers even later; the host's own log shows it.

Now the drained entry refuses forwards as not run for three heartbeats before it closes, leadership is handed over after the entry has drained, and a former leader answers the calls that it has taken for half a second.

--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -39,6 +39,9 @@
     private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long DRAIN_LIMIT_MS = 120_000;
     private static final long HAND_OVER_LIMIT_MS = 1_000;
+    /** Time in which a former leader answers the calls that it has taken, and callers find the new one. */
+    private static final long LEADER_CALLS_MS = 500;
+
     private static final long FORWARD_SLACK_MS = 500;
 
     private final Settings settings;
@@ -156,13 +159,22 @@
     }
 
     /**
-     * Prepares a planned stop. The control role hands its leadership over first, so that calls to the leader go elsewhere
-     * while this host still answers those it has taken. Then the entry reports unready, admits no new work and completes
-     * in-flight requests.
+     * Prepares a planned stop. The entry reports unready, admits no new work and completes in-flight requests. Then the
+     * control role hands its leadership over and still answers the calls that it has taken. Leadership moves last, since a
+     * new leader reassigns nothing while it collects announcements.
      */
     public void drain() {
-        control.ifPresent(host -> await("the transfer of leadership", host.handOver(), HAND_OVER_LIMIT_MS));
         entry.ifPresent(server -> await("the drain", server.drain(), DRAIN_LIMIT_MS));
+        boolean led = leads();
+        control.ifPresent(host -> await("the transfer of leadership", host.handOver(), HAND_OVER_LIMIT_MS));
+        if (led) {
+            await("the calls to the leader", afterCalls(), HAND_OVER_LIMIT_MS);
+        }
+    }
+
+    private static CompletableFuture<Void> afterCalls() {
+        return CompletableFuture.runAsync(
+                () -> {}, CompletableFuture.delayedExecutor(LEADER_CALLS_MS, TimeUnit.MILLISECONDS));
     }
 
     private static void await(String what, CompletableFuture<Void> future, long limitMs) {
--- a/entry/src/main/java/org/cornelcove/entry/EntryServer.java
+++ b/entry/src/main/java/org/cornelcove/entry/EntryServer.java
@@ -28,6 +28,8 @@
     private static final long DRAIN_POLL_MS = 20;
     /** How long a drain waits for targets and ranges to be reassigned; once the lease expires, they are in any case. */
     private static final long HAND_OVER_LIMIT_MS = 3_000;
+    /** Heartbeats in which the other entries learn that this one owns nothing; until then they may forward requests. */
+    private static final int PEER_HEARTBEATS = 3;
 
     private static final int MAX_HEADERS = 100;
     private static final int MAX_HEADER_BYTES = 16_384;
@@ -289,6 +291,11 @@
                     .execute(() -> awaitEmpty(handOverEndNs));
             return;
         }
+        CompletableFuture.delayedExecutor(PEER_HEARTBEATS * settings.heartbeatMs(), TimeUnit.MILLISECONDS)
+                .execute(this::completeDrain);
+    }
+
+    private void completeDrain() {
         stage.set(Stage.DRAINED);
         LOGGER.log(System.Logger.Level.INFO, "drained");
         drained.complete(null);
