--- a/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/Daemon.java
@@ -168,15 +168,12 @@
         boolean led = leads();
         control.ifPresent(host -> await("the transfer of leadership", host.handOver(), HAND_OVER_LIMIT_MS));
         if (led) {
-            await("the calls to the leader", afterCalls(), HAND_OVER_LIMIT_MS);
+            new CompletableFuture<Void>()
+                    .completeOnTimeout(null, LEADER_CALLS_MS, TimeUnit.MILLISECONDS)
+                    .join();
         }
     }
 
-    private static CompletableFuture<Void> afterCalls() {
-        return CompletableFuture.runAsync(
-                () -> {}, CompletableFuture.delayedExecutor(LEADER_CALLS_MS, TimeUnit.MILLISECONDS));
-    }
-
     private static void await(String what, CompletableFuture<Void> future, long limitMs) {
         try {
             future.get(limitMs, TimeUnit.MILLISECONDS);
