A safe request whose forward got no answer is not told not-run

Cause: since a safe request whose forward got no answer is tried again; if no target was left or the queue was full then, the refusal said not-run, which holds for the last attempt only. Class: a proof about one attempt given for the whole request. Now a run remembers that an attempt ended without an answer, and any later refusal of it says unknown; the status, the reason and Retry-After stay. LifecycleTest.aSafeRequestWhoseForwardGotNoAnswerIsNotToldNotRun failed before ('not-run').

--- a/entry/src/main/java/org/cornelcove/entry/Answer.java
+++ b/entry/src/main/java/org/cornelcove/entry/Answer.java
@@ -49,6 +49,11 @@
         return new ForwardedAnswer(run, status, headers, body);
     }
 
+    /** Returns this answer for a request that may have run in an earlier attempt. */
+    Answer orMayHaveRun() {
+        return run == RunState.NOT_RUN ? new Answer(RunState.UNKNOWN, status, headers, body, error, runFinished) : this;
+    }
+
     /** Returns this answer with a future that completes when its run is finished. */
     Answer withRunFinished(CompletableFuture<Void> finished) {
         return new Answer(run, status, headers, body, error, Optional.of(finished));
--- a/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
+++ b/entry/src/main/java/org/cornelcove/entry/Dispatcher.java
@@ -212,7 +212,9 @@
             request.trace().add(nowNs(), "entry answered", answer.run());
             if (answer.run() == RunState.NOT_RUN && hasOwnTargets && run.requeue(null)) {
                 enqueue(run, line, view.get(), true);
-            } else if (isLostSafeRequest(request, answer) && line.mayRetry(run, nowNs()) && run.requeue(null)) {
+            } else if (isLostSafeRequest(request, answer)
+                    && line.mayRetry(run, nowNs())
+                    && run.requeueAfterLostAnswer()) {
                 metrics.retried.inc();
                 enqueue(run, line, view.get(), hasUsableTargets(line.service(), view.get()));
             } else {
--- a/entry/src/main/java/org/cornelcove/entry/Run.java
+++ b/entry/src/main/java/org/cornelcove/entry/Run.java
@@ -22,6 +22,9 @@
     private volatile TargetCall call;
     private volatile OwnedTarget lastFailed;
     private volatile int attempts;
+    /** Whether an attempt ended without an answer, so that no later refusal proves that the request did not run. */
+    private volatile boolean mayHaveRun;
+
     private volatile long startedNs;
     private QueuedRequest<Run> place;
 
@@ -107,6 +110,12 @@
         return stage.compareAndSet(Stage.STARTED, Stage.WAITING);
     }
 
+    /** Moves back to waiting after an attempt whose answer was lost; only for a request that may run again. */
+    boolean requeueAfterLostAnswer() {
+        mayHaveRun = true;
+        return requeue(null);
+    }
+
     /** Ends a waiting run; returns false if it is in another state. */
     boolean endWaiting(Answer result) {
         return stage.compareAndSet(Stage.WAITING, Stage.ENDED) && complete(result);
@@ -122,7 +131,7 @@
         if (deadline != null) {
             deadline.cancel();
         }
-        answer.complete(result);
+        answer.complete(mayHaveRun ? result.orMayHaveRun() : result);
         return true;
     }
 }
--- a/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
+++ b/entry/src/test/java/org/cornelcove/entry/LifecycleTest.java
@@ -301,6 +301,22 @@
         }
     }
 
+    /** A peer that took the request may have run it, also if no target is left for another attempt. */
+    @Test
+    void aSafeRequestWhoseForwardGotNoAnswerIsNotToldNotRun() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.control.peers = List.of(new PeerEntry(
+                    EntryId.of("entry-2"), "zone-b", "peer", new TreeMap<>(java.util.Map.of("booking", 1)), List.of()));
+            rig.peers = (address, request) ->
+                    CompletableFuture.failedFuture(Failure.of(ErrorKind.PEER_UNREACHABLE, address, "connection lost")
+                            .asException());
+            rig.open();
+            HttpResponse<String> answer = rig.send(rig.post("r1", "safe", "k", "b"));
+            assertThat(Rig.error(answer), is(ErrorKind.NO_TARGET.number()));
+            assertThat(Rig.run(answer), is("unknown"));
+        }
+    }
+
     @Test
     void aFailingTargetIsEjectedAndTheRestServes() throws Exception {
         FakeTarget failing = FakeTarget.start("t1", Behaviour.REFUSE);
