review: a late Leave of an earlier life ends the new one

Seen: an executor sends its Leave into a cut, ends, and starts again under its id; the new life has tasks when the old Leave arrives. 0.4 s later its tasks are started elsewhere, while they are at work.

Code at fault: ControlApi passes on only the id of a Leave, and Term.leave ends whatever life is registered under it.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" Crashes "$(cd "$(dirname "$0")" && pwd)"
+exec "$(dirname "$0")/../run-case.sh" LateLeave "$(cd "$(dirname "$0")" && pwd)"
