--- a/review/standins/review/OtherWriter.java
+++ b/review/standins/review/OtherWriter.java
@@ -42,7 +42,10 @@
                     .put("sequence", 4);
             body.putObject("capacity").put("cpu", 32_000).put("memMb", 125_000).put("gpu", 0);
             body.putArray("labels").add("a").add("r1-1");
-            HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).followRedirects(HttpClient.Redirect.ALWAYS).build();
+            HttpClient http = HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .followRedirects(HttpClient.Redirect.ALWAYS)
+                    .build();
             for (String address : site.controlAddresses()) {
                 HttpResponse<String> answer = http.send(
                         HttpRequest.newBuilder(URI.create("http://" + address + "/v1/Executors.Heartbeat/i-9"))
