A worker that cannot be called no longer stops the leader's pass

Cause: the address was read as any string, HttpCaller threw in the leader's thread instead of completing its future, and the only barrier of the loop stood around the whole pass. One throw ended the outcomes of the other commands of the same entry, the polls of the workers that follow, and the proposal of what was placed.

Evidence: worker.new with an empty address, then lead.fault "not ip:port: " from Addresses.parse at every pass; committed starts that were never sent.

Why it works: an entry that can't be called is refused, one that is in the log already is polled without effect and its runs end with the leases of earlier leaders, and no exception reaches the work of others.

--- a/wire/src/main/java/org/cornelcove/wire/Addresses.java
+++ b/wire/src/main/java/org/cornelcove/wire/Addresses.java
@@ -2,10 +2,15 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Parses and formats numeric socket addresses of the form {@code ip:port}. */
 public final class Addresses {
     private static final int MAX_PORT = 65535;
+    private static final String BYTE = "(25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+    private static final Pattern IPV4 = Pattern.compile(BYTE + "(\\." + BYTE + "){3}");
+    /** With a colon, so that it is never taken for the name of a host, which would be looked up. */
+    private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F]*:[0-9a-fA-F:]*");
 
     private Addresses() {}
 
@@ -26,7 +31,7 @@
             if (port < 0 || port > MAX_PORT || !isNumeric(host)) {
                 return Optional.empty();
             }
-            return Optional.of(new InetSocketAddress(host, port));
+            return Optional.of(new InetSocketAddress(host, port)).filter(address -> !address.isUnresolved());
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
@@ -55,6 +60,6 @@
     }
 
     private static boolean isNumeric(String host) {
-        return host.matches("[0-9.]+|[0-9a-fA-F:]+");
+        return IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
     }
 }
--- a/work/src/main/java/org/cornelcove/work/job/WorkRules.java
+++ b/work/src/main/java/org/cornelcove/work/job/WorkRules.java
@@ -35,6 +35,16 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Checks whether a pool exists.
+     *
+     * @param name the name of the pool
+     * @return true if a rule of this name is among the pools
+     */
+    public boolean definesPool(String name) {
+        return pools.stream().anyMatch(pool -> pool.name().equals(name));
+    }
+
     /**
      * Finds the queue with exactly this host and path prefix.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/Proposals.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -79,7 +79,8 @@
             Result result = thrown == null
                     ? new Result(Optional.of(Verdict.values()[verdicts[i]]), Optional.empty())
                     : new Result(Optional.empty(), Optional.of(failureOf(thrown)));
-            waiting.get(i).accept(result);
+            Consumer<Result> listener = waiting.get(i);
+            FaultBarrier.run("outcome of a command", () -> listener.accept(result));
         }
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -77,7 +77,7 @@
         this.proposals = proposals;
         this.clock = clock;
         this.gainedMs = clock.nowMs();
-        this.calls = new WorkerCalls(this, driver);
+        this.calls = new WorkerCalls(this, new ConfinedDriver(driver));
         this.placements = new Placements(this);
         synchronized (state) {
             state.workers().values().forEach(this::remember);
@@ -276,11 +276,15 @@
     // Workers
 
     /**
-     * Handles a heartbeat.
+     * Handles a heartbeat. One of a pool that the rules do not define names no worker to use, and so tells nothing about the
+     * worker whose id or address it has.
      *
      * @param info the state that the worker reports
      */
     void announce(WorkerInfo info) {
+        if (!state.rules().definesPool(info.pool())) {
+            return;
+        }
         long nowMs = clock.nowMs();
         Worker worker = workers.get(info.id());
         if (worker != null
@@ -382,15 +386,15 @@
     /** Does the periodic work: due occurrences, polls, copies and cleanup. */
     void tick() {
         long nowMs = clock.nowMs();
-        openDueOccurrences();
+        FaultBarrier.run("due occurrences", this::openDueOccurrences);
         for (Worker worker : List.copyOf(workers.values())) {
-            calls.poll(worker, nowMs);
+            FaultBarrier.run("poll of " + worker.id, () -> calls.poll(worker, nowMs));
         }
         placementDue = true;
-        placements.copyStragglers(runsByJob.values(), nowMs);
-        calls.pace().storeInterference(nowMs);
-        served.summarize(nowMs);
-        forgetOldJobs();
+        FaultBarrier.run("copies", () -> placements.copyStragglers(runsByJob.values(), nowMs));
+        FaultBarrier.run("interference", () -> calls.pace().storeInterference(nowMs));
+        FaultBarrier.run("served jobs", () -> served.summarize(nowMs));
+        FaultBarrier.run("old jobs", this::forgetOldJobs);
     }
 
     private void forgetOldJobs() {
@@ -412,7 +416,7 @@
         long nowMs = clock.nowMs();
         if (placementDue && nowMs >= placeAgainMs && clock.leased()) {
             placementDue = false;
-            placements.place(backlog.inOrder(clock.wallMs(), nowMs), nowMs);
+            FaultBarrier.run("placement", () -> placements.place(backlog.inOrder(clock.wallMs(), nowMs), nowMs));
             long tookMs = clock.nowMs() - nowMs;
             placeAgainMs = nowMs + Math.max(MIN_PLACE_INTERVAL_MS, PLACE_INTERVAL_FACTOR * tookMs);
             Metrics.recordLatency("place", tookMs);
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -312,14 +312,11 @@
     private void guarded(String what, Runnable task) {
         long startNs = System.nanoTime();
         try {
-            task.run();
+            FaultBarrier.run(what, task);
             long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
             if (tookMs > SLOW_MS) {
                 EventLog.event("loop.slow", "tookMs", tookMs, "what", what);
             }
-        } catch (RuntimeException e) {
-            StackTraceElement[] stack = e.getStackTrace();
-            EventLog.event("lead.fault", "cause", e, "where", stack.length == 0 ? "" : stack[0]);
         } catch (Error e) {
             term.ifPresent(Term::end);
             term = Optional.empty();
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -52,6 +52,8 @@
         int maxRuns = Integer.MAX_VALUE;
 
         boolean fails;
+        /** Whether each call to it throws an exception, against the contract of the driver. */
+        boolean throwing;
         /** Whether it refuses starts for lack of room. */
         boolean full;
         /** The measurement of a running task in a poll: tail latency or processor in use. */
@@ -128,6 +130,9 @@
 
     private Incarnation at(WorkerInfo worker) {
         Incarnation incarnation = incarnations.get(worker.id());
+        if (incarnation.throwing) {
+            throw new IllegalArgumentException("the worker " + worker.id() + " cannot be called");
+        }
         if (loop.nowMs() > incarnation.leaseMs && !incarnation.running.isEmpty()) {
             List.copyOf(incarnation.running.keySet()).forEach(task -> end(incarnation, task, RunEnd.LAPSED));
         }
