A leaving worker's runs are stopped before its Leave is acknowledged, and its end is never assumed

Cause: Term.leave took the message for the proof of an end, 400 ms later, whether the acknowledgement had arrived or not.

A refused connection proves no end either: the platform's cuts may refuse.

Change: the leader stops the runs that the worker still has, and acknowledges when each has ended and is in the log, or when the stops are overdue. The incarnation ends when no run of it is left; a run whose end the worker did not list waits for the lease, which a Leave no longer lets be renewed, or for the worker's next life. The Leave is logged.

Why it works: a run is given up only by the worker's own list, by its lease, or by a later life at its place. On a planned scale-in the first comes within some milliseconds, so that nothing waits.

--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -42,8 +42,8 @@
     private static final long MIN_PLACE_INTERVAL_MS = 8;
     /** Interval between placement passes as a multiple of their duration, so that a backlog delays no leases or answers. */
     private static final long PLACE_INTERVAL_FACTOR = 4;
-    /** Time after a worker's leave message, whose acknowledgement it awaits, by which it has ended. */
-    private static final long LEAVE_MS = 400;
+    /** How long the acknowledgement of a leave message waits for the stops of the worker's runs beyond their timeout. */
+    private static final long LEAVE_MARGIN_MS = 500;
 
     final long fence;
     final LeadSettings settings;
@@ -337,18 +337,50 @@
     }
 
     /**
-     * Handles a worker's message that it ends now.
+     * Handles a worker's message that it will end once this message is acknowledged, or some seconds later without an
+     * acknowledgement. Because an acknowledgement may be lost, the message itself proves no end: the runs of the worker are
+     * stopped first, and those whose end it did not list start again only after its lease.
      *
      * @param id the worker
+     * @param acknowledge sends the acknowledgement: once the worker has no runs, or when their stops are overdue
      */
-    void leave(String id) {
+    void leave(String id, Runnable acknowledge) {
         Worker worker = workers.get(id);
-        if (worker != null && !worker.incarnationEnded) {
-            worker.leaving = true;
-            clock.later(LEAVE_MS, () -> endIncarnation(worker, "it left"));
+        if (worker == null || worker.incarnationEnded) {
+            acknowledge.run();
+            return;
+        }
+        EventLog.event(
+                "worker.leaves",
+                "worker",
+                id,
+                "born",
+                worker.processStartMs,
+                "runs",
+                worker.runCount(),
+                "again",
+                worker.leaving);
+        worker.leaving = true;
+        worker.leaveListeners.add(acknowledge);
+        clock.later(settings.stopTimeoutMs() + LEAVE_MARGIN_MS, () -> acknowledgeLeave(worker));
+        List<ActiveRun> runs = new ArrayList<>();
+        worker.runs().forEach(runs::add);
+        runs.forEach(calls::requestStop);
+        endIfLeft(worker);
+    }
+
+    private void endIfLeft(Worker worker) {
+        if (worker.leaving && worker.idle()) {
+            endIncarnation(worker, "it left");
         }
     }
 
+    private static void acknowledgeLeave(Worker worker) {
+        List<Runnable> listeners = List.copyOf(worker.leaveListeners);
+        worker.leaveListeners.clear();
+        listeners.forEach(Runnable::run);
+    }
+
     /**
      * Ends an incarnation of a worker, of which nothing can run any more, and all its runs.
      *
@@ -379,6 +411,7 @@
         List<ActiveRun> lost = new ArrayList<>();
         worker.runs().forEach(lost::add);
         lost.forEach(run -> calls.proposeEnd(run, RunEnd.LOST, "", why));
+        acknowledgeLeave(worker);
     }
 
     // The loop
@@ -389,6 +422,7 @@
         FaultBarrier.run("due occurrences", this::openDueOccurrences);
         for (Worker worker : List.copyOf(workers.values())) {
             FaultBarrier.run("poll of " + worker.id, () -> calls.poll(worker, nowMs));
+            endIfLeft(worker);
         }
         placementDue = true;
         FaultBarrier.run("copies", () -> placements.copyStragglers(runsByJob.values(), nowMs));
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -126,12 +126,11 @@
      * Handles a worker's message that it ends; fails with kind {@code NOT_LEADER}.
      *
      * @param workerId the worker
-     * @return completed once the message is handled
+     * @return completed when the worker may end: once its runs are stopped, or after about a second
      */
     public CompletableFuture<Void> leave(String workerId) {
         return onTerm((leading, answer) -> {
-            leading.leave(workerId);
-            answer.complete(null);
+            leading.leave(workerId, () -> answer.complete(null));
         });
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -1,5 +1,6 @@
 package org.cornelcove.work.lead;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -78,7 +79,11 @@
     /** Whether this leader received a heartbeat: only heartbeats show whether the worker is draining. */
     boolean announced;
 
+    /** Whether it has said that it ends, which it does when that is acknowledged, or later. */
     boolean leaving;
+    /** Send the acknowledgements that it waits for. */
+    final List<Runnable> leaveListeners = new ArrayList<>();
+
     boolean incarnationEnded;
     /** The runs that it had when its leases last expired; whether it had crashed under them shows only later. */
     List<ActiveRun> lapsedRuns = List.of();
@@ -98,6 +103,11 @@
         return runs.size();
     }
 
+    /** Checks whether no run can be active on it, and each end that it listed is in the durable state. */
+    boolean idle() {
+        return runs.isEmpty() && pendingEnds.isEmpty();
+    }
+
     Optional<ActiveRun> run(TaskKey task, int runId) {
         return Optional.ofNullable(runs.get(new RunKey(task, runId)));
     }
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -260,8 +260,10 @@
             return;
         }
         boolean runsThere = worker.runCount() > 0;
-        // The lease of a silent worker is not renewed, since a renewal without an answer may still be carried out.
-        OptionalLong deadline = runsThere && worker.holdFailures == 0
+        // The lease of a silent worker is not renewed, since a renewal without an answer may still be carried out. That
+        // of a
+        // leaving worker bounds how long its runs wait when its end cannot be proved otherwise.
+        OptionalLong deadline = runsThere && worker.holdFailures == 0 && !worker.leaving
                 ? worker.deadline(nowMs, term.settings.leaseMs())
                 : OptionalLong.empty();
         boolean atOnce = !worker.fenced || worker.holdFailures > 0 || !runsThere || stopping(worker);
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
@@ -0,0 +1,136 @@
+package org.cornelcove.work.lead;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.TaskKey;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/** Workers that say that they end. */
+class LeaveTest extends TermRig {
+    private static final TaskKey TASK = new TaskKey("j", 0, 0, 0);
+    /** By which a worker has to have its acknowledgement, before it asks another host. */
+    private static final long ACK_MS = 1000;
+
+    private final List<Long> acknowledgedMs = new ArrayList<>();
+
+    private FakeWorkers.Incarnation workerWithLongTask() {
+        workers.taskMs = 9000;
+        FakeWorkers.Incarnation worker = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(500);
+        workers.add("w2", 1);
+        return worker;
+    }
+
+    private void leave(String id) {
+        loop.term.leave(id, () -> acknowledgedMs.add(loop.nowMs()));
+    }
+
+    /** Guards against a task that starts elsewhere while the worker, without an acknowledgement, works on. */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 3000, 8000})
+    void aTaskOfALeavingWorkerThatCannotBeReachedDoesNotRunTwice(long endsAnywayMs) {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        leaving.silent = true;
+        leave("w1");
+        loop.later(endsAnywayMs, leaving::crash);
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    /** Guards against a planned scale-in whose tasks wait for a lease. */
+    @Test
+    void aTaskOfALeavingWorkerIsStoppedAndStartsElsewhereAtOnce() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        long sentMs = loop.nowMs();
+        leave("w1");
+        loop.run(300);
+        assertThat(leaving.running.keySet(), empty());
+        assertThat(acknowledgedMs.size(), is(1));
+        assertThat(acknowledgedMs.get(0) - sentMs, lessThanOrEqualTo(ACK_MS));
+        assertThat(workers.starts.get(TASK), is(2));
+        leaving.crash();
+        runWithBeats(12_000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void anIdleWorkerIsAcknowledgedAtOnceAndGetsNothingMore() {
+        workers.add("w1", 1);
+        loop.run(100);
+        leave("w1");
+        leave("w1");
+        leave("unknown");
+        assertThat(acknowledgedMs.size(), is(3));
+        submit(Steps.job("j", Steps.plain(1)));
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.QUEUED));
+    }
+
+    @Test
+    void eachLeaveOfAnUnreachableWorkerIsAcknowledgedInTime() {
+        workerWithLongTask().silent = true;
+        long sentMs = loop.nowMs();
+        leave("w1");
+        loop.run(300);
+        leave("w1");
+        loop.run(2 * ACK_MS);
+        assertThat(acknowledgedMs.size(), is(2));
+        assertThat(acknowledgedMs.get(1) - sentMs, lessThanOrEqualTo(ACK_MS));
+    }
+
+    @Test
+    void aLeavingWorkerThatRestartsReleasesItsTasksAtOnce() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        leaving.silent = true;
+        leave("w1");
+        loop.run(200);
+        leaving.crash();
+        workers.add("w1", 2, leaving.info.address());
+        loop.run(500);
+        assertThat(workers.starts.get(TASK), is(2));
+        assertThat(workers.faults, empty());
+    }
+
+    /** The start that was under way when the message came is carried out late, on a worker that works on. */
+    @Test
+    void aStartUnderWayOnALeavingWorkerDoesNotRunTwice() {
+        workers.taskMs = 3000;
+        FakeWorkers.Incarnation leaving = workers.add("w1", 1);
+        leaving.lateStartMs = 2000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(100);
+        workers.add("w2", 1);
+        leave("w1");
+        loop.later(6000, leaving::crash);
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    /** The leader that got the message is replaced before the worker ends. */
+    @Test
+    void aNewLeaderThatDidNotGetTheMessageWaitsForTheLease() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        leaving.silent = true;
+        leave("w1");
+        loop.run(200);
+        lead();
+        loop.later(4000, leaving::crash);
+        runWithBeats(22_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+}
