A late Leave of an earlier life no longer ends the new one

Cause: ControlApi passed on the id alone, and Term.leave took the message for whatever life is registered under it. Heartbeats and polls are told apart by the start of the process, this message was not.

A message of another life is acknowledged, logged as worker.leave.stale, and changes nothing. Such a message is taken only from a worker whose current life said that it drains, which it does before each planned end; if that is wrong, a draining worker loses some milliseconds, and no run.

--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -341,15 +341,27 @@
      * acknowledgement. Because an acknowledgement may be lost, the message itself proves no end: the runs of the worker are
      * stopped first, and those whose end it did not list start again only after its lease.
      *
+     * <p>The message may be late, and its sender may have started again since. One that names another life of the worker
+     * than the current one, or none although the current one does not drain, tells nothing about the current one.
+     *
      * @param id the worker
+     * @param processStartMs the life that ends, empty if the message does not name it
      * @param acknowledge sends the acknowledgement: once the worker has no runs, or when their stops are overdue
      */
-    void leave(String id, Runnable acknowledge) {
+    void leave(String id, OptionalLong processStartMs, Runnable acknowledge) {
         Worker worker = workers.get(id);
         if (worker == null || worker.incarnationEnded) {
             acknowledge.run();
             return;
         }
+        if (processStartMs.isPresent()
+                ? processStartMs.getAsLong() != worker.processStartMs
+                : worker.info.filter(WorkerInfo::draining).isEmpty()) {
+            EventLog.event(
+                    "worker.leave.stale", "worker", id, "born", worker.processStartMs, "leaving", processStartMs);
+            acknowledge.run();
+            return;
+        }
         EventLog.event(
                 "worker.leaves",
                 "worker",
@@ -358,6 +370,8 @@
                 worker.processStartMs,
                 "runs",
                 worker.runCount(),
+                "named",
+                processStartMs.isPresent(),
                 "again",
                 worker.leaving);
         worker.leaving = true;
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -1,6 +1,7 @@
 package org.cornelcove.work.lead;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -126,11 +127,12 @@
      * Handles a worker's message that it ends; fails with kind {@code NOT_LEADER}.
      *
      * @param workerId the worker
+     * @param processStartMs the start of the process that ends, in Unix milliseconds, empty if the message does not say it
      * @return completed when the worker may end: once its runs are stopped, or after about a second
      */
-    public CompletableFuture<Void> leave(String workerId) {
+    public CompletableFuture<Void> leave(String workerId, OptionalLong processStartMs) {
         return onTerm((leading, answer) -> {
-            leading.leave(workerId, () -> answer.complete(null));
+            leading.leave(workerId, processStartMs, () -> answer.complete(null));
         });
     }
 
--- a/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
@@ -12,6 +13,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -33,7 +36,11 @@
     }
 
     private void leave(String id) {
-        loop.term.leave(id, () -> acknowledgedMs.add(loop.nowMs()));
+        leave(id, OptionalLong.of(1));
+    }
+
+    private void leave(String id, OptionalLong processStartMs) {
+        loop.term.leave(id, processStartMs, () -> acknowledgedMs.add(loop.nowMs()));
     }
 
     /** Guards against a task that starts elsewhere while the worker, without an acknowledgement, works on. */
@@ -133,4 +140,41 @@
         assertThat(workers.faults, empty());
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
+
+    /** Guards against a late message of an earlier life that ends the new one, whose tasks then run twice. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aMessageOfAnEarlierLifeChangesNothing(boolean named) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        loop.run(100);
+        old.crash();
+        FakeWorkers.Incarnation next = workers.add("w1", 2, old.info.address());
+        workers.taskMs = 3000;
+        submit(Steps.job("j", Steps.plain(3)));
+        loop.run(500);
+        workers.add("w2", 1);
+        leave("w1", named ? OptionalLong.of(1) : OptionalLong.empty());
+        leave("w1", OptionalLong.of(1));
+        assertThat("acknowledged at once", acknowledgedMs.size(), is(2));
+        loop.run(1000);
+        assertThat("runs on", next.running.size(), is(3));
+        submit(Steps.job("k", Steps.plain(12)));
+        runWithBeats(8000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(phase("k"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.values(), everyItem(is(1)));
+        assertThat("is used", next.highest.keySet().stream().map(TaskKey::jobId).toList(), hasItem("k"));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void aMessageThatNamesNoLifeIsTakenFromAWorkerThatDrains() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        loop.term.announce(workers.info("w1", 1, leaving.info.address(), true, 2));
+        leave("w1", OptionalLong.empty());
+        loop.run(300);
+        assertThat(leaving.running.keySet(), empty());
+        assertThat(workers.starts.get(TASK), is(2));
+        assertThat(workers.faults, empty());
+    }
 }
