--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -42,8 +42,6 @@
     private static final long MIN_PLACE_INTERVAL_MS = 8;
     /** Interval between placement passes as a multiple of their duration, so that a backlog delays no leases or answers. */
     private static final long PLACE_INTERVAL_FACTOR = 4;
-    /** How long the acknowledgement of a leave message waits for the stops of the worker's runs beyond their timeout. */
-    private static final long LEAVE_MARGIN_MS = 500;
 
     final long fence;
     final LeadSettings settings;
@@ -53,6 +51,7 @@
     final WorkerCalls calls;
     private final Placements placements;
     private final Crashes crashes = new Crashes(this);
+    private final Departures departures = new Departures(this);
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
     private final Map<String, Integer> nextOccurrence = new LinkedHashMap<>();
@@ -99,6 +98,14 @@
         return workers.values();
     }
 
+    Optional<Worker> worker(String id) {
+        return Optional.ofNullable(workers.get(id));
+    }
+
+    Departures departures() {
+        return departures;
+    }
+
     private void takeOver(Job job) {
         inheritRuns(job);
         openJob(job);
@@ -336,65 +343,6 @@
         }
     }
 
-    /**
-     * Handles a worker's message that it will end once this message is acknowledged, or some seconds later without an
-     * acknowledgement. Because an acknowledgement may be lost, the message itself proves no end: the runs of the worker are
-     * stopped first, and those whose end it did not list start again only after its lease.
-     *
-     * <p>The message may be late, and its sender may have started again since. One that names another life of the worker
-     * than the current one, or none although the current one does not drain, tells nothing about the current one.
-     *
-     * @param id the worker
-     * @param processStartMs the life that ends, empty if the message does not name it
-     * @param acknowledge sends the acknowledgement: once the worker has no runs, or when their stops are overdue
-     */
-    void leave(String id, OptionalLong processStartMs, Runnable acknowledge) {
-        Worker worker = workers.get(id);
-        if (worker == null || worker.incarnationEnded) {
-            acknowledge.run();
-            return;
-        }
-        if (processStartMs.isPresent()
-                ? processStartMs.getAsLong() != worker.processStartMs
-                : worker.info.filter(WorkerInfo::draining).isEmpty()) {
-            EventLog.event(
-                    "worker.leave.stale", "worker", id, "born", worker.processStartMs, "leaving", processStartMs);
-            acknowledge.run();
-            return;
-        }
-        EventLog.event(
-                "worker.leaves",
-                "worker",
-                id,
-                "born",
-                worker.processStartMs,
-                "runs",
-                worker.runCount(),
-                "named",
-                processStartMs.isPresent(),
-                "again",
-                worker.leaving);
-        worker.leaving = true;
-        worker.leaveListeners.add(acknowledge);
-        clock.later(settings.stopTimeoutMs() + LEAVE_MARGIN_MS, () -> acknowledgeLeave(worker));
-        List<ActiveRun> runs = new ArrayList<>();
-        worker.runs().forEach(runs::add);
-        runs.forEach(calls::requestStop);
-        endIfLeft(worker);
-    }
-
-    private void endIfLeft(Worker worker) {
-        if (worker.leaving && worker.idle()) {
-            endIncarnation(worker, "it left");
-        }
-    }
-
-    private static void acknowledgeLeave(Worker worker) {
-        List<Runnable> listeners = List.copyOf(worker.leaveListeners);
-        worker.leaveListeners.clear();
-        listeners.forEach(Runnable::run);
-    }
-
     /**
      * Ends an incarnation of a worker, of which nothing can run any more, and all its runs.
      *
@@ -425,7 +373,7 @@
         List<ActiveRun> lost = new ArrayList<>();
         worker.runs().forEach(lost::add);
         lost.forEach(run -> calls.proposeEnd(run, RunEnd.LOST, "", why));
-        acknowledgeLeave(worker);
+        departures.acknowledge(worker);
     }
 
     // The loop
@@ -436,7 +384,7 @@
         FaultBarrier.run("due occurrences", this::openDueOccurrences);
         for (Worker worker : List.copyOf(workers.values())) {
             FaultBarrier.run("poll of " + worker.id, () -> calls.poll(worker, nowMs));
-            endIfLeft(worker);
+            departures.endIfIdle(worker);
         }
         placementDue = true;
         FaultBarrier.run("copies", () -> placements.copyStragglers(runsByJob.values(), nowMs));
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -132,7 +132,7 @@
      */
     public CompletableFuture<Void> leave(String workerId, OptionalLong processStartMs) {
         return onTerm((leading, answer) -> {
-            leading.leave(workerId, processStartMs, () -> answer.complete(null));
+            leading.departures().leave(workerId, processStartMs, () -> answer.complete(null));
         });
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -1,6 +1,5 @@
 package org.cornelcove.work.lead;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -81,8 +80,6 @@
 
     /** Whether it has said that it ends, which it does when that is acknowledged, or later. */
     boolean leaving;
-    /** Send the acknowledgements that it waits for. */
-    final List<Runnable> leaveListeners = new ArrayList<>();
 
     boolean incarnationEnded;
     /** The runs that it had when its leases last expired; whether it had crashed under them shows only later. */
--- a/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
@@ -40,7 +40,7 @@
     }
 
     private void leave(String id, OptionalLong processStartMs) {
-        loop.term.leave(id, processStartMs, () -> acknowledgedMs.add(loop.nowMs()));
+        loop.term.departures().leave(id, processStartMs, () -> acknowledgedMs.add(loop.nowMs()));
     }
 
     /** Guards against a task that starts elsewhere while the worker, without an acknowledgement, works on. */
