A poll that lists a part of the ended runs proves no other run lost

Cause: an executor returns 500 ends at a time. WorkerCalls.endUnlisted took a run that neither list names for lost, also when further ends were still to come.

Evidence: run.end LOST "its worker does not list it" for exactly the tasks of the second page, 1 ms after the first poll.

The next poll follows when the ends of the page are committed, as before.

Why it works: each page is acknowledged only after commit, so the last, partial one is reached, and what is missing then is missing in fact; that a run which the worker lost is still found has its test.

The product's own worker protocol has no such page: a heartbeat lists all attempts, and a missing one is not ended.

--- a/work/src/main/java/org/cornelcove/work/lead/ConfinedDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ConfinedDriver.java
@@ -1,6 +1,5 @@
 package org.cornelcove.work.lead;
 
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -14,8 +13,6 @@
  */
 final class ConfinedDriver implements WorkerDriver {
     private static final Answer NO_ANSWER = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
-    private static final PollResult NO_RESULT =
-            new PollResult(Reply.NO_ANSWER, OptionalLong.empty(), OptionalLong.empty(), List.of(), List.of());
 
     private final WorkerDriver driver;
 
@@ -35,7 +32,7 @@
 
     @Override
     public CompletableFuture<PollResult> poll(WorkerInfo worker, PollOrder order) {
-        return confined("poll", worker, () -> driver.poll(worker, order), NO_RESULT);
+        return confined("poll", worker, () -> driver.poll(worker, order), PollResult.without(Reply.NO_ANSWER));
     }
 
     @Override
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -26,7 +26,7 @@
  * <p>A start call without an answer may be carried out seconds later. It is sent again with the same run number, so that
  * the worker recognizes it; after a few attempts the run is stopped, and a worker refuses a run whose stop arrived before
  * its start. Only a poll that was sent after the worker's answer, and lists the run neither as running nor as ended, proves
- * that the run does not exist.
+ * that the run does not exist; a poll that lists only a part of the ended runs proves nothing about the others.
  */
 final class WorkerCalls {
     /** Start calls without an answer after which the run is stopped. */
@@ -332,7 +332,16 @@
         Set<ActiveRun> listed = new HashSet<>();
         poll.ended().forEach(row -> ended(worker, row).ifPresent(listed::add));
         poll.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
-        endUnlisted(worker, listed, sentMs);
+        if (poll.moreEnded()) {
+            EventLog.event(
+                    "worker.ends.more",
+                    "worker",
+                    worker.id,
+                    "listed",
+                    poll.ended().size());
+        } else {
+            endUnlisted(worker, listed, sentMs);
+        }
         pace.adjust(worker, nowMs).forEach(this::requestStop);
         poll(worker, nowMs);
     }
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -94,14 +94,27 @@
      * @param processStartMs the incarnation that answered, empty if the answer has none
      * @param clockMs the worker's clock, empty if the answer has none
      * @param running the active runs
-     * @param ended the ended runs that were not acknowledged
+     * @param ended the ended runs that were not acknowledged, by their numbers
+     * @param moreEnded whether further ended runs may follow once these are acknowledged; only without them does the absence
+     *     of a run from both lists prove that the worker does not have it
      */
     record PollResult(
             Reply reply,
             OptionalLong processStartMs,
             OptionalLong clockMs,
             List<RunningRow> running,
-            List<EndedRow> ended) {}
+            List<EndedRow> ended,
+            boolean moreEnded) {
+        /**
+         * Returns the result of a poll that listed nothing.
+         *
+         * @param reply the result of the poll, not {@code OK}
+         * @return the result
+         */
+        public static PollResult without(Reply reply) {
+            return new PollResult(reply, OptionalLong.empty(), OptionalLong.empty(), List.of(), List.of(), true);
+        }
+    }
 
     /**
      * Orders a worker to start a task.
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -76,6 +76,8 @@
     final Map<TaskKey, Integer> paces = new HashMap<>();
     /** Run time of a task. */
     long taskMs = TASK_MS;
+    /** How many ends the answer to a poll lists at most. */
+    int endsPerPoll = Integer.MAX_VALUE;
     /** Tasks that crash each worker on which they start. */
     final Set<TaskKey> deadly = new HashSet<>();
     /** Time after which another worker takes the address of one that a task crashed. */
@@ -242,8 +244,7 @@
     @Override
     public CompletableFuture<PollResult> poll(WorkerInfo worker, PollOrder order) {
         Incarnation incarnation = at(worker);
-        PollResult silence =
-                new PollResult(Reply.NO_ANSWER, OptionalLong.empty(), OptionalLong.empty(), List.of(), List.of());
+        PollResult silence = PollResult.without(Reply.NO_ANSWER);
         if (!incarnation.up || incarnation.silent || order.fence() < incarnation.fence) {
             return answer(incarnation, silence, silence);
         }
@@ -277,9 +278,9 @@
                 OptionalLong.of(incarnation.info.processStartMs()),
                 OptionalLong.of(loop.nowMs()),
                 running,
-                List.copyOf(incarnation.ended));
-        PollResult silence =
-                new PollResult(Reply.NO_ANSWER, OptionalLong.empty(), OptionalLong.empty(), List.of(), List.of());
+                incarnation.ended.stream().limit(endsPerPoll).toList(),
+                incarnation.ended.size() >= endsPerPoll);
+        PollResult silence = PollResult.without(Reply.NO_ANSWER);
         answer(incarnation, pollResult, silence).thenAccept(future::complete);
     }
 
