A stopped member always releases its folder, so that it is opened again once its disk has room

What callers saw, in a report on another system: disks of the group were full for some seconds each, one after another; long after the last had room again, changes stayed unanswered while all processes ran.

A member whose disk fails stops and is opened again on the same folder. When closing a file failed too (file systems with late allocation report it then), the lock of the folder was kept, and each later attempt failed as "used by another process"; after three disks the group had no quorum for good. The same after an fsync that stood still beyond the timeout of the stop: the files were left open until the end of the process, also when the disk came back.

Change: the folder is released whatever closing the files brings; the files of a stalled disk are closed when its operation returns. A log that can't be opened closes what it had opened.

--- a/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
+++ b/replication/src/main/java/org/cornelcove/replication/DiskWorker.java
@@ -99,6 +99,22 @@
         return !thread.isAlive() || Thread.currentThread() == thread;
     }
 
+    /** Runs a task on a thread of its own once the disk thread has ended; called after {@link #stop}. */
+    void whenEnded(Runnable task) {
+        Thread waiting = new Thread(
+                () -> {
+                    try {
+                        thread.join();
+                        task.run();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                thread.getName() + "-end");
+        waiting.setDaemon(true);
+        waiting.start();
+    }
+
     /** Returns the number of the batch in progress; empty if there is none. */
     OptionalLong currentBatch() {
         long now = batchCounter;
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -143,7 +143,7 @@
         } catch (IOException e) {
             closeQuietly(folder);
             throw Failure.of(ErrorKind.STORAGE_FAILED, e.getMessage()).asException();
-        } catch (FailureException e) {
+        } catch (RuntimeException e) {
             closeQuietly(folder);
             throw e;
         }
@@ -416,19 +416,8 @@
             if (announcedTerm != 0) {
                 listener.leadershipLost(announcedTerm);
             }
-            status = new ReplicaStatus(
-                    status.self(),
-                    Optional.empty(),
-                    false,
-                    status.term(),
-                    status.commitIndex(),
-                    status.appliedIndex(),
-                    status.snapshotIndex(),
-                    status.members(),
-                    List.of());
+            status = status.afterStop();
             closeFolder(diskIdle);
-        } catch (IOException e) {
-            LOG.log(System.Logger.Level.WARNING, "failed to close the data folder: {0}", e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -437,19 +426,25 @@
         }
     }
 
-    /**
-     * Leaves the files of a stalled disk open, since closing them would block; the operating system closes them and
-     * releases the lock of the folder when the process ends.
-     */
-    private void closeFolder(boolean diskIdle) throws IOException {
-        if (!diskIdle) {
-            LOG.log(
-                    System.Logger.Level.ERROR,
-                    Failure.of(ErrorKind.STORAGE_FAILED, "a write or fsync did not return before the stop timeout"));
-            return;
+    /** The files of a stalled disk are closed when its operation returns; until then closing them would block. */
+    private void closeFolder(boolean diskIdle) {
+        if (diskIdle) {
+            closeFiles();
+        } else {
+            String reason = "a write or fsync did not return before the stop timeout";
+            LOG.log(System.Logger.Level.ERROR, Failure.of(ErrorKind.STORAGE_FAILED, reason));
+            disk.whenEnded(this::closeFiles);
+        }
+    }
+
+    /** Releases the folder even if closing a file fails, since the member is opened again on the same folder. */
+    private void closeFiles() {
+        try (folder;
+                storage) {
+            LOG.log(System.Logger.Level.DEBUG, "member {0} closes its files", settings.selfId());
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "failed to close the data folder: {0}", e.getMessage());
         }
-        storage.close();
-        folder.close();
     }
 
     private final class DiskListener implements DiskWorker.Listener {
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaStatus.java
@@ -49,4 +49,10 @@
                         .map(follower -> MemberProgress.of(follower, core.commitIndex()))
                         .toList());
     }
+
+    /** Returns the status of the member once it has stopped: without a leader, and without progress of others. */
+    ReplicaStatus afterStop() {
+        return new ReplicaStatus(
+                self, Optional.empty(), false, term, commitIndex, appliedIndex, snapshotIndex, members, List.of());
+    }
 }
--- a/replication/src/main/java/org/cornelcove/replication/storage/SegmentedLog.java
+++ b/replication/src/main/java/org/cornelcove/replication/storage/SegmentedLog.java
@@ -78,8 +78,13 @@
         if (firstIndexes.isEmpty()) {
             throw damaged(nameOf(snapshotIndex + 1), 0, "no segment exists");
         }
-        for (int i = 0; i < firstIndexes.size(); i++) {
-            log.openSegment(firstIndexes.get(i), i == firstIndexes.size() - 1, snapshotIndex, entries);
+        try {
+            for (int i = 0; i < firstIndexes.size(); i++) {
+                log.openSegment(firstIndexes.get(i), i == firstIndexes.size() - 1, snapshotIndex, entries);
+            }
+        } catch (IOException | RuntimeException e) {
+            log.close();
+            throw e;
         }
         log.durableIndex = log.lastIndex();
         return log;
@@ -167,8 +172,16 @@
 
     @Override
     public void close() throws IOException {
+        IOException failure = null;
         for (Segment segment : segments) {
-            segment.file.close();
+            try {
+                segment.file.close();
+            } catch (IOException e) {
+                failure = e;
+            }
+        }
+        if (failure != null) {
+            throw failure;
         }
     }
 
--- a/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
+++ b/replication/src/test/java/org/cornelcove/replication/LocalGroup.java
@@ -14,6 +14,7 @@
 import org.awaitility.Awaitility;
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.FailureException;
+import org.cornelcove.replication.storage.DataFolder;
 import org.cornelcove.replication.storage.DiskFolder;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -74,10 +75,18 @@
     }
 
     ReplicaNode start(long id, List<Member> initialMembers) throws IOException {
+        return start(id, initialMembers, DiskFolder.open(folderOf(id)));
+    }
+
+    Path folderOf(long id) {
+        return root.resolve("member" + id);
+    }
+
+    ReplicaNode start(long id, List<Member> initialMembers, DataFolder folder) {
         TextMachine machine = new TextMachine();
         ReplicaNode node = ReplicaNode.open(
                 ReplicaSettings.of(id, addressOf(id), initialMembers).withSnapshotEveryEntries(snapshotEveryEntries),
-                DiskFolder.open(root.resolve("member" + id)),
+                folder,
                 this::deliver,
                 machine,
                 NO_OP_LISTENER);
