--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -383,7 +383,7 @@
         long nowMs = clock.nowMs();
         FaultBarrier.run("due occurrences", this::openDueOccurrences);
         for (Worker worker : List.copyOf(workers.values())) {
-            FaultBarrier.run("poll of " + worker.id, () -> calls.poll(worker, nowMs));
+            FaultBarrier.run("poll of a worker", () -> calls.poll(worker, nowMs));
             departures.endIfIdle(worker);
         }
         placementDue = true;
