What a draining worker still runs is stopped shortly before it may end

What callers saw: on a planned scale-in the tasks that outlast their worker wait for its lease.

Cause: the leader let them run until the Leave, after which nothing but the lease tells their end.

--- a/work/src/main/java/org/cornelcove/work/lead/Departures.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Departures.java
@@ -11,7 +11,11 @@
 import org.cornelcove.work.log.EventLog;
 
 /**
- * The workers that said that they end, and the acknowledgements that they wait for. Used on the leader's loop only.
+ * The workers that drain or said that they end, and the acknowledgements that they wait for. Used on the leader's loop
+ * only.
+ *
+ * <p>A draining worker says how long it stays at least. What it still runs shortly before is stopped, since an end that
+ * it lists lets the task start elsewhere at once; after its end nothing but the lease would tell.
  *
  * <p>A worker ends when its message is acknowledged, or some seconds later without an acknowledgement, which may be lost.
  * So the message proves no end: the runs of the worker are stopped before the acknowledgement, and those whose end it did
@@ -20,6 +24,8 @@
 final class Departures {
     /** How long an acknowledgement waits for the stops of the worker's runs beyond their timeout. */
     private static final long STOP_MARGIN_MS = 500;
+    /** Time from the end of a stop to the worker's end, for a late heartbeat and for the poll that lists the stop. */
+    private static final long LIST_MARGIN_MS = 250;
 
     private final Term term;
     private final Map<Worker, List<Runnable>> acknowledgements = new HashMap<>();
@@ -64,14 +70,36 @@
         worker.leaving = true;
         acknowledgements.computeIfAbsent(worker, any -> new ArrayList<>()).add(acknowledge);
         term.clock.later(term.settings.stopTimeoutMs() + STOP_MARGIN_MS, () -> acknowledge(worker));
+        stopRuns(worker);
+        endIfIdle(worker);
+    }
+
+    /** Records how long a draining worker stays. */
+    void recordHeartbeat(Worker worker, WorkerInfo info, long nowMs) {
+        worker.staysUntilMs = info.draining() && info.remainingMs().isPresent()
+                ? nowMs + info.remainingMs().getAsLong()
+                : Long.MAX_VALUE;
+    }
+
+    /** Stops the runs of a worker that may end soon, and ends the incarnation of one that leaves and has none. */
+    void tick(Worker worker, long nowMs) {
+        if (worker.staysUntilMs - nowMs < term.settings.stopTimeoutMs() + LIST_MARGIN_MS) {
+            stopRuns(worker);
+        }
+        endIfIdle(worker);
+    }
+
+    private void stopRuns(Worker worker) {
         List<ActiveRun> runs = new ArrayList<>();
-        worker.runs().forEach(runs::add);
+        for (ActiveRun run : worker.runs()) {
+            if (!run.stopWanted) {
+                runs.add(run);
+            }
+        }
         runs.forEach(term.calls::requestStop);
-        endIfIdle(worker);
     }
 
-    /** Ends the incarnation of a leaving worker of which no run is left. */
-    void endIfIdle(Worker worker) {
+    private void endIfIdle(Worker worker) {
         if (worker.leaving && worker.idle()) {
             term.endIncarnation(worker, "it left");
         }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -328,6 +328,7 @@
             worker.info = Optional.of(info);
             worker.announced = true;
             worker.recordContact(nowMs, OptionalLong.of(info.clockMs()));
+            departures.recordHeartbeat(worker, info, nowMs);
             placementDue = true;
             if (drains) {
                 EventLog.event(
@@ -335,7 +336,7 @@
                         "worker",
                         info.id(),
                         "remainingMs",
-                        info.remainingMs(),
+                        info.remainingMs().isPresent() ? info.remainingMs().getAsLong() : "",
                         "runs",
                         worker.runCount());
                 calls.evacuate(worker);
@@ -384,7 +385,7 @@
         FaultBarrier.run("due occurrences", this::openDueOccurrences);
         for (Worker worker : List.copyOf(workers.values())) {
             FaultBarrier.run("poll of a worker", () -> calls.poll(worker, nowMs));
-            departures.endIfIdle(worker);
+            departures.tick(worker, nowMs);
         }
         placementDue = true;
         FaultBarrier.run("copies", () -> placements.copyStragglers(runsByJob.values(), nowMs));
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -78,6 +78,8 @@
     /** Whether this leader received a heartbeat: only heartbeats show whether the worker is draining. */
     boolean announced;
 
+    /** Until when a draining worker stays at least, as its latest heartbeat says. */
+    long staysUntilMs = Long.MAX_VALUE;
     /** Whether it has said that it ends, which it does when that is acknowledged, or later. */
     boolean leaving;
 
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -101,6 +101,11 @@
     }
 
     WorkerInfo info(String id, long processStartMs, String address, boolean draining, long sequence) {
+        return info(id, processStartMs, address, draining, OptionalLong.empty(), sequence);
+    }
+
+    WorkerInfo info(
+            String id, long processStartMs, String address, boolean draining, OptionalLong remainingMs, long sequence) {
         return new WorkerInfo(
                 id,
                 processStartMs,
@@ -108,7 +113,7 @@
                 "z",
                 "pool",
                 draining,
-                OptionalLong.empty(),
+                remainingMs,
                 0,
                 cpuMillis.getOrDefault(id, CPU_MILLIS),
                 16_000,
--- a/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
@@ -7,6 +7,7 @@
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.job.WorkerInfo;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -24,6 +25,8 @@
     /** By which a worker has to have its acknowledgement, before it asks another host. */
     private static final long ACK_MS = 1000;
 
+    private static final long HEARTBEAT_MS = 500;
+
     private final List<Long> acknowledgedMs = new ArrayList<>();
 
     private FakeWorkers.Incarnation workerWithLongTask() {
@@ -73,6 +76,54 @@
         assertThat(workers.faults, empty());
     }
 
+    /** Lets time pass in which both workers send heartbeats, and the first one drains. */
+    private void runDraining(long ms, FakeWorkers.Incarnation draining, long endsAtMs) {
+        for (long passedMs = 0; passedMs < ms; passedMs += HEARTBEAT_MS) {
+            long remainingMs = Math.max(0, endsAtMs - loop.nowMs());
+            WorkerInfo first = draining.info;
+            WorkerInfo second = workers.incarnations.get("w2").info;
+            loop.term.announce(
+                    workers.info(first.id(), 1, first.address(), true, OptionalLong.of(remainingMs), loop.nowMs()));
+            loop.term.announce(workers.info(second.id(), 1, second.address(), false, loop.nowMs()));
+            loop.run(HEARTBEAT_MS);
+        }
+    }
+
+    /** Guards against tasks of a planned scale-in that wait for a lease, since their worker ends as it says so. */
+    @Test
+    void aTaskThatOutlastsADrainingWorkerStartsElsewhereBeforeItsEnd() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        long endsAtMs = loop.nowMs() + 4000;
+        runDraining(3000, leaving, endsAtMs);
+        assertThat("runs as long as it may end there", leaving.running.size(), is(1));
+        runDraining(1000, leaving, endsAtMs);
+        assertThat(leaving.running.keySet(), empty());
+        leaving.crash();
+        leave("w1");
+        assertThat("acknowledged at once", acknowledgedMs.size(), is(1));
+        assertThat("starts elsewhere before the end", workers.starts.get(TASK), is(2));
+        runWithBeats(11_000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.faults, empty());
+    }
+
+    @Test
+    void aTaskThatEndsBeforeItsDrainingWorkerIsNotStopped() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        runDraining(11_000, leaving, loop.nowMs() + 10_000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.get(TASK), is(1));
+    }
+
+    @Test
+    void aDrainingWorkerThatStaysLongerThanItSaidKeepsItsTask() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        runDraining(2000, leaving, loop.nowMs() + 4000);
+        runDraining(9000, leaving, loop.nowMs() + 12_000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(workers.starts.get(TASK), is(1));
+    }
+
     @Test
     void anIdleWorkerIsAcknowledgedAtOnceAndGetsNothingMore() {
         workers.add("w1", 1);
