--- a/work/src/main/java/org/cornelcove/work/job/Schedule.java
+++ b/work/src/main/java/org/cornelcove/work/job/Schedule.java
@@ -24,9 +24,14 @@
      * Returns when an occurrence is due.
      *
      * @param occurrence the occurrence, counted from 0
-     * @return Unix time in milliseconds, 0 for a job that does not recur
+     * @return Unix time in milliseconds, 0 for a job that does not recur, {@link Long#MAX_VALUE} for a time beyond it
      */
     public long dueMs(int occurrence) {
-        return repeatCount == 0 ? 0 : firstAtMs + occurrence * intervalMs;
+        if (repeatCount == 0) {
+            return 0;
+        }
+        long roomMs = Long.MAX_VALUE - Math.max(0, firstAtMs);
+        boolean beyond = intervalMs > 0 && occurrence > roomMs / intervalMs;
+        return beyond ? Long.MAX_VALUE : firstAtMs + occurrence * intervalMs;
     }
 }
--- a/work/src/main/java/org/cornelcove/work/job/StepSpec.java
+++ b/work/src/main/java/org/cornelcove/work/job/StepSpec.java
@@ -45,4 +45,7 @@
         int maxUnavailable) {
     /** Upper bound of {@link #count}. */
     public static final int MAX_TASKS = 10_000;
+
+    /** Upper bound of the tasks of all steps and occurrences of a job. */
+    public static final int MAX_TASKS_PER_JOB = 100_000;
 }
