--- a/replication/src/test/java/org/cornelcove/replication/DisksInTurnTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/DisksInTurnTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.cornelcove.model.error.FailureException;
 import org.junit.jupiter.api.AfterEach;
@@ -35,6 +36,7 @@
     private static final Duration ACK = Duration.ofSeconds(4);
 
     private final Map<Long, LimitedFolder.Disk> disks = new TreeMap<>();
+    private final AtomicInteger refusedOpens = new AtomicInteger();
     private LocalGroup group;
     private Thread maintenance;
     private volatile boolean over;
@@ -69,8 +71,8 @@
                     try {
                         start(id);
                     } catch (IOException | FailureException e) {
-                        // Tried again in the next round.
-                        continue;
+                        // Tried again in the next round, as a control host does.
+                        refusedOpens.incrementAndGet();
                     }
                 }
             }
@@ -142,6 +144,7 @@
                 .filter(node -> node != stalled)
                 .allMatch(node -> node.status().commitIndex() > stalled.status().appliedIndex()));
         stalled.kill();
+        await("its folder is locked").until(() -> refusedOpens.get() > 0);
         disk.gate.countDown();
         await().atMost(ACK)
                 .until(() -> group.nodes.get(id) != stalled
