One failed run of a gang is one attempt

By the code, a gang of as many tasks as its queue has attempts is shown as failed after a single run in which all of its tasks end as failed; the platform counts the runs of the gang (LOST).

Cause: WorkState.recordFailure raised the failures of all members with the end of each member.

Change: Occurrence.countFailure keeps the numbers of the failed runs of a gang and counts each number once.

Why it works: the members of a gang share the number of a run, and a number is never used again.

--- a/work/src/main/java/org/cornelcove/work/state/Occurrence.java
+++ b/work/src/main/java/org/cornelcove/work/state/Occurrence.java
@@ -1,6 +1,10 @@
 package org.cornelcove.work.state;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 import org.cornelcove.work.job.StepSpec;
 
@@ -8,6 +12,8 @@
 public final class Occurrence {
     final Task[][] tasks;
     final int[] doneCounts;
+    /** The failed runs of gangs, by step. */
+    final Map<Integer, Set<Integer>> failedGangRuns = new TreeMap<>();
 
     Occurrence(List<StepSpec> steps) {
         tasks = new Task[steps.size()][];
@@ -41,6 +47,24 @@
         return newlyDone > 0 && done();
     }
 
+    /**
+     * Counts a failed run. One run of a gang is one attempt of all its members, however many of them end as failed.
+     *
+     * @param spec the step
+     * @param step its number, counted from 0
+     * @param index the task that ended as failed
+     * @param runId the number of the run
+     */
+    void countFailure(StepSpec spec, int step, int index, int runId) {
+        if (!spec.gang()) {
+            tasks[step][index].failures++;
+        } else if (failedGangRuns.computeIfAbsent(step, any -> new TreeSet<>()).add(runId)) {
+            for (Task member : tasks[step]) {
+                member.failures++;
+            }
+        }
+    }
+
     /**
      * Returns the tasks of a step.
      *
--- a/work/src/main/java/org/cornelcove/work/state/StateCodec.java
+++ b/work/src/main/java/org/cornelcove/work/state/StateCodec.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.cornelcove.model.error.ErrorKind;
 import org.cornelcove.model.error.Failure;
@@ -41,6 +43,7 @@
                 writeJob(out, job);
             }
             writeCrashes(out, jobs);
+            writeFailedGangRuns(out, jobs);
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to memory failed", e);
@@ -66,6 +69,7 @@
                 jobs.put(job.spec.id(), job);
             }
             readCrashes(in, jobs);
+            readFailedGangRuns(in, jobs);
             return rules;
         } catch (IOException | MessagePackException e) {
             throw Failure.of(ErrorKind.FRAME_MALFORMED, String.valueOf(e.getMessage()))
@@ -156,6 +160,38 @@
         }
     }
 
+    private static void writeFailedGangRuns(MessagePacker out, Collection<Job> jobs) throws IOException {
+        Map<TaskKey, Set<Integer>> failed = new LinkedHashMap<>();
+        for (Job job : jobs) {
+            job.occurrences.forEach((number, occurrence) -> occurrence.failedGangRuns.forEach(
+                    (step, runs) -> failed.put(new TaskKey(job.spec.id(), number, step, 0), runs)));
+        }
+        out.packArrayHeader(failed.size());
+        for (Map.Entry<TaskKey, Set<Integer>> entry : failed.entrySet()) {
+            CommandCodec.write(out, entry.getKey());
+            out.packArrayHeader(entry.getValue().size());
+            for (int runId : entry.getValue()) {
+                out.packInt(runId);
+            }
+        }
+    }
+
+    private static void readFailedGangRuns(MessageUnpacker in, Map<String, Job> jobs) throws IOException {
+        // Snapshots of versions that counted each failed member end here.
+        int count = in.hasNext() ? in.unpackArrayHeader() : 0;
+        for (int i = 0; i < count; i++) {
+            TaskKey key = CommandCodec.readTask(in);
+            Optional<Job> job = Optional.ofNullable(jobs.get(key.jobId()));
+            SpecCodec.require(job.flatMap(known -> known.task(key)).isPresent(), "task", key);
+            Set<Integer> runs = new TreeSet<>();
+            int runCount = in.unpackArrayHeader();
+            for (int run = 0; run < runCount; run++) {
+                runs.add(in.unpackInt());
+            }
+            job.get().occurrence(key.occurrence()).failedGangRuns.put(key.step(), runs);
+        }
+    }
+
     private static void writeTask(MessagePacker out, Task task) throws IOException {
         out.packInt(task.lastRunId)
                 .packInt(task.failures)
--- a/work/src/main/java/org/cornelcove/work/state/Task.java
+++ b/work/src/main/java/org/cornelcove/work/state/Task.java
@@ -29,7 +29,7 @@
     /**
      * Returns how many runs failed.
      *
-     * @return the count; the tasks of a gang count each other's failures
+     * @return the count; for a gang the runs in which any of its tasks failed
      */
     public int failures() {
         return failures;
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -255,14 +255,8 @@
     }
 
     private void recordFailure(Job job, WorkCommand.End end, Task task, StepSpec step) {
-        if (step.gang()) {
-            for (Task member :
-                    job.occurrence(end.task().occurrence()).tasks[end.task().step()]) {
-                member.failures++;
-            }
-        } else {
-            task.failures++;
-        }
+        job.occurrence(end.task().occurrence())
+                .countFailure(step, end.task().step(), end.task().index(), end.runId());
         if (task.failures >= queueOf(job).attempts() && !task.done && !job.phase.ended()) {
             finish(job, JobPhase.FAILED, end.atMs());
         }
--- a/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
+++ b/work/src/test/java/org/cornelcove/work/state/WorkStateTest.java
@@ -185,6 +185,22 @@
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
 
+    /** Regression test for LOST: each member of a gang that ended as failed counted as an attempt of the gang. */
+    @Test
+    void oneRunOfAGangIsOneAttemptAlsoAfterARestore() {
+        submit(Steps.job("j", Steps.gang(GANG_SIZE)));
+        for (int runId = 1; runId <= Steps.QUEUE.attempts(); runId++) {
+            runGang(0, 0, runId, 0);
+            for (int member = 0; member < GANG_SIZE; member++) {
+                boolean lastAttempt = runId == Steps.QUEUE.attempts() && member > 0;
+                assertThat("run " + runId + " member " + member, phase("j").ended(), is(lastAttempt));
+                end(task(0, member), runId, RunEnd.FAILED);
+                state.restore(state.snapshot());
+            }
+        }
+        assertThat(phase("j"), is(JobPhase.FAILED));
+    }
+
     @Test
     void aCancelledJobStaysCancelledAndStartsNothing() {
         submit(Steps.job("j", Steps.plain(1)));
