One crash of a worker counts once for a task that lapsed there before

A worker was silent beyond its lease, answered again and crashed later; a sound task that had run there in both spans was charged two crashes, of the three after which its job is given up (LOST).

Cause: Worker.lapsedRuns, the runs to be blamed if a silent worker turns out to have crashed, was kept when the worker answered again in the same life. An unconfirmed run in it was blamed at the next crash, beside the current run of its task.

Evidence: CrashTest.oneCrashCountsOnceForATaskWhoseEarlierRunLapsedOnTheSameWorker, red before (2 crashes recorded for one).

Change: the answer to a poll that was sent after the leases expired clears the list.

Why it works: the answer proves that the worker had not crashed when those runs were over; a run after that is judged by its own crash only.

--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -84,8 +84,14 @@
     boolean leaving;
 
     boolean incarnationEnded;
-    /** The runs that it had when its leases last expired; whether it had crashed under them shows only later. */
+    /**
+     * The runs that it had when its leases last expired, until it answers again; whether it had crashed under them shows
+     * only later.
+     */
     List<ActiveRun> lapsedRuns = List.of();
+
+    /** When its leases last expired, on the monotonic clock. */
+    long lapsedMs;
     /** Number of runs whose task was blamed for a crash before. */
     int suspects;
 
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -297,6 +297,7 @@
         List<ActiveRun> lapsed = new ArrayList<>();
         worker.runs().forEach(lapsed::add);
         worker.lapsedRuns = List.copyOf(lapsed);
+        worker.lapsedMs = term.clock.nowMs();
         lapsed.forEach(run -> proposeEnd(run, RunEnd.LOST, "", "its lease expired"));
         if (worker.info.isEmpty()) {
             worker.incarnationEnded = true;
@@ -325,6 +326,10 @@
             EventLog.event("worker.answers", "worker", worker.id, "failures", worker.holdFailures);
         }
         worker.holdFailures = 0;
+        if (sentMs >= worker.lapsedMs) {
+            // It has outlived them, so a later crash is not theirs.
+            worker.lapsedRuns = List.of();
+        }
         worker.acknowledgedEnd = sentThrough;
         worker.fenced = true;
         worker.recordContact(nowMs, poll.clockMs());
--- a/work/src/test/java/org/cornelcove/work/lead/CrashTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/CrashTest.java
@@ -6,12 +6,14 @@
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
+import org.cornelcove.work.state.Task;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -103,4 +105,22 @@
         }
         assertCompleted(runADay(0));
     }
+
+    /** Regression test for LOST: one crash counted twice for a task, also for a run that was over since an expired lease. */
+    @Test
+    void oneCrashCountsOnceForATaskWhoseEarlierRunLapsedOnTheSameWorker() {
+        FakeWorkers.Incarnation worker = workers.add("w0", 1);
+        workers.taskMs = DAY_S * 1000L;
+        runWithBeats(1000);
+        worker.silent = true;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(10_000);
+        worker.silent = false;
+        runWithBeats(2000);
+        Task task = state.job("j").orElseThrow().task(new TaskKey("j", 0, 0, 0)).orElseThrow();
+        assertThat("the first run lapsed", task.runs().get(0).runId(), greaterThan(1));
+        workers.crashAndReturn(worker);
+        runWithBeats(5000);
+        assertThat(task.crashes(), is(1));
+    }
 }
