--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -49,6 +49,7 @@
     final Proposals proposals;
     final LoopClock clock;
     final WorkerCalls calls;
+    final RunEnds ends = new RunEnds(this);
     private final Placements placements;
     private final Crashes crashes = new Crashes(this);
     private final Departures departures = new Departures(this);
@@ -151,7 +152,7 @@
         } else {
             // The worker has restarted since, so this run no longer exists.
             runsByJob.computeIfAbsent(task.jobId(), any -> new HashSet<>()).add(active);
-            calls.proposeEnd(active, RunEnd.LOST, "", "worker restarted");
+            ends.lost(active, "worker restarted");
         }
     }
 
@@ -373,7 +374,7 @@
         }
         List<ActiveRun> lost = new ArrayList<>();
         worker.runs().forEach(lost::add);
-        lost.forEach(run -> calls.proposeEnd(run, RunEnd.LOST, "", why));
+        lost.forEach(run -> ends.lost(run, why));
         departures.acknowledge(worker);
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -91,10 +91,11 @@
 
     /** Ends the term. */
     public void lost() {
+        long lostMs = clock.nowMs();
         clock.execute(() -> {
             term.ifPresent(Term::end);
             term = Optional.empty();
-            EventLog.event("lead.lost");
+            EventLog.event("lead.lost", "noticedAfterMs", clock.nowMs() - lostMs);
         });
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -7,9 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
-import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.lead.WorkerDriver.Answer;
-import org.cornelcove.work.lead.WorkerDriver.EndedRow;
 import org.cornelcove.work.lead.WorkerDriver.PollOrder;
 import org.cornelcove.work.lead.WorkerDriver.PollResult;
 import org.cornelcove.work.lead.WorkerDriver.Reply;
@@ -17,8 +15,6 @@
 import org.cornelcove.work.lead.WorkerDriver.StartOrder;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.state.Task;
-import org.cornelcove.work.state.Verdict;
-import org.cornelcove.work.state.WorkCommand;
 
 /**
  * Sends start, stop and poll calls to workers and handles their answers. Used on the leader's loop only.
@@ -67,7 +63,7 @@
             return;
         }
         if (run.stopWanted && run.unanswered == 0) {
-            proposeEnd(run, RunEnd.LOST, "", "stopped before its start was sent");
+            term.ends.lost(run, "stopped before its start was sent");
             return;
         }
         long nowMs = term.clock.nowMs();
@@ -77,7 +73,7 @@
         }
         OptionalLong deadline = run.worker.deadline(nowMs, term.settings.leaseMs());
         if (deadline.isEmpty() || run.worker.info.isEmpty()) {
-            proposeEnd(run, RunEnd.LOST, "", "its worker is not known");
+            term.ends.lost(run, "its worker is not known");
             return;
         }
         run.stage = ActiveRun.Stage.STARTING;
@@ -169,7 +165,7 @@
             run.confirmedMs = Long.MAX_VALUE;
             requestStop(run);
         } else {
-            proposeEnd(run, RunEnd.LOST, "", "refused by the worker: " + reply);
+            term.ends.lost(run, "refused by the worker: " + reply);
         }
     }
 
@@ -298,7 +294,7 @@
         worker.runs().forEach(lapsed::add);
         worker.lapsedRuns = List.copyOf(lapsed);
         worker.lapsedMs = term.clock.nowMs();
-        lapsed.forEach(run -> proposeEnd(run, RunEnd.LOST, "", "its lease expired"));
+        lapsed.forEach(run -> term.ends.lost(run, "its lease expired"));
         if (worker.info.isEmpty()) {
             worker.incarnationEnded = true;
         }
@@ -335,7 +331,7 @@
         worker.recordContact(nowMs, poll.clockMs());
         worker.holdDueMs = stopping(worker) ? nowMs + term.settings.stopTimeoutMs() / 4 : nowMs;
         Set<ActiveRun> listed = new HashSet<>();
-        poll.ended().forEach(row -> ended(worker, row).ifPresent(listed::add));
+        poll.ended().forEach(row -> term.ends.reported(worker, row).ifPresent(listed::add));
         poll.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
         if (poll.moreEnded()) {
             EventLog.event(
@@ -351,31 +347,6 @@
         poll(worker, nowMs);
     }
 
-    private Optional<ActiveRun> ended(Worker worker, EndedRow row) {
-        if (row.number() <= worker.highestEnd) {
-            return worker.run(row.task(), row.runId());
-        }
-        worker.highestEnd = row.number();
-        Optional<ActiveRun> run = worker.run(row.task(), row.runId());
-        if (run.isEmpty()) {
-            // The run was ended before, and its end is in the durable state.
-            worker.endCommitted(row.number());
-            return run;
-        }
-        long nowMs = term.clock.nowMs();
-        if (row.how() == RunEnd.DONE) {
-            worker.health.succeeded();
-        } else if (row.how() == RunEnd.FAILED) {
-            worker.recordFailure(row.task(), nowMs);
-        }
-        worker.pendingEnds.add(row.number());
-        proposeEnd(run.get(), row.how(), row.checkpoint(), "", () -> {
-            worker.endCommitted(row.number());
-            poll(worker, term.clock.nowMs());
-        });
-        return run;
-    }
-
     private Optional<ActiveRun> running(Worker worker, RunningRow row, long nowMs) {
         Optional<ActiveRun> found = worker.run(row.task(), row.runId());
         if (found.isEmpty()) {
@@ -434,29 +405,6 @@
                 unlisted.add(run);
             }
         }
-        unlisted.forEach(run -> proposeEnd(run, RunEnd.LOST, "", "its worker does not list it"));
-    }
-
-    // Ends
-
-    void proposeEnd(ActiveRun run, RunEnd how, String checkpoint, String why) {
-        proposeEnd(run, how, checkpoint, why, () -> {});
-    }
-
-    private void proposeEnd(ActiveRun run, RunEnd how, String checkpoint, String why, Runnable onCommitted) {
-        if (run.endProposed) {
-            return;
-        }
-        run.endProposed = true;
-        term.untrack(run);
-        EventLog.event(
-                "run.end", "task", run.task.text(), "run", run.runId, "worker", run.worker.id, "how", how, "why", why);
-        WorkCommand end = new WorkCommand.End(run.task, run.runId, how, checkpoint, term.clock.wallMs());
-        term.proposals.add(end, result -> {
-            if (!term.over() && (result.is(Verdict.DONE) || result.is(Verdict.UNCHANGED))) {
-                onCommitted.run();
-                term.endCommitted(run, how);
-            }
-        });
+        unlisted.forEach(run -> term.ends.lost(run, "its worker does not list it"));
     }
 }
