--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -52,6 +52,8 @@
         int maxRuns = Integer.MAX_VALUE;
 
         boolean fails;
+        /** Whether polls get no answer, while it takes other orders. */
+        boolean pollsLost;
         /** Whether each call to it throws an exception, against the contract of the driver. */
         boolean throwing;
         /** Whether it refuses starts for lack of room. */
@@ -100,6 +102,14 @@
         return incarnation;
     }
 
+    /** Starts a worker again under its id and address; the leader learns of it by later heartbeats and answers only. */
+    Incarnation restart(String id, long processStartMs) {
+        Incarnation incarnation = new Incarnation(
+                info(id, processStartMs, incarnations.get(id).info.address(), false, 1));
+        incarnations.put(id, incarnation);
+        return incarnation;
+    }
+
     WorkerInfo info(String id, long processStartMs, String address, boolean draining, long sequence) {
         return info(id, processStartMs, address, draining, OptionalLong.empty(), sequence);
     }
@@ -250,7 +260,7 @@
     public CompletableFuture<PollResult> poll(WorkerInfo worker, PollOrder order) {
         Incarnation incarnation = at(worker);
         PollResult silence = PollResult.without(Reply.NO_ANSWER);
-        if (!incarnation.up || incarnation.silent || order.fence() < incarnation.fence) {
+        if (!incarnation.up || incarnation.silent || incarnation.pollsLost || order.fence() < incarnation.fence) {
             return answer(incarnation, silence, silence);
         }
         incarnation.fence = order.fence();
--- /dev/null
+++ b/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
@@ -0,0 +1,59 @@
+package org.cornelcove.work.lead;
+
+import org.cornelcove.work.Steps;
+import org.cornelcove.work.job.JobPhase;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+/** A worker that starts again under its id, and takes orders that the leader meant for its earlier incarnation. */
+class RestartedWorkerTest extends TermRig {
+    /** What first tells the leader of the restart, after its orders have reached the new incarnation. */
+    private enum News {
+        POLL,
+        HEARTBEAT,
+        NEXT_LEADER
+    }
+
+    /** Regression test for TWICE: a task started on a restarted worker was started on another one beside it. */
+    @ParameterizedTest
+    @EnumSource
+    void aTaskThatTheNewIncarnationStartedDoesNotRunBesideAnother(News news) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        workers.restart("w1", 2).pollsLost = news != News.POLL;
+        submit(Steps.job("j", Steps.plain(4)));
+        loop.run(20);
+        workers.add("w2", 1);
+        if (news == News.NEXT_LEADER) {
+            workers.beat(1);
+            lead();
+        }
+        workers.incarnations.get("w1").pollsLost = false;
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    /** Regression test for TWICE: a start without an answer was carried out by the incarnation after the one it was sent to. */
+    @ParameterizedTest
+    @ValueSource(longs = {300, 2000, 4000, 12_000})
+    void aStartThatTheNewIncarnationCarriesOutLateDoesNotRunBesideAnother(long lateMs) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.lateStartMs = lateMs;
+        submit(Steps.job("j", Steps.plain(4)));
+        loop.run(100);
+        workers.add("w2", 1);
+        runWithBeats(3000);
+        restarted.lateStartMs = 0;
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+}
