A run that the later incarnation of its worker may have is not given up with the earlier one

Cause: an order names the id of a worker, and a worker that starts again under its id takes orders for its earlier incarnation, until the leader handles its next heartbeat. The leader then ended the earlier incarnation with all its runs, and started them elsewhere; the later incarnation had no known run, was not polled, and worked on. So did the next leader ("worker restarted").

Change: the end of an incarnation ends only the runs that a poll listed on it and whose start orders are all decided. The others move to the later incarnation: a poll of it tells whether they exist, after a stop where an order of this leader may be under way (the fence of the poll refuses those of earlier leaders). Answers to calls of before the move are not taken. A later incarnation that is silent keeps them for the longest lease that a worker accepts, since a deadline on the earlier one's clock is cut to that.

Nothing new stands in the log. What an older build already ended as lost stays so; under a leader of an older build the fault is as before.

--- a/work/src/main/java/org/cornelcove/work/job/WorkerInfo.java
+++ b/work/src/main/java/org/cornelcove/work/job/WorkerInfo.java
@@ -36,6 +36,30 @@
         List<String> labels,
         long clockMs,
         long sequence) {
+    /**
+     * Returns what is known of a later incarnation of the worker before its first heartbeat.
+     *
+     * @param newProcessStartMs the start time of its process, in Unix milliseconds
+     * @return its state; each heartbeat has a higher sequence
+     */
+    public WorkerInfo restartedAt(long newProcessStartMs) {
+        return new WorkerInfo(
+                id,
+                newProcessStartMs,
+                address,
+                zone,
+                pool,
+                false,
+                OptionalLong.empty(),
+                warmUpMs,
+                cpuMillis,
+                memoryMb,
+                accelerators,
+                labels,
+                0,
+                -1);
+    }
+
     /**
      * Returns the rack, which is the last label.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -27,12 +27,18 @@
     final Job job;
     final TaskKey task;
     final int runId;
-    final Worker worker;
+    /** The worker that has it or may have it; a later incarnation of the one it was placed on, if that started again. */
+    Worker worker;
+
     final StepSpec step;
     final long createdMs;
     Stage stage;
     /** Start orders that got no answer and may still be carried out. */
     int unanswered;
+    /** Whether a start order of this leader or of an earlier one may still be carried out, whatever was answered since. */
+    boolean startInDoubt;
+    /** Whether a poll has listed it on the incarnation of the worker that it was placed on. */
+    boolean listed;
     /** Since when the worker is known to have it, on the monotonic clock; empty before. */
     OptionalLong runningSinceMs = OptionalLong.empty();
     /** How often the task was blamed for the crash of a worker before this run. */
@@ -67,6 +73,7 @@
         this.stage = stage;
         this.pacePercent = stage == Stage.INHERITED ? UNKNOWN_PACE : PaceControl.FULL_PERCENT;
         this.createdMs = nowMs;
+        this.startInDoubt = stage == Stage.INHERITED;
         this.crashes = job.task(task).orElseThrow().crashes();
         this.progressMs = nowMs;
     }
@@ -87,6 +94,27 @@
         return runningSinceMs.isPresent() ? Math.max(0, heardMs - runningSinceMs.getAsLong()) : 0;
     }
 
+    /** Checks whether a later incarnation of its worker may have it, or get it by an order that is still under way. */
+    boolean mayHaveReachedSuccessor() {
+        return stage != Stage.COMMITTING && !(listed && !startInDoubt);
+    }
+
+    /**
+     * Moves the run to the later incarnation of its worker; only a poll of that one shows whether it exists.
+     *
+     * @param successor the later incarnation
+     * @param nowMs the time on a monotonic clock
+     */
+    void moveTo(Worker successor, long nowMs) {
+        worker = successor;
+        listed = false;
+        stopPending = false;
+        stopAnswered = false;
+        pacePercent = UNKNOWN_PACE;
+        runningSinceMs = OptionalLong.empty();
+        progressMs = nowMs;
+    }
+
     boolean over() {
         return overSinceMs != 0;
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Departures.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Departures.java
@@ -101,7 +101,7 @@
 
     private void endIfIdle(Worker worker) {
         if (worker.leaving && worker.idle()) {
-            term.endIncarnation(worker, "it left");
+            term.incarnations.end(worker, "it left");
         }
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -1,6 +1,5 @@
 package org.cornelcove.work.lead;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -50,8 +49,8 @@
     final LoopClock clock;
     final WorkerCalls calls;
     final RunEnds ends = new RunEnds(this);
+    final Incarnations incarnations = new Incarnations(this);
     private final Placements placements;
-    private final Crashes crashes = new Crashes(this);
     private final Departures departures = new Departures(this);
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, Set<ActiveRun>> runsByJob = new HashMap<>();
@@ -103,6 +102,11 @@
         return Optional.ofNullable(workers.get(id));
     }
 
+    /** Makes a worker the current incarnation under its id. */
+    void put(Worker worker) {
+        workers.put(worker.id, worker);
+    }
+
     Departures departures() {
         return departures;
     }
@@ -128,32 +132,31 @@
     private void remember(WorkerInfo info) {
         Worker worker = new Worker(info.id(), info.processStartMs());
         worker.info = Optional.of(info);
-        worker.inheritedUntilMs = inheritedUntilMs();
+        worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
         workers.put(info.id(), worker);
     }
 
-    private long inheritedUntilMs() {
-        return gainedMs + DEPOSED_LEADER_MS + (long) (settings.leaseMs() / MIN_CLOCK_RATE);
+    /** Returns when the last lease expires that is granted by an order of a leader which had to stop calling at a time. */
+    static long leaseEndMs(long atMs, long leaseMs) {
+        return atMs + DEPOSED_LEADER_MS + (long) (leaseMs / MIN_CLOCK_RATE);
     }
 
     private void inherit(Job job, TaskKey task, Run run) {
         Worker worker = workers.get(run.worker());
         if (worker == null || worker.processStartMs < run.workerStartMs()) {
             worker = new Worker(run.worker(), run.workerStartMs());
-            worker.inheritedUntilMs = inheritedUntilMs();
+            worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
             workers.put(run.worker(), worker);
         }
+        if (worker.processStartMs > run.workerStartMs()) {
+            // The earlier leader's order may have reached this incarnation instead.
+            worker.adoptedUntilMs = leaseEndMs(gainedMs, settings.maxLeaseMs());
+        }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
         active.stopWanted = job.phase().ended();
         // The worker had it, at the latest, soon after the start was committed.
         active.recordRunning(gainedMs - Math.max(0, clock.wallMs() - run.startedMs()));
-        if (worker.processStartMs == run.workerStartMs()) {
-            track(active);
-        } else {
-            // The worker has restarted since, so this run no longer exists.
-            runsByJob.computeIfAbsent(task.jobId(), any -> new HashSet<>()).add(active);
-            ends.lost(active, "worker restarted");
-        }
+        track(active);
     }
 
     Set<ActiveRun> runsOf(String jobId) {
@@ -308,18 +311,13 @@
             if (sameAddress && other.processStartMs > info.processStartMs()) {
                 return;
             } else if (sameAddress) {
-                endIncarnation(other, "another worker took its address");
+                incarnations.end(other, "another worker took its address");
             }
         }
-        if (worker != null && info.processStartMs() > worker.processStartMs) {
-            endIncarnation(worker, "it restarted");
-            worker = null;
-        }
         if (worker == null) {
-            worker = new Worker(info.id(), info.processStartMs());
-            workers.put(info.id(), worker);
-            proposals.add(new WorkCommand.RecordWorker(info), result -> {});
-            EventLog.event("worker.new", "worker", info.id(), "born", info.processStartMs(), "address", info.address());
+            worker = incarnations.register(info);
+        } else if (info.processStartMs() > worker.processStartMs) {
+            worker = incarnations.restarted(worker, info);
         }
         boolean newer =
                 worker.info.isEmpty() || info.sequence() > worker.info.get().sequence();
@@ -345,39 +343,6 @@
         }
     }
 
-    /**
-     * Ends an incarnation of a worker, of which nothing can run any more, and all its runs.
-     *
-     * @param worker the worker
-     * @param why the reason for the log
-     */
-    void endIncarnation(Worker worker, String why) {
-        if (worker.incarnationEnded) {
-            return;
-        }
-        worker.incarnationEnded = true;
-        proposals.add(new WorkCommand.DropWorker(worker.id, worker.processStartMs), result -> {});
-        EventLog.event(
-                "worker.gone",
-                "worker",
-                worker.id,
-                "born",
-                worker.processStartMs,
-                "runs",
-                worker.runCount(),
-                "why",
-                why);
-        boolean announcedEnd =
-                worker.leaving || worker.info.filter(WorkerInfo::draining).isPresent();
-        if (!announcedEnd) {
-            crashes.record(worker);
-        }
-        List<ActiveRun> lost = new ArrayList<>();
-        worker.runs().forEach(lost::add);
-        lost.forEach(run -> ends.lost(run, why));
-        departures.acknowledge(worker);
-    }
-
     // The loop
 
     /** Does the periodic work: due occurrences, polls, copies and cleanup. */
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -51,6 +51,8 @@
     private long highestDeadlineMs;
     /** When the leases of earlier leaders expire, on the leader's clock. */
     long inheritedUntilMs;
+    /** When the leases expire that it may have got by orders for an earlier incarnation, on the leader's clock. */
+    long adoptedUntilMs;
     /** Whether it has answered a poll with this leader's fence. */
     boolean fenced;
 
@@ -229,7 +231,7 @@
      */
     boolean leasesExpired(long nowMs) {
         boolean ownExpired = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
-        return ownExpired && (fenced || nowMs > inheritedUntilMs);
+        return ownExpired && nowMs > adoptedUntilMs && (fenced || nowMs > inheritedUntilMs);
     }
 
     boolean usable(long nowMs) {
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -68,7 +68,7 @@
         }
         long nowMs = term.clock.nowMs();
         if (!term.clock.leased()) {
-            term.clock.later(RETRY_MS, () -> start(run));
+            startLater(run);
             return;
         }
         OptionalLong deadline = run.worker.deadline(nowMs, term.settings.leaseMs());
@@ -80,16 +80,26 @@
         Task task = run.job.task(run.task).orElseThrow();
         StartOrder order = new StartOrder(
                 run.task, run.runId, run.job.spec().taskText(), task.checkpoint(), deadline.getAsLong(), term.fence);
-        driver.start(run.worker.info.get(), order)
-                .whenComplete((answer, thrown) -> term.clock.execute(() -> started(run, answer)));
+        Worker worker = run.worker;
+        driver.start(worker.info.get(), order)
+                .whenComplete((answer, thrown) -> term.clock.execute(() -> started(run, worker, answer)));
     }
 
-    private void started(ActiveRun run, Answer answer) {
-        if (term.over() || run.endProposed) {
+    private void startLater(ActiveRun run) {
+        Worker worker = run.worker;
+        term.clock.later(RETRY_MS, () -> {
+            if (run.worker == worker) {
+                start(run);
+            }
+        });
+    }
+
+    private void started(ActiveRun run, Worker worker, Answer answer) {
+        // Once the worker is known to have started again, it is open which incarnation answered.
+        if (term.over() || run.endProposed || run.worker != worker) {
             return;
         }
         long nowMs = term.clock.nowMs();
-        Worker worker = run.worker;
         if (answer.clockMs().isPresent()) {
             worker.recordContact(nowMs, answer.clockMs());
         }
@@ -114,8 +124,8 @@
                 run.confirmedMs = nowMs;
                 worker.holdDueMs = nowMs;
             }
-            case LATE -> term.clock.later(RETRY_MS, () -> start(run));
-            case OTHER_LIFE -> term.endIncarnation(worker, "another incarnation of the worker answered");
+            case LATE -> startLater(run);
+            case OTHER_LIFE -> term.incarnations.end(worker, "another incarnation of the worker answered");
             case NO_ANSWER -> unanswered(run, nowMs);
             default -> startRefused(run, answer.reply(), nowMs);
         }
@@ -138,12 +148,13 @@
 
     private void unanswered(ActiveRun run, long nowMs) {
         run.unanswered++;
+        run.startInDoubt = true;
         run.worker.health.failed(run.task.jobId(), nowMs);
         if (run.unanswered >= MAX_UNANSWERED_STARTS || run.stopWanted) {
             run.confirmedMs = Long.MAX_VALUE;
             requestStop(run);
         } else {
-            term.clock.later(RETRY_MS, () -> start(run));
+            startLater(run);
         }
     }
 
@@ -193,11 +204,15 @@
             return;
         }
         run.stopPending = true;
-        driver.stop(run.worker.info.get(), run.task, run.runId, term.fence)
-                .whenComplete((answer, thrown) -> term.clock.execute(() -> stopped(run, answer)));
+        Worker worker = run.worker;
+        driver.stop(worker.info.get(), run.task, run.runId, term.fence)
+                .whenComplete((answer, thrown) -> term.clock.execute(() -> stopped(run, worker, answer)));
     }
 
-    private void stopped(ActiveRun run, Answer answer) {
+    private void stopped(ActiveRun run, Worker worker, Answer answer) {
+        if (run.worker != worker) {
+            return;
+        }
         run.stopPending = false;
         if (term.over() || run.endProposed) {
             return;
@@ -213,7 +228,7 @@
             run.worker.holdDueMs = nowMs;
             poll(run.worker, nowMs);
         } else if (answer.reply() == Reply.OTHER_LIFE) {
-            term.endIncarnation(run.worker, "another incarnation of the worker answered");
+            term.incarnations.end(run.worker, "another incarnation of the worker answered");
         } else {
             term.clock.later(RETRY_MS, () -> stop(run));
         }
@@ -306,9 +321,15 @@
             return;
         }
         long nowMs = term.clock.nowMs();
-        if (poll.reply() == Reply.OTHER_LIFE
-                || poll.processStartMs().isPresent() && poll.processStartMs().getAsLong() != worker.processStartMs) {
-            term.endIncarnation(worker, "another incarnation of the worker answered a poll");
+        long answeredBy = poll.processStartMs().orElse(worker.processStartMs);
+        if (answeredBy > worker.processStartMs) {
+            Worker successor = term.incarnations.restarted(
+                    worker, worker.info.orElseThrow().restartedAt(answeredBy));
+            successor.recordContact(nowMs, poll.clockMs());
+            return;
+        }
+        if (poll.reply() == Reply.OTHER_LIFE || answeredBy != worker.processStartMs) {
+            term.incarnations.end(worker, "another incarnation of the worker answered a poll");
             return;
         }
         if (poll.reply() != Reply.OK) {
@@ -355,6 +376,7 @@
             return found;
         }
         ActiveRun run = found.get();
+        run.listed = true;
         run.recordRunning(nowMs);
         if (run.stage == ActiveRun.Stage.INHERITED) {
             run.stage = ActiveRun.Stage.CONFIRMED;
--- a/work/src/test/java/org/cornelcove/work/group/ControlNodeTest.java
+++ b/work/src/test/java/org/cornelcove/work/group/ControlNodeTest.java
@@ -30,7 +30,8 @@
         Path blocker = Files.createDirectories(folder.resolve("member.new"));
         GroupSettings settings = new GroupSettings(ADDRESS, folder, true, List.of(ADDRESS), 1);
         try (CallClient client = CallClient.create();
-                WorkLeader leader = WorkLeader.create(new LeadSettings(5000, 200, 120_000), new FakeWorkers(null));
+                WorkLeader leader =
+                        WorkLeader.create(new LeadSettings(5000, 6000, 200, 120_000), new FakeWorkers(null));
                 ControlNode node = ControlNode.open(settings, client, leader)) {
             Thread.sleep(SEVERAL_ATTEMPTS_MS);
             assertThat("no member without an identity", node.view().members(), is(List.of()));
--- a/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
@@ -2,6 +2,7 @@
 
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,6 +40,27 @@
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
 
+    /** The new incarnation may have the run although it never answers; its lease is the longest that a worker accepts. */
+    @Test
+    void aTaskWaitsForTheLeaseOfANewIncarnationThatIsSilent() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(20);
+        loop.term.announce(workers.info("w1", 2, old.info.address(), false, 1));
+        restarted.silent = true;
+        restarted.leaseMs = loop.nowMs() + SETTINGS.maxLeaseMs();
+        workers.taskMs = 60_000;
+        workers.add("w2", 1);
+        runWithBeats(5000);
+        assertThat(workers.incarnations.get("w2").running.size(), is(0));
+        runWithBeats(5000);
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+        assertThat(workers.faults, empty());
+    }
+
     /** Regression test for TWICE: a start without an answer was carried out by the incarnation after the one it was sent to. */
     @ParameterizedTest
     @ValueSource(longs = {300, 2000, 4000, 12_000})
--- a/work/src/test/java/org/cornelcove/work/lead/TermRig.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermRig.java
@@ -13,7 +13,7 @@
 
 /** A leader's term over a durable state, with simulated workers on a manual clock. */
 abstract class TermRig {
-    static final LeadSettings SETTINGS = new LeadSettings(5000, 200, 120_000);
+    static final LeadSettings SETTINGS = new LeadSettings(5000, 6000, 200, 120_000);
 
     final WorkState state = new WorkState();
     final ManualLoop loop = new ManualLoop();
--- a/work/src/test/java/org/cornelcove/work/lead/WorkLeaderTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/WorkLeaderTest.java
@@ -78,7 +78,7 @@
         WorkState state = new WorkState();
         // A heartbeat of a pool without rules proposes nothing.
         state.apply(1, CommandCodec.encode(List.of(new WorkCommand.Configure(Steps.RULES))));
-        try (WorkLeader leader = WorkLeader.create(new LeadSettings(5000, 200, 120_000), new FakeWorkers(null))) {
+        try (WorkLeader leader = WorkLeader.create(new LeadSettings(5000, 6000, 200, 120_000), new FakeWorkers(null))) {
             leader.gained(1, new BrokenReplica(), state, () -> Long.MAX_VALUE);
             leader.announce(worker(1));
             assertThat(leader.failed().get(10, TimeUnit.SECONDS), instanceOf(StackOverflowError.class));
