A term of the work leader proposes and holds a lease in its own term only

What callers could see: tasks that run twice.

Cause: the loop learns of the end of a term in its turn. If the member leads again by then, what the ended term decides is appended in the later term, and the later lease counts for it: expired leases of workers that another leader served meanwhile become ends in the log, while the runs go on.

Change: Replica.propose(term, command) fails as not the leader in another term, decided on the member's own thread; ReplicaNode.leaseEndMs(term) is past in another term. Nothing in the log or between members changes.

--- a/replication/src/main/java/org/cornelcove/replication/Replica.java
+++ b/replication/src/main/java/org/cornelcove/replication/Replica.java
@@ -14,6 +14,16 @@
      */
     CompletableFuture<byte[]> propose(byte[] command);
 
+    /**
+     * Proposes a command in one term only. A leader whose decisions rest on what it knows of its term uses this, since it may
+     * learn late that the term has ended, when this member leads again.
+     *
+     * @param term the term in which this member became leader
+     * @param command the encoded command
+     * @return as for {@link #propose(byte[])}; fails with kind {@code NOT_LEADER} also in another term
+     */
+    CompletableFuture<byte[]> propose(long term, byte[] command);
+
     /**
      * Waits until the state applied on this member includes every command that was acknowledged before the call.
      *
--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -4,11 +4,9 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 
 import org.cornelcove.model.error.ErrorKind;
@@ -42,8 +41,12 @@
  * are completed on the applier's or the core's thread; dependent stages must not block.
  */
 public final class ReplicaNode implements Replica {
+    private record Lease(long term, long endMs) {}
+
     private static final System.Logger LOG = System.getLogger(ReplicaNode.class.getName());
     private static final long LEADERSHIP_TRANSFER_TIMEOUT_MS = 1000;
+    /** The end of a lease that was never granted. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
     private final ReplicaSettings settings;
     private final DataFolder folder;
@@ -53,9 +56,7 @@
     private final LongSupplier nowMs;
     private final ReplicaCore core;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
-    private final Map<Long, CompletableFuture<byte[]>> proposals = new ConcurrentHashMap<>();
-    private final Map<Long, CompletableFuture<Long>> requests = new ConcurrentHashMap<>();
-    private final AtomicLong lastToken = new AtomicLong();
+    private final PendingRequests pending = new PendingRequests();
     private final AtomicLong malformedMessageCount = new AtomicLong();
     private final AtomicLong failedSendCount = new AtomicLong();
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -65,7 +66,7 @@
     private final Applier applier;
     private final Thread thread;
     private volatile ReplicaStatus status;
-    private volatile long leaseEndMs = Long.MIN_VALUE;
+    private volatile Lease lease = new Lease(0, NEVER_MS);
     /** The term in which the listener was last notified of leadership gained; 0 if none or if lost since. */
     private volatile long announcedTerm;
 
@@ -159,10 +160,24 @@
 
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
+        return propose(command, term -> true);
+    }
+
+    @Override
+    public CompletableFuture<byte[]> propose(long term, byte[] command) {
+        return propose(command, current -> current == term);
+    }
+
+    private CompletableFuture<byte[]> propose(byte[] command, LongPredicate inTerm) {
         CompletableFuture<byte[]> result = new CompletableFuture<>();
-        long token = lastToken.incrementAndGet();
-        proposals.put(token, result);
-        submit(() -> core.propose(token, command));
+        long token = pending.addProposal(result);
+        submit(() -> {
+            if (inTerm.test(core.term())) {
+                core.propose(token, command);
+            } else {
+                pending.fail(token, Failure.of(ErrorKind.NOT_LEADER, "the leader of the current term"));
+            }
+        });
         return result;
     }
 
@@ -214,12 +229,14 @@
     }
 
     /**
-     * Returns the end of the leader lease, before which no other member can be leader.
+     * Returns the end of the leader lease in a term, before which no other member can be leader.
      *
-     * @return the time in ms on the clock of this member; a time in the past if it is not leader
+     * @param term the term
+     * @return the time in ms on the clock of this member; a time in the past if it is not leader in this term
      */
-    public long leaseEndMs() {
-        return leaseEndMs;
+    public long leaseEndMs(long term) {
+        Lease current = lease;
+        return current.term == term ? current.endMs : NEVER_MS;
     }
 
     /**
@@ -307,7 +324,7 @@
                 }
                 Ready ready = core.drain(now);
                 status = ReplicaStatus.of(settings.selfId(), core, now);
-                leaseEndMs = core.leaseEndMs(now);
+                lease = new Lease(core.term(), core.leaseEndMs(now));
                 processReady(ready);
             }
         } catch (RuntimeException e) {
@@ -349,11 +366,9 @@
 
     private void handleEvent(CoreEvent event) {
         if (event instanceof CoreEvent.RequestDone done) {
-            Optional.ofNullable(requests.remove(done.token())).ifPresent(f -> f.complete(done.index()));
+            pending.complete(done.token(), done.index());
         } else if (event instanceof CoreEvent.RequestFailed failed) {
-            FailureException cause = failed.failure().asException();
-            Optional.ofNullable(proposals.remove(failed.token())).ifPresent(f -> f.completeExceptionally(cause));
-            Optional.ofNullable(requests.remove(failed.token())).ifPresent(f -> f.completeExceptionally(cause));
+            pending.fail(failed.token(), failed.failure());
         } else if (event instanceof CoreEvent.LeadershipGained gained) {
             LOG.log(System.Logger.Level.INFO, "member {0} became leader in term {1}", settings.selfId(), gained.term());
             announcedTerm = gained.term();
@@ -371,8 +386,7 @@
 
     private CompletableFuture<Long> request(LongConsumer operation) {
         CompletableFuture<Long> result = new CompletableFuture<>();
-        long token = lastToken.incrementAndGet();
-        requests.put(token, result);
+        long token = pending.add(result);
         submit(() -> operation.accept(token));
         return result;
     }
@@ -380,21 +394,10 @@
     private void submit(Runnable task) {
         inbox.add(task);
         if (stopped.isDone()) {
-            failRequests();
+            pending.failAll();
         }
     }
 
-    private void failRequests() {
-        FailureException outcomeUnknown =
-                Failure.of(ErrorKind.PROPOSAL_OUTCOME_UNKNOWN).asException();
-        FailureException notLeader =
-                Failure.of(ErrorKind.NOT_LEADER, "the other control hosts").asException();
-        proposals.forEach((token, f) -> f.completeExceptionally(outcomeUnknown));
-        requests.forEach((token, f) -> f.completeExceptionally(notLeader));
-        proposals.clear();
-        requests.clear();
-    }
-
     // Shutdown
 
     private void stop(Optional<Failure> cause) {
@@ -422,7 +425,7 @@
             Thread.currentThread().interrupt();
         } finally {
             stopped.complete(cause);
-            failRequests();
+            pending.failAll();
         }
     }
 
@@ -472,7 +475,7 @@
     private final class ApplierListener implements Applier.Listener {
         @Override
         public void result(long token, byte[] result) {
-            Optional.ofNullable(proposals.remove(token)).ifPresent(f -> f.complete(result));
+            pending.completeProposal(token, result);
         }
 
         @Override
--- a/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/ReplicaNodeTest.java
@@ -22,6 +22,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class ReplicaNodeTest {
@@ -198,6 +199,35 @@
         assertThat(node.stopped().get().get().kind(), is(ErrorKind.INTERNAL));
     }
 
+    /** Regression test for TWICE: what was decided in an ended term was appended when the same member led again. */
+    @Test
+    void aCommandOfAnEndedTermIsNotAppendedWhenTheMemberLeadsAgain() throws Exception {
+        try (LocalGroup group = new LocalGroup(folder, 1000)) {
+            for (long id = 1; id <= 3; id++) {
+                group.start(id, LocalGroup.members(3));
+            }
+            group.propose("a");
+            ReplicaNode first = group.leader();
+            long term = first.status().term();
+            first.transferLeadership().get();
+            Awaitility.await().until(() -> {
+                ReplicaNode leader = group.leader();
+                if (leader != first) {
+                    // Either another member takes over, or it stays the leader and is asked again.
+                    leader.transferLeadership().handle((done, thrown) -> done).get();
+                }
+                return first.status().leading() && first.status().term() > term;
+            });
+            group.propose("b");
+            ExecutionException thrown = assertThrows(ExecutionException.class, () -> first.propose(term, new byte[1])
+                    .get());
+            assertThat(((FailureException) thrown.getCause()).failure().kind(), is(ErrorKind.NOT_LEADER));
+            assertThat(first.leaseEndMs(term), is(lessThan(0L)));
+            group.propose("c");
+            assertThat(group.machines.get(first.status().self()).commands, is(equalTo(List.of("a", "b", "c"))));
+        }
+    }
+
     @Test
     void aPlannedStopTransfersLeadership() throws Exception {
         try (LocalGroup group = new LocalGroup(folder, 1000)) {
--- a/work/src/main/java/org/cornelcove/work/group/ControlNode.java
+++ b/work/src/main/java/org/cornelcove/work/group/ControlNode.java
@@ -284,7 +284,7 @@
 
         @Override
         public void leadershipGained(long term) {
-            member.thenAccept(n -> leader.gained(term, n, state, n::leaseEndMs));
+            member.thenAccept(n -> leader.gained(term, n, state, () -> n.leaseEndMs(term)));
         }
 
         @Override
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -83,7 +83,7 @@
         clock.execute(() -> {
             replica = member;
             leasedUntilMs = leaseEndMs;
-            Proposals proposals = new Proposals(member::propose, clock::execute);
+            Proposals proposals = new Proposals(entry -> member.propose(fence, entry), clock::execute);
             term = Optional.of(new Term(fence, settings, state, proposals, driver, clock));
             EventLog.event("lead.gained", "fence", fence, "jobs", state.jobs().size());
         });
--- a/work/src/test/java/org/cornelcove/work/lead/WorkLeaderTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/WorkLeaderTest.java
@@ -30,6 +30,11 @@
             throw new StackOverflowError("expected");
         }
 
+        @Override
+        public CompletableFuture<byte[]> propose(long term, byte[] command) {
+            return propose(command);
+        }
+
         @Override
         public CompletableFuture<Long> readBarrier() {
             return new CompletableFuture<>();
