Ends, crashes and workers that the log did not take are proposed again while the term lasts

Cause: the log takes no entries during a transfer of leadership, which may time out (NOT_LEADER), nor beyond its limit of uncommitted entries (NO_QUORUM). The leader goes on, but an end that it proposed meanwhile was dropped: its run was no longer tracked, its worker no longer polled, and its task hung until the next leader. If the dropped end was a LOST, a later report of the same run's end was acknowledged as of an unknown run although the durable state still had the run; the next leader found it there, not listed, and started the task again. Workers and crashes were dropped too.

Change: Term.record proposes a command again 100 ms after a failure that proves that it was not appended, while the term lasts; used for End, RecordCrash, RecordWorker (while its incarnation lasts) and DropWorker, all of which can be applied twice. The end of a run whose own end is proposed and not committed is acknowledged with that commit, not before. Any verdict on an end counts as its commit, also that of a job removed meanwhile. A start is not proposed again but placed again, now after 100 ms instead of 8, and not by its refusal if an end of its run is proposed, since the commit of that end does it.

Nothing in the log or between members changes.

--- a/work/src/main/java/org/cornelcove/work/lead/Crashes.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Crashes.java
@@ -58,7 +58,7 @@
                 "crashes",
                 run.crashes + 1);
         WorkCommand crash = new WorkCommand.RecordCrash(run.task, run.runId, term.clock.wallMs());
-        term.proposals.add(crash, result -> {
+        term.record(crash, () -> true, result -> {
             if (!term.over() && run.job.phase().ended()) {
                 term.jobEnded(run);
             }
--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -33,7 +33,7 @@
     Worker register(WorkerInfo info) {
         Worker worker = new Worker(info.id(), info.processStartMs());
         term.put(worker);
-        term.proposals.add(new WorkCommand.RecordWorker(info), result -> {});
+        term.record(new WorkCommand.RecordWorker(info), () -> !worker.incarnationEnded, result -> {});
         EventLog.event("worker.new", "worker", info.id(), "born", info.processStartMs(), "address", info.address());
         return worker;
     }
@@ -67,7 +67,7 @@
             return;
         }
         worker.incarnationEnded = true;
-        term.proposals.add(new WorkCommand.DropWorker(worker.id, worker.processStartMs), result -> {});
+        term.record(new WorkCommand.DropWorker(worker.id, worker.processStartMs), () -> true, result -> {});
         EventLog.event(
                 "worker.gone",
                 "worker",
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -464,10 +464,13 @@
                 Metrics.recordLatency(
                         "start." + term.state.queueOf(run.job).name(), term.clock.wallMs() - run.job.submittedMs());
                 term.calls.start(run);
-            } else {
+            } else if (!run.endProposed) {
                 EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
                 term.untrack(run);
                 term.requeue(run);
+                if (result.notAppended()) {
+                    term.placeLater();
+                }
             }
         });
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Proposals.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Proposals.java
@@ -27,6 +27,12 @@
         boolean is(Verdict wanted) {
             return verdict.filter(v -> v == wanted).isPresent();
         }
+
+        /** Checks whether the command was certainly not appended to the log, which may take it later in the same term. */
+        boolean notAppended() {
+            return failure.filter(f -> f.kind() == ErrorKind.NOT_LEADER || f.kind() == ErrorKind.NO_QUORUM)
+                    .isPresent();
+        }
     }
 
     /** Limit of concurrent entries; more would only lengthen the queue of the disk. */
--- a/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
+++ b/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
@@ -1,8 +1,13 @@
 package org.cornelcove.work.lead;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.cornelcove.work.job.RunEnd;
+import org.cornelcove.work.job.TaskKey;
 import org.cornelcove.work.lead.WorkerDriver.EndedRow;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.state.Task;
@@ -11,7 +16,11 @@
 
 /** Commits the ends of runs: those that workers report, and those that are inferred. Used on the leader's loop only. */
 final class RunEnds {
+    private record RunKey(TaskKey task, int runId) {}
+
     private final Term term;
+    /** The runs whose end is proposed and not committed, each with what is to be done once it is. */
+    private final Map<RunKey, List<Runnable>> uncommitted = new HashMap<>();
 
     RunEnds(Term term) {
         this.term = term;
@@ -42,8 +51,14 @@
         worker.highestEnd = row.number();
         if (run.isEmpty()) {
             logUnknown(worker, row);
-            // The run was ended before, and its end is in the durable state.
-            worker.endCommitted(row.number());
+            List<Runnable> waiting = uncommitted.get(new RunKey(row.task(), row.runId()));
+            if (waiting == null) {
+                // The run was ended before, and its end is in the durable state.
+                worker.endCommitted(row.number());
+            } else {
+                worker.pendingEnds.add(row.number());
+                waiting.add(() -> acknowledge(worker, row));
+            }
             return run;
         }
         long nowMs = term.clock.nowMs();
@@ -53,13 +68,15 @@
             worker.recordFailure(row.task(), nowMs);
         }
         worker.pendingEnds.add(row.number());
-        propose(run.get(), row.how(), row.checkpoint(), "", () -> {
-            worker.endCommitted(row.number());
-            term.calls.poll(worker, term.clock.nowMs());
-        });
+        propose(run.get(), row.how(), row.checkpoint(), "", () -> acknowledge(worker, row));
         return run;
     }
 
+    private void acknowledge(Worker worker, EndedRow row) {
+        worker.endCommitted(row.number());
+        term.calls.poll(worker, term.clock.nowMs());
+    }
+
     private void propose(ActiveRun run, RunEnd how, String checkpoint, String why, Runnable onCommitted) {
         if (run.endProposed) {
             return;
@@ -68,13 +85,15 @@
         term.untrack(run);
         log(run, how, why);
         WorkCommand end = new WorkCommand.End(run.task, run.runId, how, checkpoint, term.clock.wallMs());
-        term.proposals.add(end, result -> {
+        RunKey key = new RunKey(run.task, run.runId);
+        uncommitted.computeIfAbsent(key, any -> new ArrayList<>()).add(onCommitted);
+        term.record(end, () -> true, result -> {
             if (!result.is(Verdict.DONE)) {
                 EventLog.event(
                         "run.end.outcome", "task", run.task.text(), "run", run.runId, "how", how, "result", result);
             }
-            if (!term.over() && (result.is(Verdict.DONE) || result.is(Verdict.UNCHANGED))) {
-                onCommitted.run();
+            if (!term.over() && result.verdict().isPresent()) {
+                Optional.ofNullable(uncommitted.remove(key)).ifPresent(waiting -> waiting.forEach(Runnable::run));
                 term.endCommitted(run, how);
             }
         });
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.QueueRule;
@@ -41,6 +43,8 @@
     private static final long MIN_PLACE_INTERVAL_MS = 8;
     /** Interval between placement passes as a multiple of their duration, so that a backlog delays no leases or answers. */
     private static final long PLACE_INTERVAL_FACTOR = 4;
+    /** Pause before a command is proposed again that the log did not take. */
+    private static final long PROPOSE_AGAIN_MS = 100;
 
     final long fence;
     final LeadSettings settings;
@@ -177,6 +181,36 @@
         }
     }
 
+    // Commands
+
+    /**
+     * Proposes a command that records what has happened. While the term lasts it is proposed again if it was not appended,
+     * as during a transfer of leadership that fails.
+     *
+     * @param command the command
+     * @param stillTrue whether the command still has to be in the log; checked before each further attempt
+     * @param listener receives the outcome of the last attempt
+     */
+    void record(WorkCommand command, BooleanSupplier stillTrue, Consumer<Proposals.Result> listener) {
+        proposals.add(command, result -> {
+            if (over || !result.notAppended() || !stillTrue.getAsBoolean()) {
+                listener.accept(result);
+                return;
+            }
+            Metrics.count("proposal.again");
+            clock.later(PROPOSE_AGAIN_MS, () -> {
+                if (!over && stillTrue.getAsBoolean()) {
+                    record(command, stillTrue, listener);
+                }
+            });
+        });
+    }
+
+    /** Delays the next placement after the log did not take a start. */
+    void placeLater() {
+        placeAgainMs = Math.max(placeAgainMs, clock.nowMs() + PROPOSE_AGAIN_MS);
+    }
+
     // Jobs
 
     /**
--- a/work/src/test/java/org/cornelcove/work/lead/TermRig.java
+++ b/work/src/test/java/org/cornelcove/work/lead/TermRig.java
@@ -1,8 +1,10 @@
 package org.cornelcove.work.lead;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.cornelcove.model.error.Failure;
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.cornelcove.work.job.JobSpec;
@@ -18,6 +20,9 @@
     final WorkState state = new WorkState();
     final ManualLoop loop = new ManualLoop();
     final FakeWorkers workers = new FakeWorkers(loop);
+    /** Why the log takes no entry now, while the leader goes on. */
+    Optional<Failure> refused = Optional.empty();
+
     private long index;
     private long fence;
 
@@ -38,7 +43,12 @@
         Proposals proposals = new Proposals(
                 entry -> {
                     CompletableFuture<byte[]> done = new CompletableFuture<>();
-                    loop.later(10, () -> done.complete(state.apply(++index, entry)));
+                    Optional<Failure> failure = refused;
+                    loop.later(
+                            10,
+                            () -> failure.ifPresentOrElse(
+                                    why -> done.completeExceptionally(why.asException()),
+                                    () -> done.complete(state.apply(++index, entry))));
                     return done;
                 },
                 loop::execute);
