A leader whose transfer of leadership was sent and failed stops leading, instead of leading on without a lease

What callers could see: after a hand-over that failed, a leader that places no task and polls no worker for the rest of its term, since both need the lease, and that fails each later hand-over of the term.

Cause: Leadership.transferSent stays set when the transfer times out. To clear it would be wrong: the message may still arrive, and the election that it starts bypasses the timeouts that a lease rests on.

Change: the leader becomes a follower when the transfer that it has sent times out. Members in a later term refuse the message. The group elects a leader after its election timeouts, perhaps the same member. A transfer that was not sent ends as before.

Nothing in the log or between members changes.

--- a/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
+++ b/replication/src/main/java/org/cornelcove/replication/ReplicaNode.java
@@ -200,7 +200,7 @@
      * Transfers leadership to the member with the most up-to-date log.
      *
      * @return completes once this member is no longer leader; fails with kind {@code NO_QUORUM} if no other member took
-     *     over in time
+     *     over in time, and if one was asked to, this member then stops leading too
      */
     public CompletableFuture<Void> transferLeadership() {
         return request(token -> core.transferLeadership(nowMs.getAsLong(), token))
--- a/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
+++ b/replication/src/main/java/org/cornelcove/replication/core/Leadership.java
@@ -19,6 +19,7 @@
  * minimum election timeout after it. The lease is shorter by the clock drift bound, so while a majority answered
  * requests sent within it, no other leader can have been elected and the commit index here is current. Otherwise, and
  * after sending a leadership transfer, which bypasses the timeouts, a read waits for a majority to answer a new round.
+ * A leader whose transfer was sent and failed becomes a follower, since its term stays without a lease.
  *
  * <p>Membership. A change requires that the last change and an entry of this term are committed. A learner is promoted
  * once it holds everything committed at the last heartbeat. An addition is done once the member votes and holds
@@ -47,19 +48,6 @@
         }
     }
 
-    private static final class MemberChange {
-        final long token;
-        final long id;
-        final boolean adding;
-        long requiredMatchIndex = -1;
-
-        MemberChange(long token, long id, boolean adding) {
-            this.token = token;
-            this.id = id;
-            this.adding = adding;
-        }
-    }
-
     private final ReplicaCore core;
     private final long term;
     private final long electedMs;
@@ -100,6 +88,11 @@
         if (transferTo != 0 && nowMs >= transferDueMs) {
             core.outbox.fail(transferToken, Failure.of(ErrorKind.NO_QUORUM));
             transferTo = 0;
+            if (transferSent) {
+                // The message may still arrive and elect the other member; only a later term refuses it.
+                core.becomeFollower(nowMs, term, 0);
+                return;
+            }
         }
         if (nowMs >= heartbeatDueMs) {
             heartbeatDueMs = nowMs + core.options.heartbeatMs();
--- a/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
@@ -47,6 +47,11 @@
         return alive() && core.role() == ReplicaCore.Role.LEADER;
     }
 
+    /** Checks whether it leads with a lease, before whose end no other member can. */
+    boolean leased() {
+        return leads() && core.leaseEndMs(nowMs()) > nowMs();
+    }
+
     private long nowMs() {
         return clockOffsetMs + (long) (group.nowMs() * clockRate);
     }
