An end on a restarted worker is not acknowledged by the numbers of its earlier incarnation

What callers could see: a task starts again after it has ended as done (TWICE).

Cause: ends are numbered anew in each incarnation, and a poll is addressed by the id. A poll that was meant for the earlier incarnation acknowledged its ends up to a number; the later one that took it forgot its own ends up to that number, before the leader had seen them. The leader then learned of the restart, did not find the run, and started the task again.

Change: a poll acknowledges only ends that are not acknowledged yet, once, and waits with it while a run was sent that no poll has listed, since a later incarnation may have ended it. If the worker leaves out ends until others are acknowledged, it does not wait. A poll that is carried out after its timeout, by a later incarnation, can still acknowledge an end that it lists at that moment.

--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -60,6 +60,9 @@
     /** The newest end whose commit was acknowledged to the worker. */
     long acknowledgedEnd;
 
+    /** Whether its latest answer to a poll left out ends, which it lists once the others are acknowledged. */
+    boolean listsMoreEnds;
+
     long pacedMs;
     /** Since when all fill work is paused because a lasting task was over its target for too long; 0 if it is not. */
     long fillStoppedMs;
@@ -160,6 +163,33 @@
         committedEnd = pendingEnds.isEmpty() ? highestEnd : pendingEnds.first() - 1;
     }
 
+    /**
+     * Returns up to which end the worker may forget its ends.
+     *
+     * @return the number of the end, 0 if it has forgotten all that are in the durable state
+     */
+    long unacknowledgedEnd() {
+        return committedEnd > acknowledgedEnd ? committedEnd : 0;
+    }
+
+    /**
+     * Checks whether a poll may acknowledge ends: a later incarnation that answers would forget its own ends by their numbers.
+     *
+     * @return false if a run was sent that no poll has listed, so that a later incarnation may have it, and further ends are
+     *     listed without an acknowledgement
+     */
+    boolean mayAcknowledge() {
+        if (listsMoreEnds && holdFailures == 0) {
+            return true;
+        }
+        for (ActiveRun run : runs.values()) {
+            if (run.stage != ActiveRun.Stage.COMMITTING && !run.listed) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     void recordFailure(TaskKey task, long nowMs) {
         failedTasks.add(task);
         health.failed(task.jobId(), nowMs);
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -278,9 +278,10 @@
                 ? worker.deadline(nowMs, term.settings.leaseMs())
                 : OptionalLong.empty();
         boolean atOnce = !worker.fenced || worker.holdFailures > 0 || !runsThere || stopping(worker);
-        PollOrder order = new PollOrder(term.fence, worker.committedEnd, deadline, atOnce ? 0 : waitMs(worker));
+        // A later incarnation that answers would forget its own ends by these numbers, before the leader has seen them.
+        long sentThrough = worker.mayAcknowledge() ? worker.unacknowledgedEnd() : 0;
+        PollOrder order = new PollOrder(term.fence, sentThrough, deadline, atOnce ? 0 : waitMs(worker));
         worker.holding = true;
-        long sentThrough = worker.committedEnd;
         driver.poll(worker.info.orElseThrow(), order)
                 .whenComplete((poll, thrown) -> term.clock.execute(() -> polled(worker, poll, nowMs, sentThrough)));
     }
@@ -295,6 +296,14 @@
         return worker.serving > 0 && worker.fills > 0 ? MIXED_POLL_WAIT_MS : POLL_WAIT_MS;
     }
 
+    /** Returns the pause between two polls, of which the first did not wait for an end, or did not have to. */
+    private long pauseMs(Worker worker) {
+        if (stopping(worker)) {
+            return term.settings.stopTimeoutMs() / 4;
+        }
+        return worker.unacknowledgedEnd() > 0 && !worker.mayAcknowledge() ? RETRY_MS : 0;
+    }
+
     private static boolean stopping(Worker worker) {
         for (ActiveRun run : worker.runs()) {
             if (run.stopAnswered) {
@@ -347,14 +356,14 @@
             // It has outlived them, so a later crash is not theirs.
             worker.lapsedRuns = List.of();
         }
-        worker.acknowledgedEnd = sentThrough;
+        worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, sentThrough);
         worker.fenced = true;
         worker.recordContact(nowMs, poll.clockMs());
-        worker.holdDueMs = stopping(worker) ? nowMs + term.settings.stopTimeoutMs() / 4 : nowMs;
         Set<ActiveRun> listed = new HashSet<>();
         poll.ended().forEach(row -> term.ends.reported(worker, row).ifPresent(listed::add));
         poll.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
-        if (poll.moreEnded()) {
+        worker.listsMoreEnds = poll.moreEnded();
+        if (worker.listsMoreEnds) {
             EventLog.event(
                     "worker.ends.more",
                     "worker",
@@ -364,6 +373,7 @@
         } else {
             endUnlisted(worker, listed, sentMs);
         }
+        worker.holdDueMs = nowMs + pauseMs(worker);
         pace.adjust(worker, nowMs).forEach(this::requestStop);
         poll(worker, nowMs);
     }
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -54,6 +54,8 @@
         boolean fails;
         /** Whether polls get no answer, while it takes other orders. */
         boolean pollsLost;
+        /** Whether it carries out polls, but their answers are lost. */
+        boolean pollAnswersLost;
         /** Whether each call to it throws an exception, against the contract of the driver. */
         boolean throwing;
         /** Whether it refuses starts for lack of room. */
@@ -296,7 +298,8 @@
                 incarnation.ended.stream().limit(endsPerPoll).toList(),
                 incarnation.ended.size() >= endsPerPoll);
         PollResult silence = PollResult.without(Reply.NO_ANSWER);
-        answer(incarnation, pollResult, silence).thenAccept(future::complete);
+        answer(incarnation, incarnation.pollAnswersLost ? silence : pollResult, silence)
+                .thenAccept(future::complete);
     }
 
     @Override
--- a/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
@@ -78,4 +78,52 @@
         assertThat(workers.faults, empty());
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
+
+    /** Regression test for TWICE: an end on the new incarnation was acknowledged by the numbers of the earlier one's ends. */
+    @ParameterizedTest
+    @EnumSource
+    void anEndOnTheNewIncarnationIsNotAcknowledgedWithTheCountOfTheEarlierOne(News news) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        submit(Steps.job("before", Steps.plain(6)));
+        runWithBeats(2000);
+        assertThat(phase("before"), is(JobPhase.COMPLETED));
+        old.crash();
+        endOnTheNewIncarnation(news);
+    }
+
+    /** The same while an end of the earlier incarnation waits for its acknowledgement. */
+    @ParameterizedTest
+    @EnumSource
+    void anEndOnTheNewIncarnationIsNotAcknowledgedForOneOfTheEarlierOne(News news) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        submit(Steps.job("before", Steps.plain(1)));
+        while (old.ended.isEmpty()) {
+            loop.run(1);
+        }
+        loop.run(3);
+        old.crash();
+        endOnTheNewIncarnation(news);
+        assertThat(phase("before"), is(JobPhase.COMPLETED));
+    }
+
+    private void endOnTheNewIncarnation(News news) {
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(700);
+        assertThat("has ended there", restarted.lastEnd, is(1L));
+        restarted.pollsLost = false;
+        restarted.pollAnswersLost = news != News.POLL;
+        loop.run(700);
+        if (news == News.NEXT_LEADER) {
+            workers.beat(1);
+            lead();
+        }
+        restarted.pollAnswersLost = false;
+        workers.add("w2", 1);
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat("is acknowledged", restarted.ended, empty());
+    }
 }
