A run that no poll has listed waits for the longest lease of its silent worker

What callers could see: a task runs twice, for up to a second and a half.

Cause: a deadline is a time on the clock of one incarnation. A later one that took the order, and fell silent before a message named it, cuts the deadline to the longest lease that it accepts; the leader waited only for the shorter lease that it had sent.

Change: when the leases of a silent worker expire, its runs that no poll has listed wait on until the longest lease from the last order with a deadline has expired. Listed runs start elsewhere as soon as before.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -94,6 +94,11 @@
         return runningSinceMs.isPresent() ? Math.max(0, heardMs - runningSinceMs.getAsLong()) : 0;
     }
 
+    /** Checks whether it was sent, and no poll has shown which incarnation of its worker has it. */
+    boolean unlisted() {
+        return stage != Stage.COMMITTING && !listed;
+    }
+
     /** Checks whether a later incarnation of its worker may have it, or get it by an order that is still under way. */
     boolean mayHaveReachedSuccessor() {
         return stage != Stage.COMMITTING && !(listed && !startInDoubt);
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -137,6 +137,7 @@
         Worker worker = new Worker(info.id(), info.processStartMs());
         worker.info = Optional.of(info);
         worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
+        worker.grantedMs = gainedMs;
         workers.put(info.id(), worker);
     }
 
@@ -150,6 +151,7 @@
         if (worker == null || worker.processStartMs < run.workerStartMs()) {
             worker = new Worker(run.worker(), run.workerStartMs());
             worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
+            worker.grantedMs = gainedMs;
             workers.put(run.worker(), worker);
         }
         if (worker.processStartMs > run.workerStartMs()) {
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -49,6 +49,8 @@
     private long clockAtMs;
     private boolean clockKnown;
     private long highestDeadlineMs;
+    /** When the last lease was sent to it, or could be by an earlier leader, on the leader's clock. */
+    long grantedMs;
     /** When the leases of earlier leaders expire, on the leader's clock. */
     long inheritedUntilMs;
     /** When the leases expire that it may have got by orders for an earlier incarnation, on the leader's clock. */
@@ -183,7 +185,7 @@
             return true;
         }
         for (ActiveRun run : runs.values()) {
-            if (run.stage != ActiveRun.Stage.COMMITTING && !run.listed) {
+            if (run.unlisted()) {
                 return false;
             }
         }
@@ -250,6 +252,7 @@
         }
         long deadline = lowestClockMs(nowMs) + leaseMs;
         highestDeadlineMs = Math.max(highestDeadlineMs, deadline);
+        grantedMs = nowMs;
         return OptionalLong.of(deadline);
     }
 
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.cornelcove.work.lead.WorkerDriver.Answer;
 import org.cornelcove.work.lead.WorkerDriver.PollOrder;
@@ -313,13 +314,28 @@
         return false;
     }
 
+    /**
+     * Ends the runs of a worker whose leases have expired. An unlisted run may be on a later incarnation that the leader does
+     * not know, and which cuts a deadline on the earlier one's clock to the longest lease that it accepts.
+     *
+     * @param worker the worker
+     */
     private void leasesExpired(Worker worker) {
+        long nowMs = term.clock.nowMs();
+        boolean laterOnesExpired = nowMs > Term.leaseEndMs(worker.grantedMs, term.settings.maxLeaseMs());
         List<ActiveRun> lapsed = new ArrayList<>();
-        worker.runs().forEach(lapsed::add);
-        worker.lapsedRuns = List.copyOf(lapsed);
-        worker.lapsedMs = term.clock.nowMs();
+        for (ActiveRun run : worker.runs()) {
+            if (laterOnesExpired || !run.unlisted()) {
+                lapsed.add(run);
+            }
+        }
+        if (!lapsed.isEmpty()) {
+            worker.lapsedRuns =
+                    Stream.concat(worker.lapsedRuns.stream(), lapsed.stream()).toList();
+            worker.lapsedMs = nowMs;
+        }
         lapsed.forEach(run -> term.ends.lost(run, "its lease expired"));
-        if (worker.info.isEmpty()) {
+        if (worker.info.isEmpty() && worker.runCount() == 0) {
             worker.incarnationEnded = true;
         }
     }
--- a/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/RestartedWorkerTest.java
@@ -61,6 +61,24 @@
         assertThat(workers.faults, empty());
     }
 
+    /** Regression test for TWICE: the lease of a new incarnation that no message names was bounded by the earlier one's clock. */
+    @Test
+    void aTaskWaitsForTheLeaseOfASilentWorkerThatMayHaveRestarted() {
+        workers.add("w1", 1).crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        workers.taskMs = 60_000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(20);
+        assertThat("runs there", restarted.running.size(), is(1));
+        restarted.silent = true;
+        restarted.leaseMs = loop.nowMs() + SETTINGS.maxLeaseMs();
+        workers.add("w2", 1);
+        runWithBeats(20_000);
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+        assertThat(workers.faults, empty());
+    }
+
     /** Regression test for TWICE: a start without an answer was carried out by the incarnation after the one it was sent to. */
     @ParameterizedTest
     @ValueSource(longs = {300, 2000, 4000, 12_000})
