A pace whose order got no answer is not known

What callers could see: fill work that stays slowed or paused although nothing beside it needs that, or that disturbs a lasting task at a pace that the leader takes for ordered.

Cause: the leader took an order without an answer for not carried out, and went back to the pace before. If that was also the next one, it sent nothing. The answer to an order for an earlier incarnation likewise set the pace of the run on the later one.

Change: after any other answer than a success the pace is unknown, and the next adjustment sends it.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -21,7 +21,7 @@
         INHERITED
     }
 
-    /** Placeholder for a pace that an earlier leader may have set. */
+    /** Placeholder for a pace that an earlier leader, or an order without an answer, may have set. */
     static final int UNKNOWN_PACE = -1;
 
     final Job job;
@@ -55,7 +55,7 @@
     long progressMs;
     /** The latest {@link WorkerDriver.RunningRow#figure}; negative if there is none. */
     double figure = -1;
-    /** The pace last ordered, in percent; {@link #UNKNOWN_PACE} if an earlier leader may have set it. */
+    /** The pace last ordered, in percent; {@link #UNKNOWN_PACE} if another one may be in force. */
     int pacePercent;
 
     long pausedSinceMs;
--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -296,7 +296,6 @@
     }
 
     private void set(ActiveRun run, int percent, String why) {
-        int before = run.pacePercent;
         run.pacePercent = percent;
         EventLog.event(
                 "run.pace",
@@ -313,7 +312,8 @@
         driver.pace(run.worker.info.orElseThrow(), run.task, run.runId, percent, term.fence)
                 .whenComplete((answer, thrown) -> term.clock.execute(() -> {
                     if (answer.reply() != Reply.OK) {
-                        run.pacePercent = before;
+                        // It may have been carried out, or may be carried out after a later order.
+                        run.pacePercent = ActiveRun.UNKNOWN_PACE;
                     }
                 }));
     }
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -56,6 +56,8 @@
         boolean pollsLost;
         /** Whether it carries out polls, but their answers are lost. */
         boolean pollAnswersLost;
+        /** Whether it carries out orders for the pace, but their answers are lost. */
+        boolean paceAnswersLost;
         /** Whether each call to it throws an exception, against the contract of the driver. */
         boolean throwing;
         /** Whether it refuses starts for lack of room. */
@@ -306,6 +308,7 @@
     public CompletableFuture<Answer> pace(WorkerInfo worker, TaskKey task, int runId, int percent, long fence) {
         Incarnation incarnation = at(worker);
         paces.put(task, percent);
-        return answer(incarnation, answer(Reply.OK, loop), new Answer(Reply.NO_ANSWER, OptionalLong.empty()));
+        Answer silence = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
+        return answer(incarnation, incarnation.paceAnswersLost ? silence : answer(Reply.OK, loop), silence);
     }
 }
