Fill work gets its full pace back when no lasting task is left beside it

What callers could see: fill work that stays slowed or paused on a worker whose lasting task was cancelled or has moved away.

Cause: the pace was adjusted only beside a lasting task with a target.

Evidence: PaceTest#fillWorkIsResumedWhenNoLastingTaskIsLeft, red before (20 percent instead of 100 after 3 s), green now; all tests of work.lead green.

Change: the pace is also adjusted while fill work is not known to be at full pace.

--- a/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
+++ b/work/src/main/java/org/cornelcove/work/lead/PaceKeeper.java
@@ -85,7 +85,7 @@
      * @return the fill work to move to another worker, at most one run
      */
     List<ActiveRun> adjust(Worker worker, long nowMs) {
-        if (worker.serving == 0 || nowMs - worker.pacedMs < ADJUST_INTERVAL_MS) {
+        if (nowMs - worker.pacedMs < ADJUST_INTERVAL_MS || worker.serving == 0 && !hasPacedFill(worker)) {
             return List.of();
         }
         worker.pacedMs = nowMs;
@@ -94,6 +94,16 @@
         return worker.fills > 0 ? pace(worker, nowMs) : List.of();
     }
 
+    /** Checks whether fill work is not at full speed, which may be left over from a lasting task that has gone. */
+    private static boolean hasPacedFill(Worker worker) {
+        for (ActiveRun run : fillRuns(worker)) {
+            if (run.pacePercent != PaceControl.FULL_PERCENT) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Sets the pace of fill work that has just started from the learned harm of its image; otherwise it would be slowed
      * only after the next poll, half a second later.
--- a/work/src/test/java/org/cornelcove/work/lead/PaceTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/PaceTest.java
@@ -10,6 +10,7 @@
 /** Orders for the pace of fill work whose answers are lost or late. */
 class PaceTest extends TermRig {
     private static final TaskKey FILL = new TaskKey("f", 0, 0, 0);
+    private static final TaskKey SERVING = new TaskKey("s", 0, 0, 0);
 
     private FakeWorkers.Incarnation worker;
     private boolean overloaded;
@@ -50,4 +51,15 @@
         runWithBeats(3000);
         assertThat("resumed", workers.paces.get(FILL), is(100));
     }
+
+    /** Guards against fill work that stays paused after the lasting task that it disturbed has gone. */
+    @Test
+    void fillWorkIsResumedWhenNoLastingTaskIsLeft() {
+        runBesideALastingTask();
+        runUntilPaused();
+        cancel("s");
+        runWithBeats(3000);
+        assertThat("has gone", worker.running.containsKey(SERVING), is(false));
+        assertThat("resumed", workers.paces.get(FILL), is(100));
+    }
 }
