A start that was under way at the first restart stays in doubt at the second

What callers could see: a task that runs twice (TWICE).

Cause: a run whose only start order had no answer yet is moved to the second incarnation as STARTING, but not marked as in doubt. When the second one has answered the stop and starts again as well, the run counts as confirmed, and the third one's first poll, which does not list it, ends it as LOST. The order is then carried out by the third, beside the next run.

Change: Incarnations.move marks it as in doubt, so that the third incarnation gets a stop too. FakeWorkers: the clock of a new incarnation begins at 0, a lease is cut to the longest one, and a late order is carried out by the incarnation that is there then.

--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -120,6 +120,7 @@
                 run.stage == ActiveRun.Stage.STARTING || run.stage == ActiveRun.Stage.CONFIRMED && run.startInDoubt;
         if (orderUnderWay) {
             run.stage = ActiveRun.Stage.STARTING;
+            run.startInDoubt = true;
             run.unanswered = Math.max(1, run.unanswered);
             run.confirmedMs = Long.MAX_VALUE;
             term.calls.requestStop(run);
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -40,7 +40,11 @@
         final Map<TaskKey, Integer> running = new LinkedHashMap<>();
         final List<EndedRow> ended = new ArrayList<>();
         final Map<TaskKey, Integer> highest = new HashMap<>();
+        /** When its lease expires, on the clock of the loop. */
         long leaseMs;
+        /** What its clock is behind that of the loop. */
+        long clockBehindMs;
+
         long fence;
         long lastEnd;
         boolean silent;
@@ -69,6 +73,16 @@
             this.info = info;
         }
 
+        long clockMs() {
+            return loop.nowMs() - clockBehindMs;
+        }
+
+        /** Extends its lease to a time on its clock, at most to the longest that it accepts. */
+        void extendLease(long deadlineMs) {
+            long acceptedMs = Math.min(deadlineMs, clockMs() + TermRig.SETTINGS.maxLeaseMs());
+            leaseMs = Math.max(leaseMs, acceptedMs + clockBehindMs);
+        }
+
         void crash() {
             up = false;
             running.clear();
@@ -106,10 +120,14 @@
         return incarnation;
     }
 
-    /** Starts a worker again under its id and address; the leader learns of it by later heartbeats and answers only. */
+    /**
+     * Starts a worker again under its id and address, with a clock that begins at 0; the leader learns of it by later
+     * heartbeats and answers only.
+     */
     Incarnation restart(String id, long processStartMs) {
         Incarnation incarnation = new Incarnation(
                 info(id, processStartMs, incarnations.get(id).info.address(), false, 1));
+        incarnation.clockBehindMs = loop.nowMs();
         incarnations.put(id, incarnation);
         return incarnation;
     }
@@ -133,10 +151,17 @@
                 16_000,
                 0,
                 List.of(labels.getOrDefault(id, "a"), "r1"),
-                loop.nowMs(),
+                clockMs(id, processStartMs),
                 sequence);
     }
 
+    private long clockMs(String id, long processStartMs) {
+        Incarnation incarnation = incarnations.get(id);
+        return incarnation != null && incarnation.info.processStartMs() == processStartMs
+                ? incarnation.clockMs()
+                : loop.nowMs();
+    }
+
     /** Sends a heartbeat of each worker that is up and not silent. */
     void beat(long sequence) {
         incarnations.values().stream()
@@ -167,8 +192,8 @@
         return future;
     }
 
-    private static Answer answer(Reply reply, ManualLoop loop) {
-        return new Answer(reply, OptionalLong.of(loop.nowMs()));
+    private static Answer answer(Reply reply, Incarnation incarnation) {
+        return new Answer(reply, OptionalLong.of(incarnation.clockMs()));
     }
 
     @Override
@@ -176,13 +201,13 @@
         Incarnation incarnation = at(worker);
         Answer silence = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
         if (incarnation.lateStartMs > 0) {
-            loop.later(incarnation.lateStartMs, () -> carryOut(incarnation, order));
+            loop.later(incarnation.lateStartMs, () -> carryOut(incarnations.get(worker.id()), order));
             CompletableFuture<Answer> future = new CompletableFuture<>();
             loop.later(SILENCE_MS, () -> future.complete(silence));
             return future;
         }
         return incarnation.up && !incarnation.silent
-                ? answer(incarnation, answer(carryOut(incarnation, order), loop), silence)
+                ? answer(incarnation, answer(carryOut(incarnation, order), incarnation), silence)
                 : answer(incarnation, silence, silence);
     }
 
@@ -198,14 +223,14 @@
         if (order.runId() <= incarnation.highest.getOrDefault(order.task(), 0)) {
             return Reply.OLD;
         }
-        if (order.deadlineMs() < loop.nowMs()) {
+        if (order.deadlineMs() < incarnation.clockMs()) {
             return Reply.LATE;
         }
         if (incarnation.full) {
             return Reply.NO_ROOM;
         }
         check(order);
-        incarnation.leaseMs = Math.max(incarnation.leaseMs, order.deadlineMs());
+        incarnation.extendLease(order.deadlineMs());
         incarnation.running.put(order.task(), order.runId());
         incarnation.highest.put(order.task(), order.runId());
         starts.merge(order.task(), 1, Integer::sum);
@@ -257,7 +282,7 @@
                 end(incarnation, task, RunEnd.STOPPED);
             }
         }
-        return answer(incarnation, answer(Reply.OK, loop), new Answer(Reply.NO_ANSWER, OptionalLong.empty()));
+        return answer(incarnation, answer(Reply.OK, incarnation), new Answer(Reply.NO_ANSWER, OptionalLong.empty()));
     }
 
     @Override
@@ -268,7 +293,7 @@
             return answer(incarnation, silence, silence);
         }
         incarnation.fence = order.fence();
-        order.deadlineMs().ifPresent(deadline -> incarnation.leaseMs = Math.max(incarnation.leaseMs, deadline));
+        order.deadlineMs().ifPresent(incarnation::extendLease);
         incarnation.ended.stream()
                 .filter(row -> row.number() <= order.notedThrough() && row.how() == RunEnd.DONE)
                 .forEach(row -> acknowledged.add(row.task()));
@@ -295,7 +320,7 @@
         PollResult pollResult = new PollResult(
                 Reply.OK,
                 OptionalLong.of(incarnation.info.processStartMs()),
-                OptionalLong.of(loop.nowMs()),
+                OptionalLong.of(incarnation.clockMs()),
                 running,
                 incarnation.ended.stream().limit(endsPerPoll).toList(),
                 incarnation.ended.size() >= endsPerPoll);
@@ -309,6 +334,6 @@
         Incarnation incarnation = at(worker);
         paces.put(task, percent);
         Answer silence = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
-        return answer(incarnation, incarnation.paceAnswersLost ? silence : answer(Reply.OK, loop), silence);
+        return answer(incarnation, incarnation.paceAnswersLost ? silence : answer(Reply.OK, incarnation), silence);
     }
 }
