--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -142,6 +142,10 @@
         if (task.done() || task.crashes() > 0 || task.runs().size() > 1 || task.lastRunId() != late.runId) {
             return;
         }
+        if (term.ends.pending(late.task, late.runId + 1)) {
+            // The start of an earlier copy was not appended; the end of that copy would end one under the same number.
+            return;
+        }
         String pool = term.state.queueOf(late.job).pool();
         long nowMs = term.clock.nowMs();
         List<Worker> others = term.workers().stream()
@@ -465,6 +469,8 @@
                         "start." + term.state.queueOf(run.job).name(), term.clock.wallMs() - run.job.submittedMs());
                 term.calls.start(run);
             } else if (!run.endProposed) {
+                // Otherwise the end may follow the next start in the log, which has the same number if this one was not
+                // appended.
                 EventLog.event("run.refused", "task", run.task.text(), "run", run.runId, "result", result);
                 term.untrack(run);
                 term.requeue(run);
--- a/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
+++ b/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
@@ -72,6 +72,11 @@
         return run;
     }
 
+    /** Checks whether the end of a run is proposed and not committed. */
+    boolean pending(TaskKey task, int runId) {
+        return uncommitted.containsKey(new RunKey(task, runId));
+    }
+
     private void acknowledge(Worker worker, EndedRow row) {
         worker.endCommitted(row.number());
         term.calls.poll(worker, term.clock.nowMs());
--- a/work/src/test/java/org/cornelcove/work/lead/RefusedProposalTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/RefusedProposalTest.java
@@ -7,8 +7,10 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.state.WorkCommand;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.anEmptyMap;
@@ -128,4 +130,40 @@
         loop.run(500);
         assertThat(state.workers().keySet(), is(Set.of("w2")));
     }
+
+    /** Guards against a worker that is never polled again because the job of its run was removed before the end of the run. */
+    @ParameterizedTest
+    @EnumSource
+    void anEndOfARemovedJobIsAcknowledged(Refusal refusal) {
+        FakeWorkers.Incarnation worker = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(100);
+        cancel("j");
+        refuseFor(1000, refusal);
+        assertThat(worker.ended.size(), is(1));
+        apply(new WorkCommand.RemoveJob("j"));
+        runWithBeats(2000);
+        assertThat(worker.ended, empty());
+    }
+
+    /** Guards against an end that is proposed again after a later start under the same number, and ends that run instead. */
+    @ParameterizedTest
+    @ValueSource(longs = {90, 102, 105, 108, 150, 500})
+    void anEndOfARefusedStartDoesNotEndTheNextStart(long refusedMs) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        loop.run(100);
+        refused = Optional.of(Refusal.LEADERSHIP_TRANSFER.failure());
+        submit(Steps.job("j", Steps.plain(4)));
+        loop.run(59);
+        old.crash();
+        workers.restart("w1", 2);
+        loop.term.announce(workers.info("w1", 2, old.info.address(), false, 1));
+        workers.add("w2", 1);
+        loop.run(refusedMs);
+        refused = Optional.empty();
+        runWithBeats(5000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(Set.copyOf(workers.starts.values()), is(Set.of(1)));
+    }
 }
