A worker that answers with a lower start time has started again after its time of day was stepped back

What callers could see: a task that runs twice (TWICE).

Cause: a poll answered by an incarnation with a lower start time ended the worker, with all its runs, without a successor, although the orders may have reached that incarnation. The state also refused to record it, and the next leader took the run's incarnation for a later one than the worker's. The same holds where a heartbeat of another writer named a later start of a sound worker.

Change: any other start time in an answer to a poll is a restart; the earlier incarnation is dropped before the later one is recorded; an inherited run of another incarnation than the recorded one is asked of the recorded one, which takes the place of moving runs between two incarnations at the start of a term. Runs that were confirmed before a poll that lists its ends in part count as shown on the incarnation that answered it, so that acknowledgements need no exception for such polls.

Not covered: a heartbeat with a lower start time can't be told from a late one and is ignored until a poll has been answered, so a worker without runs stays unused until then.

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -37,7 +37,7 @@
     int unanswered;
     /** Whether a start order of this leader or of an earlier one may still be carried out, whatever was answered since. */
     boolean startInDoubt;
-    /** Whether a poll has listed it on the incarnation of the worker that it was placed on. */
+    /** Whether a poll has listed it, or its ends only in part, on the incarnation of the worker that it was placed on. */
     boolean listed;
     /** Since when the worker is known to have it, on the monotonic clock; empty before. */
     OptionalLong runningSinceMs = OptionalLong.empty();
--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -46,6 +46,8 @@
      * @return the later one; it gets no tasks before its first heartbeat is handled
      */
     Worker restarted(Worker earlier, WorkerInfo info) {
+        // Its start time may be the lower one, which the state refuses beside the earlier incarnation.
+        drop(earlier);
         Worker successor = register(info);
         successor.info = Optional.of(info.restartedAt(info.processStartMs()));
         end(earlier, "it restarted", Optional.of(successor));
@@ -62,12 +64,18 @@
         end(worker, why, Optional.empty());
     }
 
+    private void drop(Worker worker) {
+        term.record(new WorkCommand.DropWorker(worker.id, worker.processStartMs), () -> true, result -> {});
+    }
+
     private void end(Worker worker, String why, Optional<Worker> successor) {
         if (worker.incarnationEnded) {
             return;
         }
         worker.incarnationEnded = true;
-        term.record(new WorkCommand.DropWorker(worker.id, worker.processStartMs), () -> true, result -> {});
+        if (successor.isEmpty()) {
+            drop(worker);
+        }
         EventLog.event(
                 "worker.gone",
                 "worker",
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -1,6 +1,5 @@
 package org.cornelcove.work.lead;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -149,15 +148,13 @@
 
     private void inherit(Job job, TaskKey task, Run run) {
         Worker worker = workers.get(run.worker());
-        if (worker == null || worker.processStartMs < run.workerStartMs()) {
-            Worker later = new Worker(run.worker(), run.workerStartMs());
-            later.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
-            later.grantedMs = gainedMs;
-            workers.put(later.id, later);
-            Optional.ofNullable(worker).ifPresent(earlier -> inheritRuns(earlier, later));
-            worker = later;
+        if (worker == null) {
+            worker = new Worker(run.worker(), run.workerStartMs());
+            worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
+            worker.grantedMs = gainedMs;
+            workers.put(run.worker(), worker);
         }
-        if (worker.processStartMs > run.workerStartMs()) {
+        if (worker.processStartMs != run.workerStartMs()) {
             // The earlier leader's order may have reached this incarnation instead.
             worker.adoptedUntilMs = leaseEndMs(gainedMs, settings.maxLeaseMs());
         }
@@ -168,18 +165,6 @@
         track(active);
     }
 
-    /** Moves the runs of an earlier incarnation that a later run shows to have ended. */
-    private void inheritRuns(Worker earlier, Worker later) {
-        List<ActiveRun> runs = new ArrayList<>();
-        earlier.runs().forEach(runs::add);
-        for (ActiveRun run : runs) {
-            earlier.remove(run);
-            run.worker = later;
-            later.add(run);
-            later.adoptedUntilMs = leaseEndMs(gainedMs, settings.maxLeaseMs());
-        }
-    }
-
     Set<ActiveRun> runsOf(String jobId) {
         return runsByJob.getOrDefault(jobId, Set.of());
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -62,9 +62,6 @@
     /** The newest end whose commit was acknowledged to the worker. */
     long acknowledgedEnd;
 
-    /** Whether its latest answer to a poll left out ends, which it lists once the others are acknowledged. */
-    boolean listsMoreEnds;
-
     long pacedMs;
     /** Since when all fill work is paused because a lasting task was over its target for too long; 0 if it is not. */
     long fillStoppedMs;
@@ -177,19 +174,15 @@
     /**
      * Checks whether a poll may acknowledge ends: a later incarnation that answers would forget its own ends by their numbers.
      *
-     * @return false if a run was sent that no poll has listed, so that a later incarnation may have it, and further ends are
-     *     listed without an acknowledgement
+     * @return false while a later incarnation may have a run
      */
     boolean mayAcknowledge() {
-        if (listsMoreEnds && holdFailures == 0) {
-            return true;
-        }
-        for (ActiveRun run : runs.values()) {
-            if (run.unlisted()) {
-                return false;
-            }
-        }
-        return true;
+        return !hasUnlistedRuns();
+    }
+
+    /** Checks whether a run was sent that no poll has listed, so that a later incarnation may have it. */
+    boolean hasUnlistedRuns() {
+        return runs.values().stream().anyMatch(ActiveRun::unlisted);
     }
 
     void recordFailure(TaskKey task, long nowMs) {
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -347,13 +347,13 @@
         }
         long nowMs = term.clock.nowMs();
         long answeredBy = poll.processStartMs().orElse(worker.processStartMs);
-        if (answeredBy > worker.processStartMs) {
+        if (answeredBy != worker.processStartMs) {
             Worker successor = term.incarnations.restarted(
                     worker, worker.info.orElseThrow().restartedAt(answeredBy));
             successor.recordContact(nowMs, poll.clockMs());
             return;
         }
-        if (poll.reply() == Reply.OTHER_LIFE || answeredBy != worker.processStartMs) {
+        if (poll.reply() == Reply.OTHER_LIFE) {
             term.incarnations.end(worker, "another incarnation of the worker answered a poll");
             return;
         }
@@ -378,14 +378,15 @@
         Set<ActiveRun> listed = new HashSet<>();
         poll.ended().forEach(row -> term.ends.reported(worker, row).ifPresent(listed::add));
         poll.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
-        worker.listsMoreEnds = poll.moreEnded();
-        if (worker.listsMoreEnds) {
+        if (poll.moreEnded()) {
             EventLog.event(
                     "worker.ends.more",
                     "worker",
                     worker.id,
                     "listed",
                     poll.ended().size());
+            // Those that were confirmed before are on this incarnation, among the ends that it left out.
+            worker.runs().forEach(run -> run.listed |= mustBeListed(run, sentMs));
         } else {
             endUnlisted(worker, listed, sentMs);
         }
@@ -437,6 +438,11 @@
         return found;
     }
 
+    private static boolean mustBeListed(ActiveRun run, long sentMs) {
+        return run.stage == ActiveRun.Stage.INHERITED
+                || run.stage == ActiveRun.Stage.CONFIRMED && run.confirmedMs < sentMs;
+    }
+
     /**
      * Ends the runs that a poll should have listed but did not.
      *
@@ -447,9 +453,7 @@
     private void endUnlisted(Worker worker, Set<ActiveRun> listed, long sentMs) {
         List<ActiveRun> unlisted = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
-            boolean mustBeListed = run.stage == ActiveRun.Stage.INHERITED
-                    || run.stage == ActiveRun.Stage.CONFIRMED && run.confirmedMs < sentMs;
-            if (mustBeListed && !listed.contains(run) && !run.endProposed) {
+            if (mustBeListed(run, sentMs) && !listed.contains(run) && !run.endProposed) {
                 unlisted.add(run);
             }
         }
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
@@ -31,4 +32,74 @@
         assertThat(workers.faults, empty());
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
+
+    /** Regression test for TWICE: a poll meant for the earlier incarnation acknowledged an end as done of the later one. */
+    @Test
+    void anEndOfTheNewIncarnationIsNotAcknowledgedByTheNumberOfAnEarlierEnd() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        submit(Steps.job("earlier", Steps.plain(4)));
+        loop.run(2000);
+        assertThat(phase("earlier"), is(JobPhase.COMPLETED));
+        assertThat(old.ended, empty());
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        workers.taskMs = 100;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(300);
+        restarted.pollsLost = false;
+        loop.run(500);
+        runWithBeats(10_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    /** Regression test for TWICE: the lease that an unknown later incarnation got is longer than that of the earlier one. */
+    @Test
+    void aTaskWaitsForTheLeaseOfANewIncarnationThatWasNeverHeardOf() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        workers.taskMs = 60_000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(20);
+        assertThat(restarted.running.size(), is(1));
+        restarted.silent = true;
+        workers.add("w2", 1);
+        runWithBeats(10_000);
+        assertThat(workers.faults, empty());
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+    }
+
+    /** Regression test for TWICE: a worker whose time of day was stepped back before it started again. */
+    @Test
+    void aTaskOfANewIncarnationThatNamesAnEarlierStartDoesNotRunBesideAnother() {
+        FakeWorkers.Incarnation old = workers.add("w1", 5);
+        old.crash();
+        workers.restart("w1", 3);
+        workers.taskMs = 3000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(20);
+        workers.add("w2", 1);
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
+    /** The next leader gave up the runs that such a worker had taken. */
+    @Test
+    void theNextLeaderAsksANewIncarnationThatNamesAnEarlierStart() {
+        FakeWorkers.Incarnation old = workers.add("w1", 5);
+        old.crash();
+        workers.restart("w1", 3);
+        workers.taskMs = 20_000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(100);
+        workers.add("w2", 1);
+        lead();
+        runWithBeats(15_000);
+        assertThat(workers.faults, empty());
+        assertThat(workers.starts.values(), contains(1));
+    }
 }
