A sign of another worker at the address ends only the runs that no later incarnation can have

What callers could see: a task that runs twice (TWICE).

Cause: the late heartbeat of a worker that had the address for a while, or a late answer to a start or stop that named another incarnation, ended the earlier worker there with all its runs. It may have started again at the address since, and have taken orders.

Evidence: UnknownRestartTest.aLateHeartbeatOfAnotherWorkerAtTheAddress..., "runs twice" before, green now; theRunsOfAWorkerEndWhenAnotherAnswersAPollAtItsAddress shows that its tasks do not wait for a lease where another worker is there.

Change: while a run was sent that no poll has listed, the worker gets no further starts and is polled at once; another worker's answer to a poll sent since then ends it, an answer of a later incarnation takes the runs over, and silence is left to the leases.

--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -64,6 +64,24 @@
         end(worker, why, Optional.empty());
     }
 
+    /**
+     * Handles the sign of another worker at the address of this one. It may be old: this one may have started again there
+     * since, and have taken orders. So the runs that a later incarnation may have end only by a poll that is sent from now on.
+     *
+     * @param worker the worker
+     * @param why the reason for the log
+     */
+    void replaced(Worker worker, String why) {
+        if (!worker.hasUnlistedRuns()) {
+            end(worker, why);
+        } else if (!worker.replaced) {
+            worker.replaced = true;
+            worker.replacedMs = term.clock.nowMs();
+            worker.holdDueMs = worker.replacedMs;
+            term.calls.poll(worker, worker.replacedMs);
+        }
+    }
+
     private void drop(Worker worker) {
         term.record(new WorkCommand.DropWorker(worker.id, worker.processStartMs), () -> true, result -> {});
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -347,7 +347,7 @@
             if (sameAddress && other.processStartMs > info.processStartMs()) {
                 return;
             } else if (sameAddress) {
-                incarnations.end(other, "another worker took its address");
+                incarnations.replaced(other, "another worker took its address");
             }
         }
         if (worker == null) {
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -87,6 +87,11 @@
     /** Whether it has said that it ends, which it does when that is acknowledged, or later. */
     boolean leaving;
 
+    /** Whether another worker was seen at its address; it gets no starts then. */
+    boolean replaced;
+    /** Since when, on the monotonic clock. */
+    long replacedMs;
+
     boolean incarnationEnded;
     /**
      * The runs that it had when its leases last expired, until it answers again; whether it had crashed under them shows
@@ -265,6 +270,7 @@
                 && announced
                 && !incarnationEnded
                 && !leaving
+                && !replaced
                 && !info.get().draining()
                 && clockKnown
                 && nowMs - lastContactMs < FRESH_MS
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -67,6 +67,10 @@
             term.ends.lost(run, "stopped before its start was sent");
             return;
         }
+        if (run.worker.replaced && run.unanswered == 0) {
+            term.ends.lost(run, "its worker was replaced before its start was sent");
+            return;
+        }
         long nowMs = term.clock.nowMs();
         if (!term.clock.leased()) {
             startLater(run);
@@ -126,7 +130,7 @@
                 worker.holdDueMs = nowMs;
             }
             case LATE -> startLater(run);
-            case OTHER_LIFE -> term.incarnations.end(worker, "another incarnation of the worker answered");
+            case OTHER_LIFE -> term.incarnations.replaced(worker, "another worker answered at its address");
             case NO_ANSWER -> unanswered(run, nowMs);
             default -> startRefused(run, answer.reply(), nowMs);
         }
@@ -229,7 +233,7 @@
             run.worker.holdDueMs = nowMs;
             poll(run.worker, nowMs);
         } else if (answer.reply() == Reply.OTHER_LIFE) {
-            term.incarnations.end(run.worker, "another incarnation of the worker answered");
+            term.incarnations.replaced(worker, "another worker answered at its address");
         } else {
             term.clock.later(RETRY_MS, () -> stop(run));
         }
@@ -353,8 +357,8 @@
             successor.recordContact(nowMs, poll.clockMs());
             return;
         }
-        if (poll.reply() == Reply.OTHER_LIFE) {
-            term.incarnations.end(worker, "another incarnation of the worker answered a poll");
+        if (poll.reply() == Reply.OTHER_LIFE && (!worker.replaced || sentMs >= worker.replacedMs)) {
+            term.incarnations.end(worker, "another worker answered a poll at its address");
             return;
         }
         if (poll.reply() != Reply.OK) {
@@ -368,6 +372,7 @@
             EventLog.event("worker.answers", "worker", worker.id, "failures", worker.holdFailures);
         }
         worker.holdFailures = 0;
+        worker.replaced &= sentMs < worker.replacedMs;
         if (sentMs >= worker.lapsedMs) {
             // It has outlived them, so a later crash is not theirs.
             worker.lapsedRuns = List.of();
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -56,6 +56,8 @@
         int maxRuns = Integer.MAX_VALUE;
 
         boolean fails;
+        /** Whether another worker answers at its address. */
+        boolean otherAnswers;
         /** Whether polls get no answer, while it takes other orders. */
         boolean pollsLost;
         /** Whether it carries out polls, but their answers are lost. */
@@ -187,7 +189,7 @@
 
     private <T> CompletableFuture<T> answer(Incarnation incarnation, T answer, T silence) {
         CompletableFuture<T> future = new CompletableFuture<>();
-        boolean lost = incarnation.silent || !incarnation.up;
+        boolean lost = !incarnation.otherAnswers && (incarnation.silent || !incarnation.up);
         loop.later(lost ? SILENCE_MS : CALL_MS, () -> future.complete(lost ? silence : answer));
         return future;
     }
@@ -200,6 +202,10 @@
     public CompletableFuture<Answer> start(WorkerInfo worker, StartOrder order) {
         Incarnation incarnation = at(worker);
         Answer silence = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
+        if (incarnation.otherAnswers) {
+            Answer refusal = new Answer(Reply.OTHER_LIFE, OptionalLong.empty());
+            return answer(incarnation, refusal, refusal);
+        }
         if (incarnation.lateStartMs > 0) {
             loop.later(incarnation.lateStartMs, () -> carryOut(incarnations.get(worker.id()), order));
             CompletableFuture<Answer> future = new CompletableFuture<>();
@@ -276,6 +282,10 @@
     @Override
     public CompletableFuture<Answer> stop(WorkerInfo worker, TaskKey task, int runId, long fence) {
         Incarnation incarnation = at(worker);
+        if (incarnation.otherAnswers) {
+            Answer refusal = new Answer(Reply.OTHER_LIFE, OptionalLong.empty());
+            return answer(incarnation, refusal, refusal);
+        }
         if (incarnation.up && !incarnation.silent && fence >= incarnation.fence) {
             incarnation.highest.merge(task, runId, Math::max);
             if (Integer.valueOf(runId).equals(incarnation.running.get(task))) {
@@ -289,6 +299,10 @@
     public CompletableFuture<PollResult> poll(WorkerInfo worker, PollOrder order) {
         Incarnation incarnation = at(worker);
         PollResult silence = PollResult.without(Reply.NO_ANSWER);
+        if (incarnation.otherAnswers) {
+            PollResult refusal = PollResult.without(Reply.OTHER_LIFE);
+            return answer(incarnation, refusal, refusal);
+        }
         if (!incarnation.up || incarnation.silent || incarnation.pollsLost || order.fence() < incarnation.fence) {
             return answer(incarnation, silence, silence);
         }
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -102,4 +102,38 @@
         assertThat(workers.faults, empty());
         assertThat(workers.starts.values(), contains(1));
     }
+
+    /** Where another worker does answer, nothing runs any more, and the tasks do not wait for a lease. */
+    @Test
+    void theRunsOfAWorkerEndWhenAnotherAnswersAPollAtItsAddress() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        workers.taskMs = 3000;
+        submit(Steps.job("j", Steps.plain(4)));
+        loop.run(20);
+        old.crash();
+        old.otherAnswers = true;
+        workers.add("w2", 2, old.info.address());
+        loop.run(1000);
+        assertThat(workers.incarnations.get("w2").running.size(), is(4));
+        assertThat(workers.faults, empty());
+    }
+
+    /** Regression test for TWICE: the late heartbeat of a worker that had the address for a while ended the runs there. */
+    @Test
+    void aLateHeartbeatOfAnotherWorkerAtTheAddressDoesNotEndTheRunsThatTheNewIncarnationHas() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 3);
+        restarted.pollsLost = true;
+        workers.taskMs = 3000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(20);
+        workers.add("w2", 1);
+        loop.term.announce(workers.info("other", 2, old.info.address(), false, 1));
+        loop.run(100);
+        restarted.pollsLost = false;
+        runWithBeats(10_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
 }
