One time tells how long a silent worker may still hold a lease that it got in another incarnation

Worker.adoptedUntilMs said again what grantedMs says, since runs that no poll has listed wait for the longest lease from the latest grant. Two tests more: a run that was shown on the earlier incarnation does not wait for a silent later one (red if every run is moved), and a first order without an answer that the later incarnation carries out after the run was seen on the earlier one; the latter stays green without the condition on orders in doubt, so it does not guard that.

--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -146,6 +146,7 @@
         return atMs + DEPOSED_LEADER_MS + (long) (leaseMs / MIN_CLOCK_RATE);
     }
 
+    /** Adds a run of an earlier leader; its order may have reached another incarnation of the worker than the recorded one. */
     private void inherit(Job job, TaskKey task, Run run) {
         Worker worker = workers.get(run.worker());
         if (worker == null) {
@@ -154,10 +155,6 @@
             worker.grantedMs = gainedMs;
             workers.put(run.worker(), worker);
         }
-        if (worker.processStartMs != run.workerStartMs()) {
-            // The earlier leader's order may have reached this incarnation instead.
-            worker.adoptedUntilMs = leaseEndMs(gainedMs, settings.maxLeaseMs());
-        }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
         active.stopWanted = job.phase().ended();
         // The worker had it, at the latest, soon after the start was committed.
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -49,12 +49,10 @@
     private long clockAtMs;
     private boolean clockKnown;
     private long highestDeadlineMs;
-    /** When the last lease was sent to it, or could be by an earlier leader, on the leader's clock. */
+    /** When the last lease was sent to it, or could be by an earlier leader or to an earlier incarnation, on the leader's clock. */
     long grantedMs;
     /** When the leases of earlier leaders expire, on the leader's clock. */
     long inheritedUntilMs;
-    /** When the leases expire that it may have got by orders for an earlier incarnation, on the leader's clock. */
-    long adoptedUntilMs;
     /** Whether it has answered a poll with this leader's fence. */
     boolean fenced;
 
@@ -262,7 +260,7 @@
      */
     boolean leasesExpired(long nowMs) {
         boolean ownExpired = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
-        return ownExpired && nowMs > adoptedUntilMs && (fenced || nowMs > inheritedUntilMs);
+        return ownExpired && (fenced || nowMs > inheritedUntilMs);
     }
 
     boolean usable(long nowMs) {
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -103,6 +103,42 @@
         assertThat(workers.starts.values(), contains(1));
     }
 
+    /** A run that was shown on the earlier incarnation ended with it, and does not wait for a later one that is silent. */
+    @Test
+    void aTaskThatTheEarlierIncarnationRanStartsElsewhereAtOnce() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        workers.taskMs = 3000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(200);
+        workers.add("w2", 1);
+        old.crash();
+        workers.restart("w1", 2).silent = true;
+        loop.term.announce(workers.info("w1", 2, old.info.address(), true, 1));
+        loop.run(300);
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+        assertThat(workers.faults, empty());
+    }
+
+    /** Regression test for TWICE: an order without an answer was carried out after the run had been seen on the worker. */
+    @Test
+    void aFirstOrderThatTheNewIncarnationCarriesOutDoesNotRunBesideAnother() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.lateStartMs = 1500;
+        workers.taskMs = 4000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(550);
+        old.lateStartMs = 0;
+        loop.run(450);
+        assertThat("by the second order", old.running.size(), is(1));
+        old.crash();
+        workers.restart("w1", 2);
+        loop.term.announce(workers.info("w1", 2, old.info.address(), true, 1));
+        workers.add("w2", 1);
+        runWithBeats(15_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
     /** Where another worker does answer, nothing runs any more, and the tasks do not wait for a lease. */
     @Test
     void theRunsOfAWorkerEndWhenAnotherAnswersAPollAtItsAddress() {
