What a restarted member reads is synced before it counts as durable

Two of five disks were lost while all other members lost power, and one of these had been started again before on a folder whose last process ended between write and sync (killed, or stopped by a full disk and opened again).

Cause: MemberStorage.open returns whatever is readable, and ReplicaCore counts it as durable. Without a loss of power in between, that includes entries, a vote, an identity and file names that were written and never synced. A member acknowledges such an entry without a write of its own, so without a sync.

Change: opening a log syncs its newest segment (older ones were synced before their successors), opening a folder syncs its names. MemberIdentity does the same in the data folder, without a test of its own. Every stop of a simulated member was a loss of power before, which is why it was not seen; MemoryFolder.endProcess and SimulatedMember.kill end the process only.

Not covered: an fsync that fails once and succeeds later without the data.

--- a/replication/src/main/java/org/cornelcove/replication/storage/MemberStorage.java
+++ b/replication/src/main/java/org/cornelcove/replication/storage/MemberStorage.java
@@ -114,6 +114,8 @@
                     .asException();
         }
         finishInterruptedInstall(log, meta, entries);
+        // The names of the files read here may be from a process that ended before it synced the folder.
+        folder.sync();
         return new MemberStorage(
                 vote, file, log, new StoredState(incarnation, new Vote(storedVote[0], storedVote[1]), meta, entries));
     }
--- a/replication/src/main/java/org/cornelcove/replication/storage/SegmentedLog.java
+++ b/replication/src/main/java/org/cornelcove/replication/storage/SegmentedLog.java
@@ -82,6 +82,8 @@
             for (int i = 0; i < firstIndexes.size(); i++) {
                 log.openSegment(firstIndexes.get(i), i == firstIndexes.size() - 1, snapshotIndex, entries);
             }
+            // A process that ended before its sync left entries that are readable and not durable.
+            log.newest().file.sync();
         } catch (IOException | RuntimeException e) {
             log.close();
             throw e;
--- a/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/MemoryFolder.java
@@ -52,7 +52,7 @@
     private volatile CountDownLatch syncGate = new CountDownLatch(0);
 
     /**
-     * Makes all operations fail after a number of successful ones, until the next {@link #crash}.
+     * Makes all operations fail after a number of successful ones, until the next {@link #crash} or {@link #endProcess}.
      *
      * @param operations the number of operations that succeed before
      * @param onlySyncs whether only syncs count and fail
@@ -85,12 +85,17 @@
         names.values().forEach(content -> keepPartOfUnsynced(content, random));
     }
 
+    /** Simulates the end of a process: the unsynced changes stay visible, and a later power failure may lose them. */
+    public void endProcess() {
+        operationsLeft = NEVER;
+    }
+
     /**
      * Copies the durable files.
      *
      * @return an independent folder
      */
-    MemoryFolder copy() {
+    public MemoryFolder copy() {
         MemoryFolder copy = new MemoryFolder();
         copy.restoreFrom(this);
         return copy;
--- a/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
+++ b/replication/src/test/java/org/cornelcove/replication/core/SimulatedMember.java
@@ -27,6 +27,8 @@
     boolean retired;
     /** Whether the member gets no ticks, so that it starts no election. */
     boolean passive;
+    /** Whether a disk that fails ends the process only, as a full disk does, instead of cutting the power too. */
+    boolean keepsUnsynced;
 
     private MemberStorage storage;
     private double clockRate = 1;
@@ -77,13 +79,23 @@
 
     /** Stops the member as a power failure would: any part of the unsynced writes may be lost. */
     void crash() {
+        end();
+        folder.crash(group.random());
+    }
+
+    /** Stops the member as the end of its process would: a power failure may still lose its unsynced writes. */
+    void kill() {
+        end();
+        folder.endProcess();
+    }
+
+    private void end() {
         epoch++;
         core = null;
         frozen = false;
         diskBusy = false;
         diskTasks.clear();
         frozenInputs.clear();
-        folder.crash(group.random());
         group.dropRequests(id);
     }
 
@@ -229,7 +241,11 @@
             later(group.random().nextLong(2), expectedEpoch, () -> diskDone(doneId, installs));
             group.onStep(installs.isEmpty() ? Step.WRITTEN : Step.SNAPSHOT_INSTALLED, this);
         } catch (IOException e) {
-            crash();
+            if (keepsUnsynced) {
+                kill();
+            } else {
+                crash();
+            }
         }
     }
 
--- a/replication/src/test/java/org/cornelcove/replication/storage/MemberStorageTest.java
+++ b/replication/src/test/java/org/cornelcove/replication/storage/MemberStorageTest.java
@@ -115,6 +115,41 @@
         assertThat(recovered.incarnation(), is(99L));
     }
 
+    /**
+     * Guards against a member that counts entries as durable, and acknowledges them, because an earlier process wrote
+     * them: without a sync since then, a power failure loses them.
+     */
+    @ParameterizedTest
+    @MethodSource("operations")
+    void whatAMemberStartsFromSurvivesAPowerFailureThoughTheLastProcessEndedBeforeItsSync(int operations)
+            throws IOException {
+        folder.failAfter(operations, false);
+        try {
+            MemberStorage storage = open();
+            for (long id = 1; id <= 30; id++) {
+                storage.write(append(id, 0, List.of(entry(2 * id - 1, id), entry(2 * id, id))));
+                storage.sync();
+                if (id % 10 == 0) {
+                    storage.write(saveSnapshot(id, 2 * id - 5));
+                }
+            }
+        } catch (IOException e) {
+            assertThat(e.getMessage(), is("injected"));
+        }
+        folder.endProcess();
+        StoredState started = open().stored();
+        StoredState afterPowerFailure =
+                MemberStorage.open(folder.copy(), 7, SEGMENT_BYTES, () -> 98).stored();
+        assertThat(indexes(afterPowerFailure), is(indexes(started)));
+        assertThat(afterPowerFailure.vote(), is(started.vote()));
+        assertThat(afterPowerFailure.snapshot(), is(started.snapshot()));
+        assertThat(afterPowerFailure.incarnation(), is(started.incarnation()));
+    }
+
+    private static List<Long> indexes(StoredState state) {
+        return state.entries().stream().map(LogEntry::index).toList();
+    }
+
     @ParameterizedTest(name = "byte {0} of {1} entries")
     @CsvSource({"30, 10", "60, 10", "200, 10", "30, 60", "399, 60"})
     void aDamagedEntryThatWasDurableIsRefused(int position, int entries) throws IOException {
--- a/work/src/main/java/org/cornelcove/work/group/MemberIdentity.java
+++ b/work/src/main/java/org/cornelcove/work/group/MemberIdentity.java
@@ -54,6 +54,8 @@
         if (!Files.exists(file)) {
             return Optional.empty();
         }
+        // A process that ended before it synced the folder left a name that a loss of power takes away.
+        sync(folder);
         List<String> lines = Files.readAllLines(file, StandardCharsets.UTF_8);
         List<Member> members = new ArrayList<>();
         for (int i = 1; i < lines.size(); i++) {
@@ -78,6 +80,10 @@
             channel.force(true);
         }
         Files.move(temporary, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+        sync(folder);
+    }
+
+    private static void sync(Path folder) throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
         }
