Only a lease that was sent after the fence was seen stands for those of earlier leaders

What callers could see: a task that runs twice (TWICE).

Cause: a worker that had answered a poll of the new leader counted as without leases of earlier leaders, although the new leader had sent none yet. A leaving worker gets none at all, so its runs were given up at the first poll without an answer.

Evidence: LeaveTest.aNewLeaderWaitsForTheLeaseThatTheEarlierOneGaveToALeavingWorker, "runs twice" before, green now, with all tests of work.lead.

Change: earlier leases count as over once this leader has sent one to a worker that had seen its fence, or when the last of them must have expired.

--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -55,6 +55,8 @@
     long inheritedUntilMs;
     /** Whether it has answered a poll with this leader's fence. */
     boolean fenced;
+    /** Whether a lease was sent to it since, which ends after those of earlier leaders. */
+    private boolean leasedSinceFenced;
 
     long committedEnd;
     /** The newest end whose commit was acknowledged to the worker. */
@@ -249,6 +251,7 @@
         long deadline = lowestClockMs(nowMs) + leaseMs;
         highestDeadlineMs = Math.max(highestDeadlineMs, deadline);
         grantedMs = nowMs;
+        leasedSinceFenced |= fenced;
         return OptionalLong.of(deadline);
     }
 
@@ -260,7 +263,7 @@
      */
     boolean leasesExpired(long nowMs) {
         boolean ownExpired = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
-        return ownExpired && (fenced || nowMs > inheritedUntilMs);
+        return ownExpired && (leasedSinceFenced || nowMs > inheritedUntilMs);
     }
 
     boolean usable(long nowMs) {
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -58,6 +58,8 @@
         boolean fails;
         /** Whether another worker answers at its address. */
         boolean otherAnswers;
+        /** Whether stops are lost on their way to it. */
+        boolean stopsLost;
         /** Whether polls get no answer, while it takes other orders. */
         boolean pollsLost;
         /** Whether it carries out polls, but their answers are lost. */
@@ -286,6 +288,10 @@
             Answer refusal = new Answer(Reply.OTHER_LIFE, OptionalLong.empty());
             return answer(incarnation, refusal, refusal);
         }
+        if (incarnation.stopsLost) {
+            Answer silence = new Answer(Reply.NO_ANSWER, OptionalLong.empty());
+            return answer(incarnation, silence, silence);
+        }
         if (incarnation.up && !incarnation.silent && fence >= incarnation.fence) {
             incarnation.highest.merge(task, runId, Math::max);
             if (Integer.valueOf(runId).equals(incarnation.running.get(task))) {
--- a/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/LeaveTest.java
@@ -192,6 +192,21 @@
         assertThat(phase("j"), is(JobPhase.COMPLETED));
     }
 
+    /** Regression test for TWICE: a leader that has sent no lease itself took that of the earlier one for expired. */
+    @Test
+    void aNewLeaderWaitsForTheLeaseThatTheEarlierOneGaveToALeavingWorker() {
+        FakeWorkers.Incarnation leaving = workerWithLongTask();
+        lead();
+        leaving.stopsLost = true;
+        leave("w1");
+        loop.run(100);
+        assertThat(leaving.running.size(), is(1));
+        leaving.silent = true;
+        runWithBeats(20_000);
+        assertThat(workers.faults, empty());
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+    }
+
     /** Guards against a late message of an earlier life that ends the new one, whose tasks then run twice. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
