What a term of the control leader decided is not appended in a later term

A job could run twice: an attempt that ran under a renewed lease could be ended as expired, and placed elsewhere beside it.

Cause: ControlLeader decides under its lock and proposes after releasing it, and a proposal named no term. If the term ended in between and the same host led again, which its lock and callbacks allow, the log took the decision of the ended term: an end after "lease expired" although another leader had renewed the lease meanwhile, an end of a restarted worker's attempts, or an assignment that was meant to settle an epoch. Proposals of the ended term could also be taken for equal ones of the new term.

Change: leadershipGained takes the term, each command is proposed in the term in which it was decided or accepted (Replica.propose(term, ...)), and equal proposals are shared within a term only. The simulated group refuses commands of other terms as the real one does.

--- a/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/cornelcove/bench/capacity/Fleet.java
@@ -70,7 +70,7 @@
 
     static Fleet start(FleetSize size) {
         Fleet fleet = new Fleet(size);
-        fleet.leader.leadershipGained();
+        fleet.leader.leadershipGained(1);
         fleet.apply(new ProposeConfiguration(1, "bench", "digest", rules()));
         fleet.beatEntries();
         fleet.beatWorkers();
@@ -84,7 +84,7 @@
         return fleet;
     }
 
-    private CompletableFuture<Outcome> commit(Command command) {
+    private CompletableFuture<Outcome> commit(long term, Command command) {
         return CompletableFuture.completedFuture(apply(command));
     }
 
--- a/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
+++ b/bench/src/main/java/org/cornelcove/bench/policy/LeaderPlacementBenchmark.java
@@ -157,7 +157,7 @@
             long fromNs = THREADS.getCurrentThreadCpuTime();
             leader = ControlLeader.create(
                     state, () -> nowMs, this::commit, () -> CompletableFuture.completedFuture(index));
-            leader.leadershipGained();
+            leader.leadershipGained(1);
             leads = true;
             figures.gainedNs = THREADS.getCurrentThreadCpuTime() - fromNs;
         }
@@ -171,7 +171,7 @@
             }
         }
 
-        private CompletableFuture<Outcome> commit(Command command) {
+        private CompletableFuture<Outcome> commit(long term, Command command) {
             long fromNs = THREADS.getCurrentThreadCpuTime();
             Outcome outcome = apply(command);
             figures.commitSumNs += isMeasured() ? THREADS.getCurrentThreadCpuTime() - fromNs : 0;
--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -44,7 +44,7 @@
 
 /**
  * Runs the duties of the leading control host other than applying commands. Every control host has an instance. It is
- * active between {@link #leadershipGained()} and {@link #leadershipLost()}; at any other time calls fail with
+ * active between {@link #leadershipGained(long)} and {@link #leadershipLost()}; at any other time calls fail with
  * {@code NOT_LEADER}.
  *
  * <p>Each response that renews a lease or reads the state is sent after a read barrier that was requested after the
@@ -88,8 +88,8 @@
 
     private boolean leading;
 
-    /** Incremented on each gain and loss of leadership, so that callbacks from an earlier leadership are ignored. */
-    private long leadershipNumber;
+    /** The term in which this host last gained leadership; callbacks and commands of earlier terms are ignored. */
+    private long term;
 
     private long nextLoopMs;
     private CompletableFuture<Void> entryRound = CompletableFuture.completedFuture(null);
@@ -114,7 +114,7 @@
      * @param proposer commits commands
      * @param barrier completes once everything acknowledged before the call is applied on this host; fails if this host
      *     is not the leader
-     * @return the leader, inactive until {@link #leadershipGained()}
+     * @return the leader, inactive until {@link #leadershipGained(long)}
      */
     public static ControlLeader create(
             ControlState state, LongSupplier clock, Proposer proposer, Supplier<CompletableFuture<Long>> barrier) {
@@ -123,11 +123,13 @@
 
     /**
      * Activates this leader and resets its soft state. Everything that earlier leaders committed must be applied here.
+     *
+     * @param newTerm the term in which this host leads, higher than in any earlier call
      */
-    public synchronized void leadershipGained() {
+    public synchronized void leadershipGained(long newTerm) {
         long nowMs = clock.getAsLong();
         leading = true;
-        leadershipNumber++;
+        term = newTerm;
         nextLoopMs = nowMs;
         entryRound = CompletableFuture.completedFuture(null);
         proposals.clear();
@@ -148,7 +150,6 @@
     public synchronized void leadershipLost() {
         if (leading) {
             leading = false;
-            leadershipNumber++;
             LOGGER.log(System.Logger.Level.INFO, "this control host no longer leads");
         }
     }
@@ -173,7 +174,8 @@
             Failure failure = Failure.of(ErrorKind.COMMAND_INVALID, "the right to send it");
             return CompletableFuture.completedFuture(new Refused(failure));
         }
-        return currentLeadership().isEmpty() ? notLeading() : proposals.unshared(command);
+        OptionalLong expected = currentTerm();
+        return expected.isEmpty() ? notLeading() : proposals.unshared(expected.getAsLong(), command);
     }
 
     /**
@@ -183,14 +185,14 @@
      * @return the lease; fails with a {@link org.cornelcove.model.error.FailureException}
      */
     public CompletableFuture<EntryLease> heartbeat(EntryHeartbeat heartbeat) {
-        OptionalLong expected = currentLeadership();
+        OptionalLong expected = currentTerm();
         if (expected.isEmpty()) {
             return notLeading();
         }
         OptionalLong known = state.read(tables -> tables.entries().incarnation(heartbeat.entry()));
         boolean isNew = known.isEmpty() || known.getAsLong() < heartbeat.incarnation();
         CompletableFuture<?> registered = isNew
-                ? proposals.propose(new RegisterEntry(heartbeat.entry(), heartbeat.incarnation()))
+                ? proposals.propose(expected.getAsLong(), new RegisterEntry(heartbeat.entry(), heartbeat.incarnation()))
                 : CompletableFuture.completedFuture(null);
         return registered.thenCompose(
                 any -> afterBarrier(expected.getAsLong(), (tables, nowMs) -> renew(heartbeat, tables, nowMs)));
@@ -209,7 +211,7 @@
      * @return the orders; fails with a {@link org.cornelcove.model.error.FailureException}
      */
     public CompletableFuture<WorkerOrders> workerHeartbeat(WorkerHeartbeat heartbeat) {
-        OptionalLong expected = currentLeadership();
+        OptionalLong expected = currentTerm();
         if (expected.isEmpty()) {
             return notLeading();
         }
@@ -220,12 +222,14 @@
         }
         CompletableFuture<?> registered = known.equals(Optional.of(reported))
                 ? CompletableFuture.completedFuture(null)
-                : proposals.propose(new RegisterWorker(
-                        reported.host(),
-                        reported.incarnation(),
-                        reported.availabilityZone(),
-                        reported.rack(),
-                        reported.capacity()));
+                : proposals.propose(
+                        expected.getAsLong(),
+                        new RegisterWorker(
+                                reported.host(),
+                                reported.incarnation(),
+                                reported.availabilityZone(),
+                                reported.rack(),
+                                reported.capacity()));
         return registered
                 .thenCompose(any -> recordReports(expected.getAsLong(), heartbeat))
                 .thenCompose(
@@ -255,7 +259,7 @@
                         isCurrent(heartbeat, tables) ? recordHeartbeat(heartbeat, tables, nowMs) : List.<Command>of());
         List<CompletableFuture<?>> recorded = new ArrayList<>();
         for (Command command : commands) {
-            recorded.add(proposals.propose(command));
+            recorded.add(proposals.propose(expected, command));
         }
         return CompletableFuture.allOf(recorded.toArray(CompletableFuture[]::new))
                 .exceptionally(fault -> null);
@@ -276,7 +280,7 @@
      * Runs the periodic work; called about every 50 ms.
      */
     public void tick() {
-        OptionalLong expected = currentLeadership();
+        OptionalLong expected = currentTerm();
         if (expected.isEmpty()) {
             return;
         }
@@ -284,7 +288,7 @@
         List<CompletableFuture<Outcome>> ownership = new ArrayList<>();
         for (Command command : commands) {
             counters.countProposal(command);
-            CompletableFuture<Outcome> proposed = proposals.propose(command);
+            CompletableFuture<Outcome> proposed = proposals.propose(expected.getAsLong(), command);
             decidedJob(command)
                     .ifPresent(job ->
                             proposed.whenComplete((outcome, fault) -> decisionCompleted(expected.getAsLong(), job)));
@@ -298,7 +302,7 @@
     }
 
     private synchronized void awaitRound(long expected, List<CompletableFuture<Outcome>> ownership) {
-        if (leadershipNumber == expected) {
+        if (leading && term == expected) {
             entryRound = CompletableFuture.allOf(ownership.toArray(CompletableFuture[]::new));
         }
     }
@@ -311,7 +315,7 @@
     }
 
     private synchronized void decisionCompleted(long expected, JobId job) {
-        if (leadershipNumber == expected) {
+        if (leading && term == expected) {
             placement.decisionCompleted(job);
         }
     }
@@ -388,7 +392,7 @@
     }
 
     private <R> CompletableFuture<R> query(BiFunction<Tables, Long, R> reader) {
-        OptionalLong expected = currentLeadership();
+        OptionalLong expected = currentTerm();
         return expected.isEmpty() ? notLeading() : afterBarrier(expected.getAsLong(), reader);
     }
 
@@ -397,15 +401,15 @@
     }
 
     private synchronized <R> R underLock(long expected, BiFunction<Tables, Long, R> reader) {
-        if (!leading || leadershipNumber != expected) {
+        if (!leading || term != expected) {
             throw notLeader().asException();
         }
         long nowMs = clock.getAsLong();
         return state.read(tables -> reader.apply(tables, nowMs));
     }
 
-    private synchronized OptionalLong currentLeadership() {
-        return leading ? OptionalLong.of(leadershipNumber) : OptionalLong.empty();
+    private synchronized OptionalLong currentTerm() {
+        return leading ? OptionalLong.of(term) : OptionalLong.empty();
     }
 
     private static Failure notLeader() {
--- a/control/src/main/java/org/cornelcove/control/leader/Proposals.java
+++ b/control/src/main/java/org/cornelcove/control/leader/Proposals.java
@@ -12,27 +12,31 @@
  * is applied; while one is pending, an equal command is not proposed again.
  */
 final class Proposals {
+    /** A command, as proposed in one term. */
+    private record Key(long term, Command command) {}
+
     private final Proposer proposer;
-    private final Map<Command, CompletableFuture<Outcome>> pending = new ConcurrentHashMap<>();
+    private final Map<Key, CompletableFuture<Outcome>> pending = new ConcurrentHashMap<>();
 
     Proposals(Proposer proposer) {
         this.proposer = proposer;
     }
 
-    CompletableFuture<Outcome> propose(Command command) {
-        CompletableFuture<Outcome> duplicate = pending.get(command);
+    CompletableFuture<Outcome> propose(long term, Command command) {
+        Key key = new Key(term, command);
+        CompletableFuture<Outcome> duplicate = pending.get(key);
         if (duplicate != null) {
             return duplicate;
         }
-        CompletableFuture<Outcome> proposed = proposer.propose(command);
-        pending.put(command, proposed);
-        proposed.whenComplete((outcome, fault) -> pending.remove(command, proposed));
+        CompletableFuture<Outcome> proposed = proposer.propose(term, command);
+        pending.put(key, proposed);
+        proposed.whenComplete((outcome, fault) -> pending.remove(key, proposed));
         return proposed;
     }
 
     /** Proposes a command of an operator or entry, even while an equal one is pending. */
-    CompletableFuture<Outcome> unshared(Command command) {
-        return proposer.propose(command);
+    CompletableFuture<Outcome> unshared(long term, Command command) {
+        return proposer.propose(term, command);
     }
 
     void clear() {
--- a/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/OrdersTest.java
@@ -47,10 +47,10 @@
         private WorkerOrders lastOrders;
 
         private Cluster() {
-            leader.leadershipGained();
+            leader.leadershipGained(1);
         }
 
-        private CompletableFuture<Outcome> commit(Command command) {
+        private CompletableFuture<Outcome> commit(long term, Command command) {
             byte[] outcome = state.apply(++index, Codec.encode(command));
             return CompletableFuture.completedFuture(Codec.decode(outcome, Outcome.class));
         }
--- a/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/TakeoverTest.java
@@ -40,7 +40,7 @@
     private long index;
     private long number;
 
-    private CompletableFuture<Outcome> commit(Command command) {
+    private CompletableFuture<Outcome> commit(long term, Command command) {
         byte[] outcome = state.apply(++index, Codec.encode(command));
         return CompletableFuture.completedFuture(Codec.decode(outcome, Outcome.class));
     }
@@ -88,13 +88,13 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void nextOwnerReceivesExpiryTimeOfPreviousLease(boolean leaderChanges) {
-        leader.leadershipGained();
+        leader.leadershipGained(1);
         advanceUntilGranted("a", "b");
         long renewedMs = nowMs;
         if (leaderChanges) {
             nowMs += 750;
             leader.leadershipLost();
-            leader.leadershipGained();
+            leader.leadershipGained(2);
             renewedMs = nowMs;
         }
         TargetGrant grant = advanceUntilGranted("b");
@@ -109,7 +109,7 @@
      */
     @Test
     void targetMovedTwiceWaitsForLeaseOfFirstOwner() {
-        leader.leadershipGained();
+        leader.leadershipGained(1);
         advanceUntilGranted("a");
         long lastHeartbeatMs = nowMs + 4 * Leases.ENTRY_LEASE_MS;
         lastHeartbeatMs -= lastHeartbeatMs % LOOP_MS;
--- a/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
+++ b/control/src/test/java/org/cornelcove/control/leader/ThreadedLeaderTest.java
@@ -50,7 +50,7 @@
             state, nowMs::get, this::commit, () -> CompletableFuture.supplyAsync(() -> 0L, applier));
     private long index;
 
-    private CompletableFuture<Outcome> commit(Command command) {
+    private CompletableFuture<Outcome> commit(long term, Command command) {
         return CompletableFuture.supplyAsync(
                 () -> Codec.decode(state.apply(++index, Codec.encode(command)), Outcome.class), applier);
     }
@@ -84,7 +84,7 @@
     @Test
     @Timeout(value = 2, unit = TimeUnit.MINUTES)
     void allJobsFinish() throws InterruptedException {
-        leader.leadershipGained();
+        leader.leadershipGained(1);
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
             HostId host = HostId.of("w" + i);
--- a/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
+++ b/control/src/test/java/org/cornelcove/control/sim/ControlGroup.java
@@ -47,6 +47,7 @@
     private final List<byte[]> log = new ArrayList<>();
     private final List<Proposal> inFlight = new ArrayList<>();
     private final List<Consumer<Command>> observers = new ArrayList<>();
+    private long term;
     private int leading;
     private int lastLeading;
     private int renumbered;
@@ -59,7 +60,10 @@
         for (int i = 0; i < SIZE; i++) {
             Node node = new Node();
             node.leader = ControlLeader.create(
-                    node.state, this::leaderClockMs, command -> propose(node, command), () -> barrier(node));
+                    node.state,
+                    this::leaderClockMs,
+                    (forTerm, command) -> propose(node, forTerm, command),
+                    () -> barrier(node));
             nodes.add(node);
             time.every(50, node.leader::tick);
         }
@@ -98,9 +102,9 @@
         return future;
     }
 
-    private CompletableFuture<Outcome> propose(Node node, Command command) {
+    private CompletableFuture<Outcome> propose(Node node, long forTerm, Command command) {
         CompletableFuture<Outcome> future = new CompletableFuture<>();
-        if (node != leader()) {
+        if (node != leader() || forTerm != term) {
             future.completeExceptionally(
                     Failure.of(ErrorKind.NOT_LEADER, "another").asException());
             return future;
@@ -197,7 +201,7 @@
         }
         catchUp(node);
         node.believesLeading = true;
-        node.leader.leadershipGained();
+        node.leader.leadershipGained(++term);
     }
 
     /** Sets the duration of later commits. */
--- a/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
+++ b/daemon/src/main/java/org/cornelcove/daemon/ControlHost.java
@@ -148,9 +148,9 @@
                         : CompletableFuture.completedFuture(null));
     }
 
-    private CompletableFuture<Outcome> propose(Command command) {
+    private CompletableFuture<Outcome> propose(long term, Command command) {
         return openedNode
-                .thenCompose(node -> node.propose(Codec.encode(command)))
+                .thenCompose(node -> node.propose(term, Codec.encode(command)))
                 .thenApply(bytes -> Codec.decode(bytes, Outcome.class));
     }
 
@@ -174,7 +174,7 @@
     private final class LeadershipForwarder implements LeadershipListener {
         @Override
         public void leadershipGained(long term) {
-            leader.leadershipGained();
+            leader.leadershipGained(term);
         }
 
         @Override
