A configuration is not in force while an earlier incarnation of an entry may hold a lease

Cause: an entry that started again under its id acknowledges the version, and EntryBoard took that as the word of the id. The process before it, frozen or cut off, may hold the lease of its last heartbeat and serves on under it by the older version.

Evidence: InForceTest, red in 2 of 3 before (the earlier incarnation renewed by this leader, and by the leader before); green with this change, as are the tests of control/leader, control/sim and daemon (570 tests at load 40 to 55).

Change: when an entry's incarnation changes, EntryBoard keeps the time at which the lease of the earlier one ends, and the entry counts as waited for until then. An entry whose incarnation was registered before this leader gained leadership is not held up, so "in force" does not wait after each change of leader. So it remains possible that an entry starts again in the last 2,520 ms of one leader and the next one does not know of the earlier incarnation.

--- a/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
+++ b/control/src/main/java/org/cornelcove/control/leader/ControlLeader.java
@@ -133,9 +133,9 @@
         nextLoopMs = nowMs;
         entryRound = CompletableFuture.completedFuture(null);
         proposals.clear();
-        entries.reset(nowMs);
         workers.reset(nowMs);
         state.read(tables -> {
+            entries.reset(tables, nowMs);
             placement.reset(tables, nowMs);
             return nowMs;
         });
--- a/control/src/main/java/org/cornelcove/control/leader/EntryBoard.java
+++ b/control/src/main/java/org/cornelcove/control/leader/EntryBoard.java
@@ -42,10 +42,18 @@
     private final Handovers<TargetId> targetHandovers = new Handovers<>();
     private final Handovers<Integer> rangeHandovers = new Handovers<>();
     private final GrantLists grantLists = new GrantLists();
+    /** The registered incarnations when this host gained leadership. */
+    private final Map<EntryId, Long> incarnationsAtGain = new HashMap<>();
+    /** When the lease of the incarnation before the current one ends, for entries that restarted. */
+    private final Map<EntryId, Long> earlierLeaseEndsMs = new HashMap<>();
+
     private long gainedMs;
 
-    void reset(long nowMs) {
+    void reset(Tables tables, long nowMs) {
         entries.clear();
+        earlierLeaseEndsMs.clear();
+        incarnationsAtGain.clear();
+        tables.entries().all().forEach(one -> incarnationsAtGain.put(one.entry(), one.incarnation()));
         heard.clear();
         grantLists.clear();
         targetHandovers.clear();
@@ -63,7 +71,12 @@
         if (nowMs < gainedMs + Leases.GATHER_MS && !allHeard(tables.ownership().targetsOf(entry))) {
             throw Failure.of(ErrorKind.LEADER_STARTING).asException();
         }
-        entries.put(entry, LiveEntry.heard(entries.get(entry), heartbeat, nowMs));
+        LiveEntry before = entries.get(entry);
+        Long earlier = before == null ? incarnationsAtGain.get(entry) : Long.valueOf(before.incarnation());
+        if (earlier != null && earlier != heartbeat.incarnation()) {
+            earlierLeaseEndsMs.put(entry, leaseEndMs(entry));
+        }
+        entries.put(entry, LiveEntry.heard(before, heartbeat, nowMs));
         return lease(heartbeat, tables, nowMs);
     }
 
@@ -249,7 +262,8 @@
             LiveEntry known = entries.get(entry.entry());
             boolean acknowledged = known != null
                     && known.incarnation() == entry.incarnation()
-                    && known.configurationVersion() >= version;
+                    && known.configurationVersion() >= version
+                    && nowMs >= earlierLeaseEndsMs.getOrDefault(entry.entry(), nowMs);
             if (!acknowledged && !lapsed(entry.entry(), nowMs)) {
                 waiting.add(entry.entry());
             }
