--- a/review/stand-ins-2/Executor.java
+++ b/review/stand-ins-2/Executor.java
@@ -47,6 +47,7 @@
     private Thread beats;
     private volatile String id = "";
     private volatile boolean up;
+    private volatile boolean sheds;
     private int lives;
     private long bornMs;
     private long bornNs;
@@ -79,6 +80,21 @@
         return running.size();
     }
 
+    /** From now on it is unhealthy or healthy: it answers each start with 503, and has then done nothing. */
+    void shed(boolean value) {
+        sheds = value;
+        site.record.line("executor " + id + (value ? " is unhealthy" : " is healthy"));
+    }
+
+    /** One of the tasks fails by its own fault; returns whether one ran. */
+    synchronized boolean failOne() {
+        for (Running run : running.values()) {
+            end(run, "failed");
+            return true;
+        }
+        return false;
+    }
+
     /** A new life: it knows nothing of before, and has a new id. */
     private synchronized void begin() throws IOException {
         lives++;
@@ -202,6 +218,8 @@
                 }
                 if (expected != null && !expected.equals(id)) {
                     status = 421;
+                } else if (sheds && path.equals("/v1/run-start")) {
+                    status = 503;
                 } else {
                     status = carryOut(path, body, answer);
                 }
--- a/review/stand-ins-2/LargeConfigurations.java
+++ b/review/stand-ins-2/LargeConfigurations.java
@@ -9,10 +9,13 @@
 /** Hundreds of changes of a configuration that has grown by many routes. */
 final class LargeConfigurations {
     private static final int ROUTES = 1400;
-    private static final int CHANGES = 600;
+    private static final int CHANGES = 700;
     private static final int IN_PROGRESS = 4;
-    private static final long CHANGES_MS = 80_000;
-    private static final long RECOVERY_MS = 12_000;
+    /** Each of the operators sends one change after the other, at most three a second. */
+    private static final long BETWEEN_MS = 333;
+    private static final long CHANGES_MS = 70_000;
+    private static final long RECOVERY_MS = 15_000;
+    private static final String JOB = "/p0x/5c0e7a21d94b36f8";
 
     private static final AtomicLong ends = new AtomicLong();
 
@@ -68,6 +71,17 @@
         }
         record.line("the first configuration is acknowledged: " + routes + " routes, " + config(1, routes).length()
                 + " bytes");
+        List<Executor.Ran> history = new ArrayList<>();
+        Executor executor = new Executor(site, 0, Site.freePort(), task -> 0, history);
+        Thread.sleep(2500);
+        String job = Json.write(Json.of(
+                "taskSpec", "watch",
+                "steps",
+                        List.of(Json.of(
+                                "count", 1, "cpu", 4000, "memMb", 8000, "estRuntimeMs", 270, "longRunning", true))));
+        if (site.client(0, "POST", JOB, job).status() != 200) {
+            return 2;
+        }
         AtomicLong next = new AtomicLong(2);
         AtomicLong acknowledged = new AtomicLong(1);
         AtomicLong count = new AtomicLong(1);
@@ -77,12 +91,13 @@
             operators.submit(() -> {
                 while (System.nanoTime() < endNs && next.get() <= CHANGES) {
                     long version = next.getAndIncrement();
+                    Thread.sleep(BETWEEN_MS);
                     String body = config(version, routes);
                     for (int tries = 0; tries < 5 && System.nanoTime() < endNs; tries++) {
                         Http.Reply reply = site.operator("POST", "/v1/Config.Replace", body, 2000);
                         if (reply.status() == 200) {
                             acknowledged.accumulateAndGet(version, Math::max);
-                            if (count.incrementAndGet() % 20 == 0) {
+                            if (count.incrementAndGet() % 50 == 0) {
                                 record.line(count + " changes are acknowledged, version " + version + " is the latest");
                             }
                             break;
@@ -114,13 +129,19 @@
             }
             Thread.sleep(1000);
         }
+        int state = 0;
+        for (int tries = 0; tries < 3 && state != 200; tries++) {
+            state = site.client(0, "GET", JOB, "").status();
+        }
+        executor.close();
+        record.line("the accepted job " + (state == 200 ? "is shown" : "gets no answer"));
         for (Site.Host host : site.controls) {
             long errors = host.log().lines().filter(line -> line.contains("OutOfMemoryError")).count();
             record.line(host.name + ": " + (host.alive() ? "runs" : "has ended") + "; lines with OutOfMemoryError in its log: " + errors);
         }
         record.line("processes that ended by themselves: " + ends);
-        boolean broken = read < acknowledged.get();
-        record.line("read back: " + (read < 0 ? "nothing" : "version " + read) + (broken ? ": CONFIG is broken" : ""));
+        boolean broken = read < acknowledged.get() || state != 200;
+        record.line("read back: " + (read < 0 ? "nothing" : "version " + read) + (broken ? ": CONFIG or LOST is broken" : ""));
         return broken ? 1 : 0;
     }
 }
