--- a/review/stand-ins-2/Executor.java
+++ b/review/stand-ins-2/Executor.java
@@ -47,7 +47,6 @@
     private Thread beats;
     private volatile String id = "";
     private volatile boolean up;
-    private volatile boolean sheds;
     private int lives;
     private long bornMs;
     private long bornNs;
@@ -80,12 +79,6 @@
         return running.size();
     }
 
-    /** From now on it is unhealthy or healthy: it answers each start with 503, and has then done nothing. */
-    void shed(boolean value) {
-        sheds = value;
-        site.record.line("executor " + id + (value ? " is unhealthy" : " is healthy"));
-    }
-
     /** One of the tasks fails by its own fault; returns whether one ran. */
     synchronized boolean failOne() {
         for (Running run : running.values()) {
@@ -134,6 +127,9 @@
         beats = new Thread(() -> beat(current));
         beats.setDaemon(true);
         beats.start();
+        Thread clock = new Thread(() -> tick(current));
+        clock.setDaemon(true);
+        clock.start();
         site.record.line("executor " + id + " begins at " + ip + ':' + port);
     }
 
@@ -163,6 +159,18 @@
         return (System.nanoTime() - bornNs) / 1_000_000;
     }
 
+    /** Lets tasks end, and the lease expire, also while nobody calls. */
+    private void tick(HttpServer life) {
+        while (up && server == life) {
+            synchronized (this) {
+                if (up && server == life) {
+                    advance();
+                }
+            }
+            pause(20);
+        }
+    }
+
     private void beat(HttpServer life) {
         String target = "";
         int next = (int) (Math.abs((long) ip.hashCode()) % site.controls.size());
@@ -172,19 +180,7 @@
             synchronized (this) {
                 sequence++;
                 path = "/v1/Executors.Heartbeat/" + id;
-                body = Json.write(Json.of(
-                        "service", Site.SERVICE,
-                        "address", ip + ':' + port,
-                        "zone", "z1",
-                        "version", "v1",
-                        "slots", 8,
-                        "state", "ready",
-                        "coldLeftMs", 0,
-                        "capacity", Json.of("cpu", 32000, "memMb", 128000, "gpu", 0),
-                        "labels", List.of("a", "r1-1"),
-                        "clockMs", clockMs(),
-                        "sequence", sequence,
-                        "born", bornMs));
+                body = Json.write(heartbeat());
             }
             boolean acknowledged = false;
             for (int tries = 0; tries < 2 * site.controls.size() && !acknowledged && up && server == life; tries++) {
@@ -197,6 +193,23 @@
         }
     }
 
+    /** What it says of itself. */
+    synchronized Map<String, Object> heartbeat() {
+        return Json.of(
+                "service", Site.SERVICE,
+                "address", ip + ':' + port,
+                "zone", "z1",
+                "version", "v1",
+                "slots", 8,
+                "state", "ready",
+                "coldLeftMs", 0,
+                "capacity", Json.of("cpu", 32000, "memMb", 128000, "gpu", 0),
+                "labels", List.of("a", "r1-1"),
+                "clockMs", clockMs(),
+                "sequence", sequence,
+                "born", bornMs);
+    }
+
     private static void pause(long ms) {
         try {
             Thread.sleep(ms);
@@ -218,8 +231,6 @@
                 }
                 if (expected != null && !expected.equals(id)) {
                     status = 421;
-                } else if (sheds && path.equals("/v1/run-start")) {
-                    status = 503;
                 } else {
                     status = carryOut(path, body, answer);
                 }
