--- a/review/stand-ins-2/Site.java
+++ b/review/stand-ins-2/Site.java
@@ -38,6 +38,9 @@
         }
 
         void start() throws IOException {
+            if (closed) {
+                return;
+            }
             Path settings = folder.resolve(name + ".json");
             Files.writeString(settings, Json.write(settings(this)));
             ProcessBuilder builder = new ProcessBuilder(command(control ? "control" : "entry"));
@@ -107,6 +110,7 @@
     private final int readyPort;
     private final int innerPort;
     private final int tolerated;
+    private volatile boolean closed;
 
     Site(Record record, int controlCount, int tolerated, int entryCount) throws IOException {
         this.record = record;
@@ -122,6 +126,32 @@
         for (int i = 0; i < entryCount; i++) {
             entries.add(new Host("front-" + (i + 1), "127.7.1." + (10 + i), false));
         }
+        // Also when this process is stopped before it is done.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+    }
+
+    private void end() {
+        closed = true;
+        List<Host> all = new ArrayList<>(controls);
+        all.addAll(entries);
+        try {
+            for (Host host : all) {
+                if (host.process != null) {
+                    host.process.destroyForcibly().waitFor();
+                }
+            }
+            if (Files.exists(folder)) {
+                try (Stream<Path> files = Files.walk(folder)) {
+                    for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                        Files.deleteIfExists(file);
+                    }
+                }
+            }
+        } catch (IOException e) {
+            System.err.println("can't remove " + folder + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     static int freePort() throws IOException {
@@ -250,29 +280,7 @@
     }
 
     @Override
-    public void close() throws IOException {
-        List<Host> all = new ArrayList<>(controls);
-        all.addAll(entries);
-        for (Host host : all) {
-            if (host.process != null) {
-                host.process.destroyForcibly();
-            }
-        }
-        for (Host host : all) {
-            try {
-                if (host.process != null) {
-                    host.process.waitFor();
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        if (System.getenv("KEEP") == null) {
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(file);
-                }
-            }
-        }
+    public void close() {
+        end();
     }
 }
