--- a/review/stand-ins-2/Site.java
+++ b/review/stand-ins-2/Site.java
@@ -5,9 +5,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -97,6 +99,7 @@
             + "\"status_s\":120,\"remoteFactor\":3,\"checkpointS\":1,\"restoreMs\":100,\"noticeMs\":4500,"
             + "\"migrateS\":1.5,\"maintenanceS\":2,\"fencing\":true,\"leaseMs\":3000,\"thawMs\":300,\"paceMs\":100,"
             + "\"interferenceMs\":4000}");
+    private static final Set<Integer> PORTS = new HashSet<>();
     static final String ROUTE_HOST = "nony24.example";
     static final String SERVICE = "huvo11a";
 
@@ -154,9 +157,14 @@
         }
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("0.0.0.0"))) {
-            return socket.getLocalPort();
+    /** A port that is free on all addresses and was not returned before. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("0.0.0.0"))) {
+                if (PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
