--- a/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
+++ b/wire/src/main/java/org/cornelcove/wire/LeaderRouter.java
@@ -103,12 +103,24 @@
      * @return the answer; fails with kind {@code NO_QUORUM} when certainly no host accepted the call, with {@code
      *     PROPOSAL_OUTCOME_UNKNOWN} when one may have, otherwise with the failure that the leader returned
      */
-    public <Q, R> CompletableFuture<R> repeat(Call<Q, R> call, Q request, long timeoutMs, long attemptMs) {
+    public <Q, R> CompletableFuture<Repeated<R>> repeat(Call<Q, R> call, Q request, long timeoutMs, long attemptMs) {
+        AtomicBoolean taken = new AtomicBoolean();
         return attempt(
-                new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, Optional.of(new AtomicBoolean())),
-                preferred.get());
+                        new Search<>(call, request, deadlineNs(timeoutMs), attemptMs, true, Optional.of(taken)),
+                        preferred.get())
+                .thenApply(answer -> new Repeated<>(answer, taken.get()));
     }
 
+    /**
+     * The answer to a call that may have been sent several times.
+     *
+     * @param answer the answer to the last attempt
+     * @param earlierInDoubt whether a host may have accepted an earlier attempt, or may still accept it, so that a refusal
+     *     is true of the last attempt only
+     * @param <R> the answer's type
+     */
+    public record Repeated<R>(R answer, boolean earlierInDoubt) {}
+
     private static long deadlineNs(long timeoutMs) {
         return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     }
--- a/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkLeader.java
@@ -13,14 +13,10 @@
 import org.cornelcove.model.error.Failure;
 import org.cornelcove.replication.Replica;
 import org.cornelcove.wire.PeriodicTask;
-import org.cornelcove.work.job.JobSpec;
-import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.WorkRules;
 import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.plan.LeaseCheck;
-import org.cornelcove.work.state.Job;
-import org.cornelcove.work.state.Verdict;
 import org.cornelcove.work.state.WorkCommand;
 import org.cornelcove.work.state.WorkState;
 
@@ -36,8 +32,6 @@
     /** Longer tasks on the loop are logged; leases are renewed every second and a half. */
     private static final long SLOW_MS = 100;
 
-    private static final int RETRY_AFTER_S = 1;
-
     private final LeadSettings settings;
     private final WorkerDriver driver;
     private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
@@ -50,6 +44,9 @@
     private volatile LongSupplier leasedUntilMs = () -> 0;
     private final LeaseCheck leaseCheck = new LeaseCheck();
     private Optional<Term> term = Optional.empty();
+    /** The callers' requests of the term, present with it. */
+    private Optional<JobRequests> requests = Optional.empty();
+
     private boolean settleDue;
     private final CompletableFuture<Error> failed = new CompletableFuture<>();
 
@@ -84,7 +81,9 @@
             replica = member;
             leasedUntilMs = leaseEndMs;
             Proposals proposals = new Proposals(entry -> member.propose(fence, entry), clock::execute);
-            term = Optional.of(new Term(fence, settings, state, proposals, driver, clock));
+            Term leading = new Term(fence, settings, state, proposals, driver, clock);
+            term = Optional.of(leading);
+            requests = Optional.of(new JobRequests(leading, this::afterBarrier));
             EventLog.event("lead.gained", "fence", fence, "jobs", state.jobs().size());
         });
     }
@@ -93,12 +92,17 @@
     public void lost() {
         long lostMs = clock.nowMs();
         clock.execute(() -> {
-            term.ifPresent(Term::end);
-            term = Optional.empty();
+            endTerm();
             EventLog.event("lead.lost", "noticedAfterMs", clock.nowMs() - lostMs);
         });
     }
 
+    private void endTerm() {
+        term.ifPresent(Term::end);
+        term = Optional.empty();
+        requests = Optional.empty();
+    }
+
     /**
      * Returns a future that completes when an error has left this leader unable to work, such as a lack of memory. It has
      * stopped leading by then; the process should end.
@@ -175,89 +179,7 @@
      * @return the answer
      */
     public CompletableFuture<JobReply> call(JobCall call) {
-        return switch (call.kind()) {
-            case SUBMIT -> submit(call);
-            case CANCEL -> cancel(call);
-            case SHOW -> read((leading, answer) -> answer.complete(show(leading, call)));
-        };
-    }
-
-    private CompletableFuture<JobReply> submit(JobCall call) {
-        return onTerm((leading, answer) -> {
-            WorkRules rules = leading.state.rules();
-            Optional<QueueRule> queue = rules.queueFor(call.host(), call.path());
-            if (queue.isEmpty()) {
-                afterBarrier(answer, () -> answer.complete(noQueue(leading.state.rules())));
-                return;
-            }
-            String id = call.path().substring(queue.get().pathPrefix().length());
-            JobSpec spec = new JobSpec(
-                    id, queue.get().host(), queue.get().pathPrefix(), call.taskText(), call.steps(), call.schedule());
-            WorkCommand submit = new WorkCommand.Submit(spec, queue.get(), clock.wallMs());
-            leading.proposals.add(submit, result -> {
-                if (result.failure().isPresent()) {
-                    answer.completeExceptionally(result.failure().get().asException());
-                    return;
-                }
-                EventLog.event(
-                        "job.accepted",
-                        "job",
-                        id,
-                        "queue",
-                        queue.get().name(),
-                        "rules",
-                        rules.version(),
-                        "workCoreUs",
-                        spec.workCoreUs(),
-                        "again",
-                        result.is(Verdict.UNCHANGED));
-                leading.state.job(id).ifPresent(leading::openJob);
-                answer.complete(JobReply.of(JobReply.Outcome.ACCEPTED));
-            });
-        });
-    }
-
-    private static JobReply noQueue(WorkRules rules) {
-        return rules.version() == 0 ? JobReply.refused(RETRY_AFTER_S) : JobReply.of(JobReply.Outcome.NO_QUEUE);
-    }
-
-    private CompletableFuture<JobReply> cancel(JobCall call) {
-        return onTerm((leading, answer) -> {
-            Optional<QueueRule> queue = leading.state.rules().queueFor(call.host(), call.path());
-            if (queue.isEmpty()) {
-                afterBarrier(answer, () -> answer.complete(noQueue(leading.state.rules())));
-                return;
-            }
-            String id = call.path().substring(queue.get().pathPrefix().length());
-            leading.proposals.add(new WorkCommand.Cancel(id, clock.wallMs()), result -> {
-                if (result.failure().isPresent()) {
-                    answer.completeExceptionally(result.failure().get().asException());
-                    return;
-                }
-                EventLog.event(
-                        "job.cancelled", "job", id, "verdict", result.verdict().get());
-                if (result.is(Verdict.DONE)) {
-                    leading.jobEnded(id);
-                }
-                boolean unknown = result.is(Verdict.UNKNOWN);
-                answer.complete(JobReply.of(unknown ? JobReply.Outcome.NO_JOB : JobReply.Outcome.CANCELLED));
-            });
-        });
-    }
-
-    private static JobReply show(Term leading, JobCall call) {
-        WorkRules rules = leading.state.rules();
-        Optional<QueueRule> queue = rules.queueFor(call.host(), call.path());
-        if (queue.isEmpty()) {
-            return noQueue(rules);
-        }
-        String id = call.path().substring(queue.get().pathPrefix().length());
-        if (id.isEmpty()) {
-            return new JobReply(JobReply.Outcome.COUNTED, null, leading.pending(queue.get()), 0);
-        }
-        Optional<Job> job = leading.state.job(id);
-        return job.map(found -> new JobReply(JobReply.Outcome.SHOWN, found.phase(), 0, 0))
-                .orElse(JobReply.of(JobReply.Outcome.NO_JOB));
+        return onTerm((leading, answer) -> requests.orElseThrow().handle(call, answer));
     }
 
     // The loop
@@ -320,8 +242,7 @@
                 EventLog.event("loop.slow", "tookMs", tookMs, "what", what);
             }
         } catch (Error e) {
-            term.ifPresent(Term::end);
-            term = Optional.empty();
+            endTerm();
             failed.complete(e);
         }
     }
--- a/work/src/main/java/org/cornelcove/work/state/WorkState.java
+++ b/work/src/main/java/org/cornelcove/work/state/WorkState.java
@@ -1,14 +1,17 @@
 package org.cornelcove.work.state;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
 import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.replication.StateMachine;
 import org.cornelcove.work.job.JobPhase;
+import org.cornelcove.work.job.JobSpec;
 import org.cornelcove.work.job.QueueRule;
 import org.cornelcove.work.job.RunEnd;
 import org.cornelcove.work.job.StepSpec;
@@ -33,6 +36,9 @@
     private WorkRules rules = WorkRules.NONE;
     private List<Interference.Pair> interference = List.of();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
+    /** The same jobs by the host and the path under which they were accepted. */
+    private final Map<String, Job> jobsByAddress = new HashMap<>();
+
     private final Map<String, WorkerInfo> workers = new LinkedHashMap<>();
 
     /**
@@ -81,6 +87,26 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /**
+     * Finds the job that was accepted under a path, whether or not its queue still exists.
+     *
+     * @param host the host name that the caller used, in any case
+     * @param path the path that the caller used: the prefix of the queue at that time followed by the job's id
+     * @return the job, empty when it does not exist or was removed
+     */
+    public synchronized Optional<Job> jobAt(String host, String path) {
+        return Optional.ofNullable(jobsByAddress.get(address(host, path)));
+    }
+
+    private static String address(String host, String path) {
+        // A host name contains no slash, and a path starts with one.
+        return host.toLowerCase(Locale.ROOT) + path;
+    }
+
+    private static String address(JobSpec spec) {
+        return address(spec.host(), spec.pathPrefix() + spec.id());
+    }
+
     /**
      * Returns the rule of the queue that a job belongs to.
      *
@@ -113,8 +139,7 @@
         } else if (command instanceof WorkCommand.RecordCrash crash) {
             return recordCrash(crash);
         } else if (command instanceof WorkCommand.Submit submit) {
-            Job job = new Job(submit.spec(), submit.queue(), submit.atMs());
-            return jobs.putIfAbsent(submit.spec().id(), job) == null ? Verdict.DONE : Verdict.UNCHANGED;
+            return submit(submit);
         } else if (command instanceof WorkCommand.Cancel cancel) {
             return cancel(cancel);
         } else if (command instanceof WorkCommand.Configure configure) {
@@ -127,11 +152,29 @@
             interference = observed.pairs();
             return Verdict.DONE;
         } else if (command instanceof WorkCommand.RemoveJob removeJob) {
-            return jobs.remove(removeJob.jobId()) == null ? Verdict.UNCHANGED : Verdict.DONE;
+            return removeJob(removeJob.jobId());
         }
         throw new IllegalStateException("unknown command " + command);
     }
 
+    private Verdict submit(WorkCommand.Submit submit) {
+        Job job = new Job(submit.spec(), submit.queue(), submit.atMs());
+        if (jobs.putIfAbsent(submit.spec().id(), job) != null) {
+            return Verdict.UNCHANGED;
+        }
+        jobsByAddress.put(address(submit.spec()), job);
+        return Verdict.DONE;
+    }
+
+    private Verdict removeJob(String id) {
+        Job job = jobs.remove(id);
+        if (job == null) {
+            return Verdict.UNCHANGED;
+        }
+        jobsByAddress.remove(address(job.spec), job);
+        return Verdict.DONE;
+    }
+
     private Verdict registerWorker(WorkerInfo worker) {
         WorkerInfo known = workers.get(worker.id());
         if (known != null && known.processStartMs() >= worker.processStartMs()) {
@@ -276,6 +319,8 @@
         rules = StateCodec.decode(snapshot, pairs, newWorkers, newJobs);
         jobs.clear();
         jobs.putAll(newJobs);
+        jobsByAddress.clear();
+        newJobs.values().forEach(job -> jobsByAddress.put(address(job.spec), job));
         workers.clear();
         workers.putAll(newWorkers);
         interference = pairs;
