--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -21,6 +21,9 @@
         INHERITED
     }
 
+    /** Time at work after which a lasting task that fails does so by itself: it may fail at any time. */
+    private static final long PROVEN_MS = 3000;
+
     /** Placeholder for a pace that an earlier leader, or an order without an answer, may have set. */
     static final int UNKNOWN_PACE = -1;
 
@@ -53,6 +56,10 @@
     boolean endProposed;
     int percent = -1;
     long progressMs;
+    /** Since when a lasting task is seen at work; 0 before. */
+    long atWorkSinceMs;
+    /** Whether a lasting task was at work for long enough to show that its worker is sound. */
+    boolean proven;
     /** The latest {@link WorkerDriver.RunningRow#figure}; negative if there is none. */
     double figure = -1;
     /** The pace last ordered, in percent; {@link #UNKNOWN_PACE} if another one may be in force. */
@@ -94,6 +101,21 @@
         return runningSinceMs.isPresent() ? Math.max(0, heardMs - runningSinceMs.getAsLong()) : 0;
     }
 
+    /**
+     * Records that a lasting task is at work.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return whether that proves now that its worker is sound
+     */
+    boolean recordAtWork(long nowMs) {
+        if (atWorkSinceMs == 0) {
+            atWorkSinceMs = nowMs;
+        }
+        boolean provenNow = !proven && nowMs - atWorkSinceMs >= PROVEN_MS;
+        proven |= provenNow;
+        return provenNow;
+    }
+
     /** Checks whether it was sent, and no poll has shown which incarnation of its worker has it. */
     boolean unlisted() {
         return stage != Stage.COMMITTING && !listed;
@@ -118,6 +140,8 @@
         pacePercent = UNKNOWN_PACE;
         runningSinceMs = OptionalLong.empty();
         progressMs = nowMs;
+        atWorkSinceMs = 0;
+        proven = false;
     }
 
     boolean over() {
--- a/work/src/main/java/org/cornelcove/work/lead/Placements.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Placements.java
@@ -7,13 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 
-import org.cornelcove.policy.quarantine.CrashBlame;
 import org.cornelcove.work.job.StepSpec;
 import org.cornelcove.work.job.TaskKey;
-import org.cornelcove.work.job.WorkerInfo;
 import org.cornelcove.work.log.EventLog;
 import org.cornelcove.work.log.Metrics;
 import org.cornelcove.work.plan.HostView;
@@ -83,6 +80,7 @@
                     && worker.usable(nowMs)
                     && worker.info.get().pool().equals(pool)
                     && worker.hasRoom(run.step)
+                    && !worker.awaitsTrial(run.step, nowMs)
                     && term.calls.pace().cost(worker, run.step) < maxCost
                     && canTake(worker, run)) {
                 return true;
@@ -94,7 +92,7 @@
 
     /** Checks whether a worker passes all tests of a placement, so that a run is not stopped for a place it cannot use. */
     private boolean canTake(Worker worker, ActiveRun run) {
-        HostView host = view(worker, run.step, run.task, "");
+        HostView host = Candidates.view(term, worker, run.step, run.task, "");
         return Placement.isEligible(run.step, host, true);
     }
 
@@ -212,10 +210,12 @@
             }
             left--;
             TaskKey next = step.task(step.indices.peekFirst());
-            List<Worker> able =
-                    pool.stream().filter(worker -> worker.willHaveRoom(spec)).toList();
-            List<HostView> views =
-                    able.stream().map(worker -> view(worker, spec, next, "")).toList();
+            List<Worker> able = pool.stream()
+                    .filter(worker -> worker.willHaveRoom(spec) && !worker.awaitsTrial(spec, term.clock.nowMs()))
+                    .toList();
+            List<HostView> views = able.stream()
+                    .map(worker -> Candidates.view(term, worker, spec, next, ""))
+                    .toList();
             Placement.hold(spec, views).ifPresent(best -> {
                 logHeld(step, next, able.get(best));
                 pool.remove(able.get(best));
@@ -272,11 +272,13 @@
             boolean alike = task.failures() == 0 && !suspect && !step.spec().sameRack() && !restart;
             Candidates candidates = alike && shared.isPresent()
                     ? shared.get()
-                    : new Candidates(step.spec(), key, patient ? rooms.allowed(step.spec(), pool, poolName) : pool);
+                    : new Candidates(
+                            term, step.spec(), key, patient ? rooms.allowed(step.spec(), pool, poolName) : pool);
             if (alike) {
                 shared = Optional.of(candidates);
             }
-            Optional<Worker> worker = suspect ? candidates.safest(patient) : candidates.best(patient);
+            Optional<Worker> usable = suspect ? candidates.safest(patient) : candidates.best(patient);
+            Optional<Worker> worker = usable.or(() -> chooseAsTrial(step, key, poolName));
             if (worker.isEmpty()) {
                 noRoom.add(poolName, step.spec(), patient);
                 logWaiting(step, key, pool);
@@ -288,48 +290,17 @@
         }
     }
 
-    /** The workers that have room for tasks of a step, with their state for the placement of such a task. */
-    private final class Candidates {
-        private final StepSpec step;
-        private final List<Worker> workers = new ArrayList<>();
-        private final List<HostView> views = new ArrayList<>();
-
-        Candidates(StepSpec step, TaskKey task, List<Worker> pool) {
-            this.step = step;
-            String rack = step.sameRack() ? rackOfStep(task) : "";
-            for (Worker worker : pool) {
-                if (worker.hasRoom(step)) {
-                    workers.add(worker);
-                    views.add(view(worker, step, task, rack));
-                }
-            }
-        }
-
-        Optional<Worker> best(boolean canWait) {
-            OptionalInt best = Placement.choose(step, views, canWait);
-            return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
-        }
-
-        /** Chooses the worker for a task that may crash it. */
-        Optional<Worker> safest(boolean canWait) {
-            List<CrashBlame.Room> choices = new ArrayList<>();
-            for (int i = 0; i < workers.size(); i++) {
-                Worker worker = workers.get(i);
-                boolean eligible =
-                        Placement.fits(step, views.get(i)) && (!canWait || Placement.canProgress(step, views.get(i)));
-                long upMs = term.clock.wallMs() - worker.processStartMs;
-                choices.add(new CrashBlame.Room(eligible, worker.suspects, upMs, worker.runCount()));
-            }
-            OptionalInt best = CrashBlame.choose(choices);
-            return best.isPresent() ? Optional.of(workers.get(best.getAsInt())) : Optional.empty();
-        }
-
-        void refresh(Worker worker, TaskKey task) {
-            int index = workers.indexOf(worker);
-            if (index >= 0) {
-                views.set(index, view(worker, step, task, ""));
-            }
+    /** Chooses a quarantined worker for a lasting task, whose failures are not counted and show whether it is sound again. */
+    private Optional<Worker> chooseAsTrial(Backlog.WaitingStep step, TaskKey task, String pool) {
+        if (!step.spec().lasting()) {
+            return Optional.empty();
         }
+        long nowMs = term.clock.nowMs();
+        List<Worker> quarantined = term.workers().stream()
+                .filter(worker ->
+                        worker.usableAsTrial(nowMs) && worker.info.get().pool().equals(pool))
+                .toList();
+        return choose(step.job, task, quarantined);
     }
 
     private void logWaiting(Backlog.WaitingStep step, TaskKey next, List<Worker> pool) {
@@ -341,7 +312,9 @@
         lastWaitingLogMs = nowMs;
         Placement.Refusals why = Placement.refusals(
                 step.spec(),
-                pool.stream().map(w -> view(w, step.spec(), next, "")).toList());
+                pool.stream()
+                        .map(w -> Candidates.view(term, w, step.spec(), next, ""))
+                        .toList());
         EventLog.event(
                 "step.waits",
                 "task",
@@ -400,7 +373,7 @@
     }
 
     private Optional<Worker> choose(Job job, TaskKey task, List<Worker> pool) {
-        Candidates candidates = new Candidates(job.spec().steps().get(task.step()), task, pool);
+        Candidates candidates = new Candidates(term, job.spec().steps().get(task.step()), task, pool);
         return isSuspect(job, task) ? candidates.safest(false) : candidates.best(false);
     }
 
@@ -409,36 +382,6 @@
         return job.task(task).orElseThrow().crashes() > 0;
     }
 
-    private String rackOfStep(TaskKey task) {
-        for (ActiveRun run : term.runsOf(task.jobId())) {
-            if (run.sameStep(task) && run.worker.info.isPresent()) {
-                return run.worker.info.get().rack();
-            }
-        }
-        return "";
-    }
-
-    private HostView view(Worker worker, StepSpec step, TaskKey task, String rackOfStep) {
-        WorkerInfo info = worker.info.orElseThrow();
-        return new HostView(
-                info.cpuMillis() - worker.cpuUsed,
-                info.memoryMb() - worker.memoryUsed,
-                info.accelerators() - worker.acceleratorsUsed,
-                info.cpuMillis(),
-                step.requiredLabel().isEmpty() || info.labels().contains(step.requiredLabel()),
-                step.dataRack().isEmpty() || info.labels().contains(step.dataRack()),
-                rackOfStep.isEmpty() || rackOfStep.equals(info.rack()),
-                worker.runsOfStep(task),
-                worker.serving,
-                step.lasting() ? term.calls.pace().sensitivityDifference(worker, step) : 0,
-                step.fill() ? term.calls.pace().fillTolerance(worker) : 0,
-                worker.fillCpu,
-                worker.servingCpu,
-                step.fill() ? term.calls.pace().cost(worker, step) : 0,
-                worker.failedTask(task),
-                worker.health.failurePenalty());
-    }
-
     private void begin(Job job, TaskKey task, int runId, Worker worker) {
         ActiveRun run = new ActiveRun(job, task, runId, worker, ActiveRun.Stage.COMMITTING, term.clock.nowMs());
         term.track(run);
--- a/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
+++ b/work/src/main/java/org/cornelcove/work/lead/RunEnds.java
@@ -64,7 +64,7 @@
         long nowMs = term.clock.nowMs();
         if (row.how() == RunEnd.DONE) {
             worker.health.succeeded();
-        } else if (row.how() == RunEnd.FAILED) {
+        } else if (row.how() == RunEnd.FAILED && !run.get().proven) {
             worker.recordFailure(row.task(), nowMs);
         }
         worker.pendingEnds.add(row.number());
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -266,7 +266,48 @@
         return ownExpired && (leasedSinceFenced || nowMs > inheritedUntilMs);
     }
 
+    /**
+     * Checks whether it may get tasks.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return false also while it is quarantined
+     */
     boolean usable(long nowMs) {
+        return reachable(nowMs) && !health.quarantined(nowMs);
+    }
+
+    /**
+     * Checks whether it may get a task that may fail any number of times although it is quarantined.
+     *
+     * @param nowMs the time on a monotonic clock
+     * @return false if it was tried and has failed recently
+     */
+    boolean usableAsTrial(long nowMs) {
+        return reachable(nowMs) && health.quarantined(nowMs) && health.mayBeTried(nowMs);
+    }
+
+    /**
+     * Checks whether a task has to wait for another one, placed since the last failure, that is not at work or has not ended
+     * yet. A lasting task does not wait for one that ends, or the other way round: the other may take long.
+     *
+     * @param step the step of the task
+     * @param nowMs the time on a monotonic clock
+     * @return false for a worker that is not on probation
+     */
+    boolean awaitsTrial(StepSpec step, long nowMs) {
+        if (!health.onProbation(nowMs)) {
+            return false;
+        }
+        for (ActiveRun run : runs.values()) {
+            boolean trial = run.createdMs >= health.lastFailedMs() && run.atWorkSinceMs == 0;
+            if (trial && run.step.lasting() == step.lasting()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean reachable(long nowMs) {
         return info.isPresent()
                 && announced
                 && !incarnationEnded
@@ -277,9 +318,7 @@
                 && nowMs - lastContactMs < FRESH_MS
                 && holdFailures == 0
                 && nowMs >= avoidUntilMs
-                && !health.quarantined(nowMs)
-                && !(suspects > 0 && isolates())
-                && !(health.onProbation() && runCount() > 0);
+                && !(suspects > 0 && isolates());
     }
 
     /** Checks whether it runs a task that gets a worker to itself, because it is likely to crash it. */
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -424,6 +424,9 @@
         if (progressed || atWork) {
             run.progressMs = nowMs;
         }
+        if (atWork && run.recordAtWork(nowMs)) {
+            worker.health.succeeded();
+        }
         run.percent = row.percent();
         long limitMs = run.step.lasting() ? STARTUP_MS : STALL_MS;
         if (!run.stopWanted && !run.step.fill() && nowMs - run.progressMs > limitMs) {
--- a/work/src/test/java/org/cornelcove/work/Steps.java
+++ b/work/src/test/java/org/cornelcove/work/Steps.java
@@ -65,6 +65,11 @@
                 false, 0);
     }
 
+    public static StepSpec lasting(int count) {
+        return new StepSpec(
+                count, 1000, 100, 0, 500, List.of(), false, false, false, "", "", 0, false, true, "", 0, false, 0);
+    }
+
     public static StepSpec lastingOn(String label, int cpuMillis) {
         return new StepSpec(
                 1, cpuMillis, 100, 0, 500, List.of(), false, false, false, label, "", 0, false, true, "image", 50,
