Leader: a lease given by an order for an earlier incarnation is waited for (TWICE)

Cause: until the leader learns of the restart, the later incarnation takes orders for the earlier one. Their deadlines, on the earlier clock, are far ahead on its own, so it cuts them to the longest lease (6 s), which holds for all that runs there. The leader counted only the leases that it had given the later incarnation itself (5.1 s), or, as the next leader, those of known length. If the last of those was given within 0.9 s of the misdirected order, it started all tasks of the worker elsewhere up to 0.9 s too early. Change: the successor, and every worker that a new leader takes over, has such leases recorded; they end with the longest lease after the last order.

UnknownRestartTest.aTaskWaitsForTheLeaseThatAnOrderForTheEarlierIncarnationGave is red without the change in both cases.

--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -50,6 +50,8 @@
         drop(earlier);
         Worker successor = register(info);
         successor.info = Optional.of(info.restartedAt(info.processStartMs()));
+        successor.misdirectedUntilMs =
+                Math.max(earlier.misdirectedUntilMs, Term.leaseEndMs(earlier.grantedMs, term.settings.maxLeaseMs()));
         end(earlier, "it restarted", Optional.of(successor));
         return successor;
     }
--- a/work/src/main/java/org/cornelcove/work/lead/Term.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Term.java
@@ -136,9 +136,15 @@
     private void remember(WorkerInfo info) {
         Worker worker = new Worker(info.id(), info.processStartMs());
         worker.info = Optional.of(info);
+        inheritLeases(worker);
+        workers.put(info.id(), worker);
+    }
+
+    /** Records the leases of earlier leaders, some of which may have been meant for an earlier incarnation. */
+    private void inheritLeases(Worker worker) {
         worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
+        worker.misdirectedUntilMs = leaseEndMs(gainedMs, settings.maxLeaseMs());
         worker.grantedMs = gainedMs;
-        workers.put(info.id(), worker);
     }
 
     /** Returns when the last lease expires that is granted by an order of a leader which had to stop calling at a time. */
@@ -151,8 +157,7 @@
         Worker worker = workers.get(run.worker());
         if (worker == null) {
             worker = new Worker(run.worker(), run.workerStartMs());
-            worker.inheritedUntilMs = leaseEndMs(gainedMs, settings.leaseMs());
-            worker.grantedMs = gainedMs;
+            inheritLeases(worker);
             workers.put(run.worker(), worker);
         }
         ActiveRun active = new ActiveRun(job, task, run.runId(), worker, ActiveRun.Stage.INHERITED, gainedMs);
--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -53,6 +53,11 @@
     long grantedMs;
     /** When the leases of earlier leaders expire, on the leader's clock. */
     long inheritedUntilMs;
+    /**
+     * When the leases expire, on the leader's clock, that it may have got by orders for an earlier incarnation. Their deadlines
+     * are far ahead on its own clock, so that it cut them to the longest lease that it accepts.
+     */
+    long misdirectedUntilMs;
     /** Whether it has answered a poll with this leader's fence. */
     boolean fenced;
     /** Whether a lease was sent to it since, which ends after those of earlier leaders. */
@@ -263,7 +268,7 @@
      */
     boolean leasesExpired(long nowMs) {
         boolean ownExpired = highestDeadlineMs == 0 || clockKnown && lowestClockMs(nowMs) > highestDeadlineMs;
-        return ownExpired && (leasedSinceFenced || nowMs > inheritedUntilMs);
+        return ownExpired && nowMs > misdirectedUntilMs && (leasedSinceFenced || nowMs > inheritedUntilMs);
     }
 
     /**
@@ -335,10 +340,11 @@
      * Checks whether the leader has to poll it.
      *
      * @param nowMs the time on a monotonic clock
-     * @return true while it has runs or unacknowledged ends, or sends heartbeats again after failed polls
+     * @return true while it has runs or unacknowledged ends, or sends heartbeats but gets no tasks until it answers
      */
     boolean needsPoll(long nowMs) {
-        // A worker that was silent and sends heartbeats again gets no tasks until it has answered a poll.
+        // After failed polls, or a sign of another worker at its address, only the answer to a poll lets it get tasks
+        // again.
         boolean returned = holdFailures > 0 && nowMs - lastContactMs < FRESH_MS;
         // While the commit of an end is pending, a poll would only return the same end again.
         return !incarnationEnded
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -3,6 +3,8 @@
 import org.cornelcove.work.Steps;
 import org.cornelcove.work.job.JobPhase;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -72,6 +74,32 @@
         assertThat(workers.incarnations.get("w2").running.size(), is(1));
     }
 
+    /**
+     * Regression test for TWICE: an order for the earlier incarnation gave the later one the longest lease, which outlasts those
+     * that it gets afterwards; with {@code leaderChange} the next leader does not know of that order.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aTaskWaitsForTheLeaseThatAnOrderForTheEarlierIncarnationGave(boolean leaderChange) {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        workers.taskMs = 60_000;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(200);
+        loop.term.announce(workers.info("w1", 2, old.info.address(), false, 1));
+        if (leaderChange) {
+            lead();
+        }
+        loop.run(200);
+        assertThat(restarted.running.size(), is(1));
+        restarted.silent = true;
+        workers.add("w2", 1);
+        runWithBeats(10_000);
+        assertThat(workers.faults, empty());
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+    }
+
     /** Regression test for TWICE: a worker whose time of day was stepped back before it started again. */
     @Test
     void aTaskOfANewIncarnationThatNamesAnEarlierStartDoesNotRunBesideAnother() {
