Leader: a worker barred by an old sign of another one is polled until it answers

A worker at whose address another one was seen gets tasks again once it answers a poll that was sent afterwards. Without runs and unacknowledged ends it was not polled; that happens when the poll under way was sent before and its only run was refused. Change: such a worker is polled while it sends heartbeats, as after failed polls.

--- a/work/src/main/java/org/cornelcove/work/lead/Worker.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Worker.java
@@ -345,7 +345,7 @@
     boolean needsPoll(long nowMs) {
         // After failed polls, or a sign of another worker at its address, only the answer to a poll lets it get tasks
         // again.
-        boolean returned = holdFailures > 0 && nowMs - lastContactMs < FRESH_MS;
+        boolean returned = (holdFailures > 0 || replaced) && nowMs - lastContactMs < FRESH_MS;
         // While the commit of an end is pending, a poll would only return the same end again.
         return !incarnationEnded
                 && info.isPresent()
