Leader: a start sent again may be on an unknown later incarnation, listed or not (TWICE)

Cause: a start whose answer was lost is sent again although a poll has listed the run. If the worker starts again in between, the later incarnation carries the second order out, with the longest lease. When the worker fell silent the leader took the run, as listed, to be over with the shorter lease of the incarnation that had listed it. Change: the lease of a later incarnation is waited for by each run that an order in doubt may have given it, as in the move to a known successor.

UnknownRestartTest.aTaskWaitsForTheLeaseOfANewIncarnationThatARepeatedStartReached is red without the change.

--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -319,8 +319,9 @@
     }
 
     /**
-     * Ends the runs of a worker whose leases have expired. An unlisted run may be on a later incarnation that the leader does
-     * not know, and which cuts a deadline on the earlier one's clock to the longest lease that it accepts.
+     * Ends the runs of a worker whose leases have expired. A run that was not listed, or whose start was sent again, may be on
+     * a later incarnation that the leader does not know, and which cuts a deadline on the earlier one's clock to the longest
+     * lease that it accepts.
      *
      * @param worker the worker
      */
@@ -329,7 +330,7 @@
         boolean laterOnesExpired = nowMs > Term.leaseEndMs(worker.grantedMs, term.settings.maxLeaseMs());
         List<ActiveRun> lapsed = new ArrayList<>();
         for (ActiveRun run : worker.runs()) {
-            if (laterOnesExpired || !run.unlisted()) {
+            if (laterOnesExpired || !run.mayHaveReachedSuccessor()) {
                 lapsed.add(run);
             }
         }
--- a/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
+++ b/work/src/test/java/org/cornelcove/work/lead/FakeWorkers.java
@@ -64,6 +64,8 @@
         boolean pollsLost;
         /** Whether it carries out polls, but their answers are lost. */
         boolean pollAnswersLost;
+        /** Whether it carries out starts, but their answers are lost. */
+        boolean startAnswersLost;
         /** Whether it carries out orders for the pace, but their answers are lost. */
         boolean paceAnswersLost;
         /** Whether each call to it throws an exception, against the contract of the driver. */
@@ -198,6 +200,12 @@
         return future;
     }
 
+    private <T> CompletableFuture<T> later(long delayMs, T answer) {
+        CompletableFuture<T> future = new CompletableFuture<>();
+        loop.later(delayMs, () -> future.complete(answer));
+        return future;
+    }
+
     private static Answer answer(Reply reply, Incarnation incarnation) {
         return new Answer(reply, OptionalLong.of(incarnation.clockMs()));
     }
@@ -212,13 +220,13 @@
         }
         if (incarnation.lateStartMs > 0) {
             loop.later(incarnation.lateStartMs, () -> carryOut(incarnations.get(worker.id()), order));
-            CompletableFuture<Answer> future = new CompletableFuture<>();
-            loop.later(SILENCE_MS, () -> future.complete(silence));
-            return future;
+            return later(SILENCE_MS, silence);
+        }
+        if (!incarnation.up || incarnation.silent) {
+            return answer(incarnation, silence, silence);
         }
-        return incarnation.up && !incarnation.silent
-                ? answer(incarnation, answer(carryOut(incarnation, order), incarnation), silence)
-                : answer(incarnation, silence, silence);
+        Answer answer = answer(carryOut(incarnation, order), incarnation);
+        return incarnation.startAnswersLost ? later(SILENCE_MS, silence) : answer(incarnation, answer, silence);
     }
 
     private Reply carryOut(Incarnation incarnation, StartOrder order) {
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -100,6 +100,34 @@
         assertThat(workers.incarnations.get("w2").running.size(), is(1));
     }
 
+    /**
+     * Regression test for TWICE: a start that was listed, and is sent again since its answer is lost, is carried out by the
+     * later incarnation, whose lease is longer than that of the one that listed it.
+     */
+    @Test
+    void aTaskWaitsForTheLeaseOfANewIncarnationThatARepeatedStartReached() {
+        FakeWorkers.Incarnation old = workers.add("w1", 1);
+        workers.taskMs = 300;
+        submit(Steps.job("earlier", Steps.plain(1)));
+        loop.run(200);
+        workers.taskMs = 60_000;
+        old.startAnswersLost = true;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(300);
+        assertThat(old.running.size(), is(1));
+        assertThat(old.lastEnd, is(1L));
+        old.crash();
+        FakeWorkers.Incarnation restarted = workers.restart("w1", 2);
+        restarted.pollsLost = true;
+        loop.run(700);
+        assertThat(restarted.running.size(), is(1));
+        restarted.silent = true;
+        workers.add("w2", 1);
+        runWithBeats(10_000);
+        assertThat(workers.faults, empty());
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+    }
+
     /** Regression test for TWICE: a worker whose time of day was stepped back before it started again. */
     @Test
     void aTaskOfANewIncarnationThatNamesAnEarlierStartDoesNotRunBesideAnother() {
