--- a/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerDriver.java
@@ -137,7 +137,8 @@
     CompletableFuture<Answer> stop(WorkerInfo worker, TaskKey task, int runId, long fence);
 
     /**
-     * Polls a worker, and renews the lease of all its runs if the order has a deadline.
+     * Polls a worker, and renews the lease of all its runs if the order has a deadline. The order acknowledges no ends and renews
+     * no lease of another incarnation than the one named, however late it arrives: that one may only be told from the result.
      *
      * @param worker the worker
      * @param order the order
