Quarantine: a restriction of a worker ends by time as well

An attempt that takes hours keeps all other work out for as long. Change: a restriction ends 10 minutes after the quarantine, or after a later failure, without another one. WorkerHealthTest.aRestrictionWithoutFurtherFailuresEnds is red without it (2 of 2).

--- a/policy/src/main/java/org/cornelcove/policy/quarantine/WorkerHealth.java
+++ b/policy/src/main/java/org/cornelcove/policy/quarantine/WorkerHealth.java
@@ -15,8 +15,8 @@
  * <p>A failure is attributed to the worker while the job has failed on no other worker. Once the job has failed on a
  * second healthy worker, the failures are attributed to the job and removed from both workers' records. Failures of three
  * distinct jobs without a success in between put a worker into quarantine: it gets no work for a period that doubles each
- * time, then is on probation with one attempt at a time until a few have succeeded. One failure on probation starts the
- * next quarantine. Failures on a quarantined worker do not count towards the job's attempt limit.
+ * time, then is on probation with one attempt at a time until a few have succeeded, or none has failed for some time. One
+ * failure on probation starts the next quarantine. Failures on a quarantined worker do not count towards the job's attempt limit.
  *
  * <p>At most the configured share of the workers is in quarantine, rounded down. Above that share a worker is limited to
  * one attempt at a time instead, so that a common cause (such as a broken image) cannot take the whole cluster out of
@@ -33,6 +33,8 @@
     private static final long FIRST_QUARANTINE_MS = 60_000;
     private static final int MAX_DOUBLINGS = 6;
     private static final int PROBATION_SUCCESSES = 3;
+    /** Time without a failure, after any quarantine, after which a restriction ends: an attempt may take hours to succeed. */
+    private static final long RESTRICTION_MS = 600_000;
 
     private final Map<HostId, Record> workers = new HashMap<>();
     private final Map<JobId, Set<HostId>> failedOn = new HashMap<>();
@@ -135,6 +137,8 @@
             others.forEach(other -> clear(other, job));
             return;
         }
+        liftIfOld(host, worker, nowMs);
+        worker.lastFailedMs = nowMs;
         worker.attributedJobs.add(job);
         int enough = worker.probationLeft > 0 ? 1 : DISTINCT_JOBS;
         if (worker.attributedJobs.size() >= enough) {
@@ -177,6 +181,7 @@
         if (worker.isQuarantined(nowMs)) {
             return 0;
         }
+        liftIfOld(host, worker, nowMs);
         return worker.limited || worker.probationLeft > 0 ? 1 : UNLIMITED;
     }
 
@@ -219,6 +224,12 @@
         }
     }
 
+    private void liftIfOld(HostId host, Record worker, long nowMs) {
+        if (worker.liftIfOld(nowMs)) {
+            restricted.remove(host);
+        }
+    }
+
     private void clear(HostId host, JobId job) {
         Record worker = workers.get(host);
         if (worker != null) {
@@ -234,8 +245,23 @@
         /** True if the worker would be in quarantine but the quarantine limit was reached. */
         private boolean limited;
 
+        private long lastFailedMs = Long.MIN_VALUE;
+
         boolean isQuarantined(long nowMs) {
             return nowMs < untilMs;
         }
+
+        /** Ends the restriction, and forgets failures, when they are too old; returns whether it did. */
+        boolean liftIfOld(long nowMs) {
+            boolean judged = limited || probationLeft > 0 || !attributedJobs.isEmpty();
+            if (!judged || nowMs < Math.max(untilMs, lastFailedMs) + RESTRICTION_MS) {
+                return false;
+            }
+            attributedJobs.clear();
+            limited = false;
+            probationLeft = 0;
+            quarantines = 0;
+            return true;
+        }
     }
 }
--- a/policy/src/test/java/org/cornelcove/policy/quarantine/WorkerHealthTest.java
+++ b/policy/src/test/java/org/cornelcove/policy/quarantine/WorkerHealthTest.java
@@ -84,6 +84,19 @@
         assertThat(health.restricted().isEmpty(), is(true));
     }
 
+    /** Guards against a worker that is restricted for as long as its only attempt runs, which may be hours. */
+    @ParameterizedTest(name = "{0} workers")
+    @CsvSource({"45, 660000", "9, 600000"})
+    void aRestrictionWithoutFurtherFailuresEnds(int workers, long liftedMs) {
+        WorkerHealth health = health(workers, 10);
+        fail(health, BAD, 0, 3, 0);
+        assertThat(health.maxAttempts(BAD, liftedMs - 1), is(1));
+        assertThat(health.maxAttempts(BAD, liftedMs), is(WorkerHealth.UNLIMITED));
+        assertThat(health.restricted().isEmpty(), is(true));
+        fail(health, BAD, 3, 1, liftedMs);
+        assertThat(health.maxAttempts(BAD, liftedMs), is(WorkerHealth.UNLIMITED));
+    }
+
     @Property(seed = "61", tries = 60)
     void shareInQuarantineIsNeverExceeded(
             @ForAll @IntRange(min = 1, max = 60) int workers,
