--- a/work/src/test/java/org/cornelcove/work/lead/CrashTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/CrashTest.java
@@ -123,4 +123,20 @@
         runWithBeats(5000);
         assertThat(task.crashes(), is(1));
     }
+
+    /** Guards against tasks that are blamed for the end of a worker that had said it would end. */
+    @ParameterizedTest
+    @CsvSource({"false, 1", "true, 0"})
+    void theEndOfADrainingWorkerIsNoCrash(boolean draining, int crashes) {
+        FakeWorkers.Incarnation worker = workers.add("w0", 1);
+        workers.taskMs = DAY_S * 1000L;
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(200);
+        loop.term.announce(workers.info("w0", 1, worker.info.address(), draining, 2));
+        workers.crashAndReturn(worker);
+        runWithBeats(5000);
+        Task task = state.job("j").orElseThrow().task(new TaskKey("j", 0, 0, 0)).orElseThrow();
+        assertThat("it starts again", task.lastRunId(), greaterThan(1));
+        assertThat(task.crashes(), is(crashes));
+    }
 }
