Leader: a repeated submission takes up its job again

Since a submission of a known job was answered without being added to the leader's waiting tasks; before, that took up a job which the state has and this leader does not know (found by reading the diff, not played). JobRequestsTest.aRepeatedSubmissionTakesUpTheJob is red without the change.

--- a/work/src/main/java/org/cornelcove/work/lead/JobRequests.java
+++ b/work/src/main/java/org/cornelcove/work/lead/JobRequests.java
@@ -92,6 +92,7 @@
         Optional<Job> known = jobOf(call);
         if (known.isPresent()) {
             logAccepted(known.get().spec(), known.get().acceptedBy(), true);
+            term.openJob(known.get());
             answer.complete(JobReply.of(JobReply.Outcome.ACCEPTED));
             return true;
         }
--- a/work/src/test/java/org/cornelcove/work/lead/JobRequestsTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/JobRequestsTest.java
@@ -55,6 +55,18 @@
         assertThat(answered(kind, "/q/j").outcome(), is(expected));
     }
 
+    /** Guards against a job that is in the state, that this leader did not take up, and that a repeated request leaves there. */
+    @Test
+    void aRepeatedSubmissionTakesUpTheJob() {
+        workers.add("w1", 1);
+        apply(new WorkCommand.Submit(Steps.job("j", Steps.plain(1)), Steps.QUEUE, loop.wallMs()));
+        answered(Kind.SUBMIT, "/q/j");
+        answered(Kind.SUBMIT, "/q/j");
+        runWithBeats(2000);
+        assertThat(phase("j"), is(JobPhase.COMPLETED));
+        assertThat(List.copyOf(workers.starts.values()), is(List.of(1)));
+    }
+
     @Test
     void aCancelledJobWithoutQueueRunsNoMore() {
         workers.taskMs = 60_000;
