Leader: a start in doubt is so for as long as an order may be late

Change: a poll that was sent 12 s after the last such order, and lists the run, shows that its worker outlived it, so that no other incarnation can have it. UnknownRestartTest.aTaskOfAnEarlierLeaderWaitsForTheLeaseOfItsWorker is red without the change (1 of 2 rows).

--- a/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
+++ b/work/src/main/java/org/cornelcove/work/lead/ActiveRun.java
@@ -24,6 +24,9 @@
     /** Time at work after which a lasting task that fails does so by itself: it may fail at any time. */
     private static final long PROVEN_MS = 3000;
 
+    /** How late an order without an answer may be carried out. */
+    private static final long MAX_LATE_MS = 12_000;
+
     /** Placeholder for a pace that an earlier leader, or an order without an answer, may have set. */
     static final int UNKNOWN_PACE = -1;
 
@@ -39,7 +42,9 @@
     /** Start orders that got no answer and may still be carried out. */
     int unanswered;
     /** Whether a start order of this leader or of an earlier one may still be carried out, whatever was answered since. */
-    boolean startInDoubt;
+    private boolean startInDoubt;
+    /** When the last such order was sent at the latest, on the monotonic clock. */
+    private long inDoubtSinceMs;
     /** Whether a poll has listed it, or its ends only in part, on the incarnation of the worker that it was placed on. */
     boolean listed;
     /** Since when the worker is known to have it, on the monotonic clock; empty before. */
@@ -81,6 +86,7 @@
         this.pacePercent = stage == Stage.INHERITED ? UNKNOWN_PACE : PaceControl.FULL_PERCENT;
         this.createdMs = nowMs;
         this.startInDoubt = stage == Stage.INHERITED;
+        this.inDoubtSinceMs = nowMs;
         this.crashes = job.task(task).orElseThrow().crashes();
         this.progressMs = nowMs;
     }
@@ -91,6 +97,31 @@
         }
     }
 
+    boolean startInDoubt() {
+        return startInDoubt;
+    }
+
+    /**
+     * Records that a start order that was sent may still be carried out.
+     *
+     * @param nowMs the time on a monotonic clock
+     */
+    void doubtStart(long nowMs) {
+        startInDoubt = true;
+        inDoubtSinceMs = nowMs;
+    }
+
+    /**
+     * Records that a poll lists it as active on its worker. No other incarnation can have it if this one was alive when the
+     * last start order had been carried out at the latest.
+     *
+     * @param sentMs when the poll was sent, on the monotonic clock
+     */
+    void recordListed(long sentMs) {
+        listed = true;
+        startInDoubt &= sentMs < inDoubtSinceMs + MAX_LATE_MS;
+    }
+
     /**
      * Returns for how long the worker was heard from after it had the run.
      *
--- a/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
+++ b/work/src/main/java/org/cornelcove/work/lead/Incarnations.java
@@ -138,16 +138,16 @@
                 "stage",
                 run.stage,
                 "inDoubt",
-                run.startInDoubt);
+                run.startInDoubt());
         run.worker.remove(run);
         run.moveTo(successor, nowMs);
         successor.add(run);
         // A poll refuses the orders of earlier leaders by its fence; one of this leader that is under way needs a stop.
         boolean orderUnderWay =
-                run.stage == ActiveRun.Stage.STARTING || run.stage == ActiveRun.Stage.CONFIRMED && run.startInDoubt;
+                run.stage == ActiveRun.Stage.STARTING || run.stage == ActiveRun.Stage.CONFIRMED && run.startInDoubt();
         if (orderUnderWay) {
             run.stage = ActiveRun.Stage.STARTING;
-            run.startInDoubt = true;
+            run.doubtStart(nowMs);
             run.unanswered = Math.max(1, run.unanswered);
             run.confirmedMs = Long.MAX_VALUE;
             term.calls.requestStop(run);
--- a/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
+++ b/work/src/main/java/org/cornelcove/work/lead/WorkerCalls.java
@@ -153,7 +153,7 @@
 
     private void unanswered(ActiveRun run, long nowMs) {
         run.unanswered++;
-        run.startInDoubt = true;
+        run.doubtStart(nowMs);
         run.worker.health.failed(run.task.jobId(), nowMs);
         if (run.unanswered >= MAX_UNANSWERED_STARTS || run.stopWanted) {
             run.confirmedMs = Long.MAX_VALUE;
@@ -383,7 +383,7 @@
         worker.recordContact(nowMs, poll.clockMs());
         Set<ActiveRun> listed = new HashSet<>();
         poll.ended().forEach(row -> term.ends.reported(worker, row).ifPresent(listed::add));
-        poll.running().forEach(row -> running(worker, row, nowMs).ifPresent(listed::add));
+        poll.running().forEach(row -> running(worker, row, sentMs).ifPresent(listed::add));
         if (poll.moreEnded()) {
             EventLog.event(
                     "worker.ends.more",
@@ -401,7 +401,8 @@
         poll(worker, nowMs);
     }
 
-    private Optional<ActiveRun> running(Worker worker, RunningRow row, long nowMs) {
+    private Optional<ActiveRun> running(Worker worker, RunningRow row, long sentMs) {
+        long nowMs = term.clock.nowMs();
         Optional<ActiveRun> found = worker.run(row.task(), row.runId());
         if (found.isEmpty()) {
             EventLog.event("run.stray", "task", row.task().text(), "run", row.runId(), "worker", worker.id);
@@ -409,7 +410,7 @@
             return found;
         }
         ActiveRun run = found.get();
-        run.listed = true;
+        run.recordListed(sentMs);
         run.recordRunning(nowMs);
         if (run.stage == ActiveRun.Stage.INHERITED) {
             run.stage = ActiveRun.Stage.CONFIRMED;
--- a/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/UnknownRestartTest.java
@@ -4,6 +4,7 @@
 import org.cornelcove.work.job.JobPhase;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -128,6 +129,26 @@
         assertThat(workers.incarnations.get("w2").running.size(), is(1));
     }
 
+    /**
+     * Guards against tasks of an earlier leader that wait for the longest lease, when their worker falls silent, for as long as
+     * they run.
+     */
+    @ParameterizedTest
+    @CsvSource({"1000, 8000", "14000, 6500"})
+    void aTaskOfAnEarlierLeaderWaitsForTheLeaseOfItsWorker(long leadMs, long waitMs) {
+        workers.taskMs = 600_000;
+        FakeWorkers.Incarnation worker = workers.add("w1", 1);
+        submit(Steps.job("j", Steps.plain(1)));
+        loop.run(200);
+        lead();
+        workers.add("w2", 1);
+        runWithBeats(leadMs);
+        worker.silent = true;
+        runWithBeats(waitMs);
+        assertThat(workers.faults, empty());
+        assertThat(workers.incarnations.get("w2").running.size(), is(1));
+    }
+
     /** Regression test for TWICE: a worker whose time of day was stepped back before it started again. */
     @Test
     void aTaskOfANewIncarnationThatNamesAnEarlierStartDoesNotRunBesideAnother() {
