--- a/work/src/test/java/org/cornelcove/work/lead/SimulatedPool.java
+++ b/work/src/test/java/org/cornelcove/work/lead/SimulatedPool.java
@@ -61,6 +61,9 @@
         /** When the tasks of its ends as done ended, by the number of the end. */
         final Map<Long, Long> doneAtMs = new HashMap<>();
 
+        /** What the end of the process does to the calls under way. */
+        final List<Runnable> onCrash = new ArrayList<>();
+
         long lastEnd;
         long fence;
         long leaseMs;
@@ -99,12 +102,9 @@
         void crash() {
             up = false;
             running.clear();
-            waiting.forEach(poll -> poll.run());
-            waiting.clear();
+            onCrash.forEach(Runnable::run);
+            onCrash.clear();
         }
-
-        /** Polls that wait for an end, each with what a crash does to them. */
-        final List<Runnable> waiting = new ArrayList<>();
     }
 
     /** The place of a worker: its id, its address, and its current incarnation. */
@@ -131,8 +131,6 @@
     final List<String> faults = new ArrayList<>();
     private final Set<TaskKey> noted = new HashSet<>();
     private final Map<TaskKey, Long> lastStartMs = new HashMap<>();
-    int restarts;
-    int starts;
 
     SimulatedPool(ManualLoop loop, Random random, Network network) {
         this.loop = loop;
@@ -156,7 +154,6 @@
     void restart(Host host, long darkMs) {
         host.life.ifPresent(Life::crash);
         host.life = Optional.empty();
-        restarts++;
         loop.later(darkMs, () -> {
             if (host.life.isEmpty()) {
                 begin(host);
@@ -226,7 +223,7 @@
                 return;
             }
             Life life = host.life.get();
-            life.waiting.add(() -> loop.later(1, () -> answer.complete(silence)));
+            life.onCrash.add(() -> loop.later(1, () -> answer.complete(silence)));
             order.apply(life)
                     .thenAccept(result -> loop.later(linkMs(), () -> {
                         if (!host.cut() && life.up) {
@@ -286,7 +283,6 @@
     }
 
     private void check(TaskKey task, Life life) {
-        starts++;
         lastStartMs.put(task, loop.nowMs());
         for (Host host : hosts) {
             host.life.ifPresent(other -> {
