--- a/work/src/test/java/org/cornelcove/work/lead/QuarantineTest.java
+++ b/work/src/test/java/org/cornelcove/work/lead/QuarantineTest.java
@@ -115,6 +115,25 @@
         assertThat(phase("c").ended(), is(true));
     }
 
+    /** Guards against a worker on probation that is kept from a trial by a long task that it had before the verdict. */
+    @Test
+    void aLongTaskFromBeforeTheVerdictDoesNotKeepOutATrial() {
+        FakeWorkers.Incarnation worker = workers.add("w1", 1);
+        submit(Steps.job("long", Steps.plain(1)));
+        runWithBeats(1000);
+        workers.taskMs = FakeWorkers.TASK_MS;
+        workers.atWork = false;
+        worker.fails = true;
+        submit(Steps.job("a", Steps.plain(1)));
+        submit(Steps.job("b", Steps.plain(1)));
+        runWithBeats(1000);
+        worker.fails = false;
+        submit(Steps.job("c", Steps.plain(1)));
+        runWithBeats(RESTART_MS);
+        assertThat(phase("c").ended(), is(true));
+        assertThat(worker.running.size(), is(1));
+    }
+
     /** Guards against a verdict that one task, which never ends, keeps for good. */
     @Test
     void aVerdictGrowsOldWhileATaskRuns() {
